Add the design page, the workspace and the shared types

Cause: the repository was empty; every package needs the same ids, clock, verdict and request key, and the same interfaces at its borders.

Ruled out: one large package (longer builds, no borders between decision code and network code); request keys without a creation time (their age would depend on process clocks).

Conclusion: the packages can be worked on side by side.

--- /dev/null
+++ b/crates/basilctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line of basilgrade.
+
+fn main() {}
--- /dev/null
+++ b/crates/basilgrade/src/main.rs
@@ -0,0 +1,3 @@
+//! The basilgrade daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/basilgrade_admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Interface between operators' tools and a daemon.
--- /dev/null
+++ b/crates/basilgrade_claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims on request keys.
--- /dev/null
+++ b/crates/basilgrade_config/src/lib.rs
@@ -0,0 +1,3 @@
+//! Configuration and process settings: reading, checking, printing and comparing.
+
+pub mod model;
--- /dev/null
+++ b/crates/basilgrade_config/src/model/stage.rs
@@ -0,0 +1,48 @@
+//! Stages of a pipeline.
+
+use basilgrade_types::id;
+use basilgrade_types::size;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a call may be sent again after it may have run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Idempotency {
+    /// Running twice has the same effect as running once.
+    Idempotent,
+    /// Must run at most once.
+    NonIdempotent,
+}
+
+/// What may be dropped when the deadline budget demands it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Degrade {
+    /// Nothing.
+    Never,
+    /// Answer with at most this many tokens.
+    Shorten(size::TokenCount),
+    /// Leave the stage out.
+    Skip,
+    /// Use another pool, for example with a smaller model.
+    Substitute(id::PoolId),
+}
+
+/// One stage of a pipeline.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stage {
+    /// The name of the stage, unique in its pipeline.
+    pub id: id::StageId,
+    /// The pool that serves it.
+    pub pool: id::PoolId,
+    /// The model that engines need to have loaded.
+    pub model: Option<id::ModelId>,
+    /// Most tokens generated; 0 for stages that generate none.
+    pub tokens: size::TokenCount,
+    /// Whether the stage may be run again.
+    pub idempotency: Idempotency,
+    /// What may be dropped.
+    pub degrade: Degrade,
+}
--- /dev/null
+++ b/crates/basilgrade_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, failure detection and dissemination of state between daemons.
--- /dev/null
+++ b/crates/basilgrade_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated messages between daemons.
--- /dev/null
+++ b/crates/basilgrade_placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement of models on engines.
--- /dev/null
+++ b/crates/basilgrade_platform/src/lib.rs
@@ -0,0 +1,6 @@
+//! Access to the platform: log service, VM list and weight store.
+
+pub mod error;
+pub mod log_service;
+pub mod vm_list;
+pub mod weight_store;
--- /dev/null
+++ b/crates/basilgrade_policy/src/router.rs
@@ -0,0 +1,57 @@
+//! Choice of an upstream for one call.
+
+use basilgrade_types::clock;
+use rand::Rng;
+
+use crate::candidate;
+use crate::refusal;
+
+/// What the choice depends on, besides the candidates.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallShape {
+    /// Position of the region that holds the input.
+    pub region: u16,
+    /// Bytes of input and expected output that travel.
+    pub bytes: u32,
+    /// Price of 1 MiB from the input's region to each region, in millionths of the currency.
+    pub prices: Vec<f32>,
+    /// One-way latency from the input's region to each region, in milliseconds.
+    pub latency: Vec<f32>,
+    /// Prompt tokens; 0 for calls that are not generations.
+    pub prompt: u32,
+    /// Tokens expected to be generated.
+    pub output: u32,
+    /// Instant by which the stage has to be done.
+    pub deadline: clock::Millis,
+    /// Positions of upstreams that must not be chosen, such as those already tried.
+    pub excluded: Vec<u32>,
+}
+
+/// The upstream chosen and why.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Position in the list of upstreams of the configuration in force.
+    pub index: u32,
+    /// Expected time until the call is done, in milliseconds.
+    pub finish: f32,
+    /// Expected price in millionths of the currency, traffic included.
+    pub cost: f32,
+    /// What decided, for the log line.
+    pub reason: &'static str,
+}
+
+/// A way to choose an upstream.
+pub trait Router: Send + Sync {
+    /// Chooses one of `candidates`, or says why none will do.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; nothing has been sent.
+    fn choose(
+        &self,
+        now: clock::Millis,
+        call: &CallShape,
+        candidates: &[candidate::Candidate],
+        rng: &mut dyn Rng,
+    ) -> Result<Choice, refusal::Refusal>;
+}
--- /dev/null
+++ b/crates/basilgrade_types/src/slot.rs
@@ -0,0 +1,64 @@
+//! Slots: the fixed parts of the space of request keys.
+
+use std::fmt;
+use std::str;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::parse;
+
+/// The number of slots.
+///
+/// It never changes, because a key that moved to another slot could run a second time. 64 gives
+/// each of 20 failure domains three slots.
+pub const SLOT_COUNT: u8 = 64;
+
+/// One of the [`SLOT_COUNT`] parts of the space of request keys, owned by a pair of daemons.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Slot(u8);
+
+impl Slot {
+    /// The slot with this number, if there is one.
+    pub const fn new(number: u8) -> Option<Self> {
+        if number < SLOT_COUNT {
+            Some(Self(number))
+        } else {
+            None
+        }
+    }
+
+    /// The slot that the bytes of a key hash to.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self((xxhash_rust::xxh3::xxh3_64(bytes) % u64::from(SLOT_COUNT)) as u8)
+    }
+
+    /// All slots in order.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..SLOT_COUNT).map(Self)
+    }
+
+    /// The number of the slot.
+    pub const fn number(self) -> u8 {
+        self.0
+    }
+}
+
+impl fmt::Display for Slot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "s{:02}", self.0)
+    }
+}
+
+impl str::FromStr for Slot {
+    type Err = parse::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.strip_prefix('s')
+            .filter(|digits| digits.len() == 2)
+            .and_then(|digits| digits.parse().ok())
+            .and_then(Self::new)
+            .ok_or_else(|| parse::ParseError::new(text, "a slot from `s00` to `s63`"))
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_upstream/src/client.rs
@@ -0,0 +1,1 @@
+//! The HTTP client for upstreams.
