--- /dev/null
+++ b/crates/basilgrade_server/src/core.rs
@@ -0,0 +1,90 @@
+//! What all requests of a daemon share.
+
+use std::sync;
+use std::sync::atomic;
+
+use basilgrade_policy::router;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_upstream::upstream;
+
+use crate::ledger;
+use crate::limits;
+use crate::recent;
+use crate::view::registry;
+use crate::view::snapshot;
+
+/// Whether the daemon takes new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum Phase {
+    /// Finishing what it has; the balancer is told to send nothing new.
+    Draining,
+    /// Serving.
+    Serving,
+}
+
+/// The parts that a daemon is built from.
+pub struct Parts {
+    /// Source of time.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Calls to upstreams.
+    pub upstream: sync::Arc<dyn upstream::Upstream>,
+    /// Choice of upstream.
+    pub router: sync::Arc<dyn router::Router>,
+    /// Claims on request keys.
+    pub ledger: sync::Arc<dyn ledger::Ledger>,
+    /// Limits towards callers.
+    pub limits: limits::Limits,
+    /// Failure domain of this daemon.
+    pub domain: id::DomainId,
+}
+
+/// State shared by all requests.
+pub struct Core {
+    /// The parts.
+    pub parts: Parts,
+    /// The configuration in force, if there is one.
+    pub current: snapshot::Current,
+    /// Observed state of upstreams.
+    pub registry: registry::Registry,
+    /// Latest decisions.
+    pub recent: recent::Recent,
+    /// Requests being worked on.
+    pub active: atomic::AtomicUsize,
+    draining: atomic::AtomicBool,
+}
+
+impl Core {
+    /// A core without configuration; it is not ready until one is installed.
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            parts,
+            current: snapshot::Current::empty(),
+            registry: registry::Registry::default(),
+            recent: recent::Recent::default(),
+            active: atomic::AtomicUsize::default(),
+            draining: atomic::AtomicBool::default(),
+        }
+    }
+
+    /// The current instant.
+    pub fn now(&self) -> clock::Millis {
+        self.parts.clock.now()
+    }
+
+    /// Whether new requests are wanted.
+    pub fn phase(&self) -> Phase {
+        if self.draining.load(atomic::Ordering::Acquire) {
+            Phase::Draining
+        } else {
+            Phase::Serving
+        }
+    }
+
+    /// Tells the balancer, through `/readyz`, to send nothing new. Requests that still come are
+    /// served.
+    pub fn drain(&self) {
+        self.draining.store(true, atomic::Ordering::Release);
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/exec.rs
@@ -0,0 +1,11 @@
+//! Execution of requests: stages, services, attempts and claims.
+
+pub mod attempts;
+pub mod claimed;
+pub mod context;
+pub mod generation;
+pub mod inflight;
+pub mod output;
+pub mod pipeline;
+pub mod service;
+pub mod step;
--- /dev/null
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -0,0 +1,97 @@
+//! Generation steps: tokens from an engine, continued on another one when the first fails.
+
+use std::sync;
+
+use basilgrade_types::size;
+use basilgrade_types::verdict;
+use basilgrade_upstream::call;
+use basilgrade_upstream::call_error;
+use basilgrade_upstream::token;
+use futures::StreamExt;
+use tokio::sync::mpsc;
+
+use crate::caller::failure;
+use crate::exec::attempts;
+use crate::exec::context;
+use crate::exec::inflight;
+use crate::exec::output;
+use crate::exec::step;
+
+/// Runs a generation step and sends each token once and in order to `sink`.
+///
+/// A stream that breaks is continued on another engine at the next offset. It ends early when the
+/// receiver of `sink` is gone; dropping the engine's stream then cancels the generation.
+///
+/// # Errors
+///
+/// The failure of the last attempt.
+pub async fn run(
+    context: &context::Context,
+    step: &step::Step,
+    sink: mpsc::Sender<token::Token>,
+) -> Result<(), failure::Failure> {
+    let core = sync::Arc::clone(&context.core);
+    let prompt = String::from_utf8_lossy(&step.input).into_owned();
+    let mut attempts = attempts::Attempts::new(context, step);
+    let mut received: Vec<String> = Vec::new();
+    loop {
+        let (entry, attempt) = attempts.choose()?;
+        let started = core.now();
+        let before = received.len();
+        let _inflight = inflight::Inflight::start(&entry.stats);
+        let mut tokens = core.parts.upstream.generate(call::Generation {
+            call: attempts.call(entry, attempt),
+            model: step.model.clone(),
+            prompt: prompt.clone(),
+            tokens: step.tokens,
+            offset: size::TokenCount(before as u64),
+            received: received.clone(),
+            priority: 0,
+        });
+        let error = loop {
+            match tokens.next().await {
+                None => {
+                    let count = (received.len() - before) as u64;
+                    entry.stats.observe(core.now().since(started), count);
+                    return Ok(());
+                }
+                Some(Err(error)) => break error,
+                Some(Ok(token)) => {
+                    let expected = received.len() as u64;
+                    if token.offset != expected {
+                        let reason = format!("token {} where {expected} is due", token.offset);
+                        break call_error::CallError::Malformed(entry.address, reason);
+                    }
+                    received.push(token.text.clone());
+                    if sink.send(token).await.is_err() {
+                        return Err(failure::Failure::DeadlinePassed(
+                            verdict::Verdict::MayHaveRun,
+                        ));
+                    }
+                }
+            }
+        };
+        attempts.failed(entry, error)?;
+    }
+}
+
+/// Runs a generation step and returns its whole text.
+///
+/// # Errors
+///
+/// As [`run`].
+pub async fn whole(
+    context: &context::Context,
+    step: &step::Step,
+) -> Result<String, failure::Failure> {
+    let (sink, mut tokens) = mpsc::channel::<token::Token>(output::STREAM_BUFFER);
+    let collect = async {
+        let mut text = String::new();
+        while let Some(token) = tokens.recv().await {
+            text.push_str(&token.text);
+        }
+        text
+    };
+    let (result, text) = tokio::join!(run(context, step, sink), collect);
+    result.map(|()| text)
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/exec/inflight.rs
@@ -0,0 +1,35 @@
+//! Counting of calls in flight.
+
+use std::sync;
+use std::sync::atomic;
+
+use crate::view::stats;
+
+/// Counts one call in flight until it is dropped, whatever way the call ends.
+pub struct Inflight {
+    stats: sync::Arc<stats::Stats>,
+}
+
+impl Inflight {
+    /// Counts a call to the upstream with these `stats`.
+    pub fn start(stats: &sync::Arc<stats::Stats>) -> Self {
+        stats.inflight.fetch_add(1, atomic::Ordering::Relaxed);
+        stats.sent.fetch_add(1, atomic::Ordering::Relaxed);
+        Self {
+            stats: sync::Arc::clone(stats),
+        }
+    }
+}
+
+impl Drop for Inflight {
+    fn drop(&mut self) {
+        self.stats.inflight.fetch_sub(1, atomic::Ordering::Relaxed);
+        // A report may have reset the counter since the call was sent.
+        let lower = |sent: u32| sent.checked_sub(1);
+        let _ = self.stats.sent.fetch_update(
+            atomic::Ordering::Relaxed,
+            atomic::Ordering::Relaxed,
+            lower,
+        );
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/exec/output.rs
@@ -0,0 +1,104 @@
+//! What a finished request gives its caller.
+
+use std::convert;
+
+use basilgrade_types::verdict;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body;
+use hyper::header;
+use tokio::sync::mpsc;
+
+use crate::caller::respond;
+use crate::exec::context;
+use crate::ledger;
+
+/// Events of a streamed answer waiting for the caller; a slow caller then slows the engine.
+pub const STREAM_BUFFER: usize = 64;
+
+/// The answer to a request.
+pub enum Output {
+    /// Server-sent events, ended by `event: end` or `event: error`.
+    Stream(mpsc::Receiver<Bytes>),
+    /// A whole answer.
+    Whole(hyper::StatusCode, hyper::HeaderMap, Bytes),
+}
+
+impl Output {
+    /// A whole answer with status 200.
+    pub fn ok(content: &'static str, body: Bytes) -> Self {
+        let mut headers = hyper::HeaderMap::new();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static(content),
+        );
+        Self::Whole(hyper::StatusCode::OK, headers, body)
+    }
+
+    /// The form kept for repeats; streams are not kept.
+    pub fn answer(&self) -> Option<ledger::Answer> {
+        let Self::Whole(status, headers, body) = self else {
+            return None;
+        };
+        let content = headers
+            .get(header::CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        Some(ledger::Answer {
+            status: status.as_u16(),
+            content,
+            body: body.clone(),
+        })
+    }
+
+    /// The answer kept from an earlier execution.
+    pub fn replay(answer: ledger::Answer) -> Self {
+        let mut headers = hyper::HeaderMap::new();
+        if let Ok(content) = header::HeaderValue::from_str(&answer.content) {
+            headers.insert(header::CONTENT_TYPE, content);
+        }
+        let status = hyper::StatusCode::from_u16(answer.status).unwrap_or_default();
+        Self::Whole(status, headers, answer.body)
+    }
+
+    /// The HTTP response.
+    pub fn response(self, context: &context::Context) -> hyper::Response<respond::Body> {
+        let mut response = match self {
+            Self::Stream(events) => {
+                let body = http_body_util::StreamBody::new(futures::stream::unfold(
+                    events,
+                    |mut events| async {
+                        let event = events.recv().await?;
+                        Some((
+                            Ok::<_, convert::Infallible>(body::Frame::data(event)),
+                            events,
+                        ))
+                    },
+                ));
+                let mut response = hyper::Response::new(body.boxed_unsync());
+                response.headers_mut().insert(
+                    header::CONTENT_TYPE,
+                    header::HeaderValue::from_static("text/event-stream"),
+                );
+                response
+            }
+            Self::Whole(status, headers, body) => {
+                let mut response = hyper::Response::new(respond::whole(body));
+                *response.status_mut() = status;
+                for (name, value) in &headers {
+                    if !respond::CONNECTION_HEADERS.contains(&name.as_str()) {
+                        response.headers_mut().append(name.clone(), value.clone());
+                    }
+                }
+                response
+            }
+        };
+        respond::stamp(
+            response.headers_mut(),
+            context.request,
+            verdict::Verdict::Ran,
+        );
+        response
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/exec/service.rs
@@ -0,0 +1,116 @@
+//! Requests to plain services.
+
+use basilgrade_config::model::pool;
+use basilgrade_config::model::service;
+use basilgrade_config::model::stage;
+use basilgrade_types::id;
+use basilgrade_types::size;
+use bytes::Bytes;
+
+use crate::caller::failure;
+use crate::caller::respond;
+use crate::exec::attempts;
+use crate::exec::claimed;
+use crate::exec::context;
+use crate::exec::output;
+use crate::exec::step;
+
+/// The request as the caller sent it.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// HTTP method.
+    pub method: hyper::Method,
+    /// Path and query on the service.
+    pub path: String,
+    /// The caller's headers.
+    pub headers: hyper::HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Serves one request to a plain service.
+///
+/// # Errors
+///
+/// The failure to report to the caller.
+pub async fn run(
+    context: context::Context,
+    service: &service::Service,
+    incoming: Incoming,
+) -> Result<output::Output, failure::Failure> {
+    let pool = context.view.deployment.pools.get(&service.pool);
+    let keys = pool.map_or(pool::Keys::Ignored, |pool| pool.keys);
+    let safe = matches!(incoming.method, hyper::Method::GET | hyper::Method::HEAD);
+    let idempotency = if safe {
+        stage::Idempotency::Idempotent
+    } else {
+        context.idempotency.unwrap_or(service.idempotency)
+    };
+    let fingerprint = fingerprint(&context.customer, &service.pool, &incoming);
+    let step = step::Step {
+        stage: stage_name(&service.pool),
+        pool: service.pool.clone(),
+        kind: pool::Kind::Service,
+        keys,
+        model: None,
+        tokens: size::TokenCount::default(),
+        idempotency,
+        method: incoming.method,
+        path: incoming.path,
+        headers: forwarded(&incoming.headers),
+        input: incoming.body,
+    };
+    match idempotency {
+        stage::Idempotency::Idempotent => call(context, step).await,
+        stage::Idempotency::NonIdempotent => {
+            claimed::run(context, fingerprint, |context| call(context, step)).await
+        }
+    }
+}
+
+async fn call(
+    context: context::Context,
+    step: step::Step,
+) -> Result<output::Output, failure::Failure> {
+    let reply = attempts::run(&context, &step).await?;
+    Ok(output::Output::Whole(
+        reply.status,
+        reply.headers,
+        reply.body,
+    ))
+}
+
+/// Pools and stages have names of the same form.
+fn stage_name(pool: &id::PoolId) -> id::StageId {
+    pool.as_str()
+        .parse()
+        .unwrap_or_else(|_| unreachable!("pool and stage names have the same form"))
+}
+
+fn forwarded(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
+    headers
+        .iter()
+        .filter(|(name, _)| {
+            let name = name.as_str();
+            !respond::CONNECTION_HEADERS.contains(&name)
+                && !name.starts_with("basilgrade-")
+                && name != "idempotency-key"
+        })
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+fn fingerprint(customer: &id::CustomerId, pool: &id::PoolId, incoming: &Incoming) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in [
+        customer.as_str().as_bytes(),
+        pool.as_str().as_bytes(),
+        incoming.method.as_str().as_bytes(),
+        incoming.path.as_bytes(),
+        &incoming.body,
+    ] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/exec/step.rs
@@ -0,0 +1,34 @@
+//! One step of a request: a stage or a service call.
+
+use basilgrade_config::model::pool;
+use basilgrade_config::model::stage;
+use basilgrade_types::id;
+use basilgrade_types::size;
+use bytes::Bytes;
+
+/// What has to be done, before an upstream is chosen.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// The stage, or the service pool's name.
+    pub stage: id::StageId,
+    /// The pool that serves it.
+    pub pool: id::PoolId,
+    /// What the pool does.
+    pub kind: pool::Kind,
+    /// Whether the pool honours request keys.
+    pub keys: pool::Keys,
+    /// The model that engines need.
+    pub model: Option<id::ModelId>,
+    /// Most tokens generated.
+    pub tokens: size::TokenCount,
+    /// Whether the step may run more than once.
+    pub idempotency: stage::Idempotency,
+    /// HTTP method.
+    pub method: hyper::Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers passed on.
+    pub headers: hyper::HeaderMap,
+    /// Input.
+    pub input: Bytes,
+}
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -1,1 +1,10 @@
 //! The daemon: caller interface, pipeline executor, background tasks, metrics and shutdown.
+
+pub mod caller;
+pub mod core;
+pub mod exec;
+pub mod ledger;
+pub mod limits;
+pub mod recent;
+pub mod serve;
+pub mod view;
--- /dev/null
+++ b/crates/basilgrade_server/src/recent.rs
@@ -0,0 +1,82 @@
+//! The latest decisions, kept for `basilctl explain`.
+
+use std::collections;
+use std::sync;
+
+use basilgrade_types::attempt;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::request;
+use serde::Serialize;
+
+/// Decisions kept; at 40 requests a second with five stages this covers about 20 s.
+const KEPT: usize = 4096;
+
+/// One routing decision.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Decision {
+    /// When it was made.
+    pub at: clock::Millis,
+    /// The request.
+    pub request: request::RequestId,
+    /// The stage or service.
+    pub stage: id::StageId,
+    /// The attempt.
+    pub attempt: attempt::Attempt,
+    /// Upstreams considered.
+    pub candidates: usize,
+    /// The upstream chosen; none when the call was refused.
+    pub choice: Option<id::UpstreamId>,
+    /// What decided.
+    pub reason: &'static str,
+    /// Expected time until done, in milliseconds.
+    pub finish: f32,
+    /// Expected price, in millionths of the currency.
+    pub cost: f32,
+}
+
+/// A bounded record of decisions.
+#[derive(Debug, Default)]
+pub struct Recent {
+    kept: sync::Mutex<collections::VecDeque<Decision>>,
+}
+
+impl Recent {
+    /// Logs a decision and keeps it; the oldest goes when the record is full.
+    pub fn record(&self, decision: Decision) {
+        log::info!(
+            "event=route request={} stage={} attempt={} candidates={} choice={} reason={} finish_ms={:.1} cost={:.2}",
+            decision.request,
+            decision.stage,
+            decision.attempt,
+            decision.candidates,
+            decision
+                .choice
+                .as_ref()
+                .map_or("none", id::UpstreamId::as_str),
+            decision.reason,
+            decision.finish,
+            decision.cost,
+        );
+        let mut kept = self.lock();
+        if kept.len() == KEPT {
+            kept.pop_front();
+        }
+        kept.push_back(decision);
+    }
+
+    /// The decisions kept for a request, in order.
+    pub fn of(&self, request: request::RequestId) -> Vec<Decision> {
+        self.lock()
+            .iter()
+            .filter(|decision| decision.request == request)
+            .cloned()
+            .collect()
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, collections::VecDeque<Decision>> {
+        self.kept
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/serve.rs
@@ -0,0 +1,185 @@
+//! One request of a caller, from head to response.
+
+use std::sync;
+use std::sync::atomic;
+
+use basilgrade_types::clock;
+use basilgrade_types::request;
+use bytes::Bytes;
+use hyper::body;
+
+use crate::caller::body as caller_body;
+use crate::caller::failure;
+use crate::caller::head;
+use crate::caller::respond;
+use crate::caller::target;
+use crate::core;
+use crate::exec::context;
+use crate::exec::output;
+use crate::exec::pipeline;
+use crate::exec::service;
+use crate::view::snapshot;
+
+/// Answers one request; every outcome is a response.
+pub async fn serve<B>(
+    core: sync::Arc<core::Core>,
+    request: hyper::Request<B>,
+) -> hyper::Response<respond::Body>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    let id = request::RequestId::mint();
+    let target = target::Target::parse(request.uri());
+    match target {
+        target::Target::Health => return respond::plain(hyper::StatusCode::OK, "ok\n"),
+        target::Target::Ready => return ready(&core),
+        _ => {}
+    }
+    let active = Active::start(&core);
+    let result = match active {
+        Some(_) => answer(&core, id, target, request).await,
+        None => Err(failure::Failure::Overloaded),
+    };
+    result.unwrap_or_else(|failure| {
+        log::info!(
+            "event=request-failed request={id} verdict={} reason={} error={:?}",
+            failure.verdict(),
+            failure.label(),
+            failure.to_string(),
+        );
+        respond::failed(id, &failure)
+    })
+}
+
+fn ready(core: &core::Core) -> hyper::Response<respond::Body> {
+    let configured = core.current.load().is_some();
+    match core.phase() {
+        core::Phase::Serving if configured => respond::plain(hyper::StatusCode::OK, "ready\n"),
+        core::Phase::Serving => respond::plain(
+            hyper::StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration is in force\n",
+        ),
+        core::Phase::Draining => {
+            respond::plain(hyper::StatusCode::SERVICE_UNAVAILABLE, "draining\n")
+        }
+    }
+}
+
+async fn answer<B>(
+    core: &sync::Arc<core::Core>,
+    id: request::RequestId,
+    target: target::Target,
+    request: hyper::Request<B>,
+) -> Result<hyper::Response<respond::Body>, failure::Failure>
+where
+    B: body::Body<Data = Bytes>,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    let view = core.current.load_full().ok_or(failure::Failure::NotReady)?;
+    let started = core.now();
+    let head = head::Head::parse(request.headers())?;
+    check_customer(&view, &head, &target)?;
+    let (parts, body) = request.into_parts();
+    let limits = core.parts.limits;
+    let body = caller_body::read(body, limits.body, limits.sender).await?;
+    let longest = longest(&view, &target)
+        .ok_or_else(|| failure::Failure::UnknownTarget(parts.uri.path().to_owned()))?;
+    let allowed = head.allowed.map_or(longest, |allowed| allowed.min(longest));
+    let context = context::Context {
+        core: sync::Arc::clone(core),
+        view: sync::Arc::clone(&view),
+        request: id,
+        customer: head.customer,
+        key: head.key,
+        idempotency: head.idempotency,
+        delivery: head.delivery,
+        deadline: started.plus(allowed),
+    };
+    let incoming = service::Incoming {
+        method: parts.method,
+        path: String::new(),
+        headers: parts.headers,
+        body,
+    };
+    let output = dispatch(context.clone(), target, incoming).await?;
+    Ok(output.response(&context))
+}
+
+async fn dispatch(
+    context: context::Context,
+    target: target::Target,
+    mut incoming: service::Incoming,
+) -> Result<output::Output, failure::Failure> {
+    let unknown = || failure::Failure::UnknownTarget(target.name().to_owned());
+    let view = sync::Arc::clone(&context.view);
+    match &target {
+        target::Target::Pipeline(pipeline) => {
+            let pipeline = view
+                .deployment
+                .pipelines
+                .get(pipeline)
+                .ok_or_else(unknown)?;
+            pipeline::run(context, pipeline.clone(), incoming.body).await
+        }
+        target::Target::Service(pool, path) => {
+            let service = view.deployment.services.get(pool).ok_or_else(unknown)?;
+            incoming.path.clone_from(path);
+            service::run(context, service, incoming).await
+        }
+        _ => Err(unknown()),
+    }
+}
+
+fn longest(view: &snapshot::Snapshot, target: &target::Target) -> Option<clock::Millis> {
+    match target {
+        target::Target::Pipeline(name) => view
+            .deployment
+            .pipelines
+            .get(name)
+            .map(|pipeline| pipeline.deadline),
+        target::Target::Service(pool, _) => view
+            .deployment
+            .services
+            .get(pool)
+            .map(|service| service.deadline),
+        _ => None,
+    }
+}
+
+fn check_customer(
+    view: &snapshot::Snapshot,
+    head: &head::Head,
+    target: &target::Target,
+) -> Result<(), failure::Failure> {
+    let forbidden = || failure::Failure::Forbidden(head.customer.to_string());
+    let customer = view
+        .deployment
+        .customers
+        .get(&head.customer)
+        .ok_or_else(forbidden)?;
+    let allowed =
+        customer.targets.is_empty() || customer.targets.iter().any(|name| name == target.name());
+    allowed.then_some(()).ok_or_else(forbidden)
+}
+
+/// Counts a request as active until it is dropped.
+struct Active {
+    core: sync::Arc<core::Core>,
+}
+
+impl Active {
+    fn start(core: &sync::Arc<core::Core>) -> Option<Self> {
+        let before = core.active.fetch_add(1, atomic::Ordering::AcqRel);
+        let active = Self {
+            core: sync::Arc::clone(core),
+        };
+        (before < core.parts.limits.requests).then_some(active)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.core.active.fetch_sub(1, atomic::Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/view.rs
@@ -0,0 +1,7 @@
+//! What the daemon knows: the configuration in force and the state of upstreams.
+
+pub mod entry;
+pub mod gauge;
+pub mod registry;
+pub mod snapshot;
+pub mod stats;
--- /dev/null
+++ b/crates/basilgrade_server/src/view/registry.rs
@@ -0,0 +1,34 @@
+//! Observed state of all upstreams, kept across changes of configuration.
+
+use std::sync;
+
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+use crate::view::stats;
+
+/// Hands out the one [`stats::Stats`] of each upstream.
+#[derive(Debug, Default)]
+pub struct Registry {
+    known: sync::Mutex<IndexMap<id::UpstreamId, sync::Arc<stats::Stats>>>,
+}
+
+impl Registry {
+    /// The state of `upstream`, created on first use.
+    pub fn stats(&self, upstream: &id::UpstreamId) -> sync::Arc<stats::Stats> {
+        let mut known = self
+            .known
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        known.entry(upstream.clone()).or_default().clone()
+    }
+
+    /// Forgets upstreams that are no longer declared.
+    pub fn retain(&self, declared: impl Fn(&id::UpstreamId) -> bool) {
+        let mut known = self
+            .known
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        known.retain(|upstream, _| declared(upstream));
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -0,0 +1,134 @@
+//! The configuration in force, indexed for the path of a request.
+
+use std::sync;
+
+use basilgrade_config::model::deployment;
+use basilgrade_policy::candidate;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::revision;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::view::entry;
+use crate::view::registry;
+
+/// An immutable view that requests read without a lock; a new revision replaces it as a whole.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The revision in force.
+    pub revision: revision::Revision,
+    /// The configuration.
+    pub deployment: deployment::Deployment,
+    /// Regions in order of position.
+    pub regions: IndexSet<id::RegionId>,
+    /// Upstreams in order of position.
+    pub entries: Vec<entry::Entry>,
+    /// Positions of the upstreams of each pool.
+    pub pools: IndexMap<id::PoolId, Vec<u32>>,
+    /// Position of this daemon's region.
+    pub home: u16,
+    /// Price of 1 MiB from row region to column region.
+    pub prices: Vec<Vec<f32>>,
+    /// One-way latency from row region to column region, in milliseconds.
+    pub latency: Vec<Vec<f32>>,
+}
+
+impl Snapshot {
+    /// Indexes `deployment` as seen from failure domain `domain`.
+    pub fn build(
+        revision: revision::Revision,
+        deployment: deployment::Deployment,
+        domain: &id::DomainId,
+        registry: &registry::Registry,
+    ) -> Self {
+        let regions: IndexSet<_> = deployment
+            .domains
+            .values()
+            .map(|domain| domain.region.clone())
+            .collect();
+        let position = |domain: &id::DomainId| {
+            deployment
+                .region(domain)
+                .and_then(|region| regions.get_index_of(region))
+                .unwrap_or_default() as u16
+        };
+        let entries: Vec<_> = deployment
+            .upstreams
+            .values()
+            .map(|upstream| entry::Entry {
+                id: upstream.id.clone(),
+                pool: upstream.pool.clone(),
+                address: upstream.address,
+                region: position(&upstream.domain),
+                capacity: upstream.capacity,
+                price: deployment
+                    .pools
+                    .get(&upstream.pool)
+                    .map_or(0.0, |pool| pool.price.0 as f32),
+                stats: registry.stats(&upstream.id),
+            })
+            .collect();
+        let mut pools: IndexMap<id::PoolId, Vec<u32>> = IndexMap::new();
+        for (index, entry) in entries.iter().enumerate() {
+            pools
+                .entry(entry.pool.clone())
+                .or_default()
+                .push(index as u32);
+        }
+        let home = position(domain);
+        let matrix = |value: &dyn Fn(&id::RegionId, &id::RegionId) -> f32| {
+            regions
+                .iter()
+                .map(|from| regions.iter().map(|to| value(from, to)).collect())
+                .collect()
+        };
+        let prices = matrix(&|from, to| {
+            deployment
+                .link(from, to)
+                .filter(|_| from != to)
+                .map_or(0.0, |link| link.price.0 as f32)
+        });
+        let latency = matrix(&|from, to| {
+            deployment
+                .link(from, to)
+                .filter(|_| from != to)
+                .map_or(0.0, |link| link.latency.as_f64() as f32)
+        });
+        Self {
+            revision,
+            deployment,
+            regions,
+            entries,
+            pools,
+            home,
+            prices,
+            latency,
+        }
+    }
+
+    /// Candidates of a pool at `now`; upstreams that are leaving are left out.
+    pub fn candidates(&self, pool: &id::PoolId, now: clock::Millis) -> Vec<candidate::Candidate> {
+        let Some(indices) = self.pools.get(pool) else {
+            return Vec::new();
+        };
+        indices
+            .iter()
+            .filter_map(|index| self.candidate(*index, now))
+            .collect()
+    }
+
+    fn candidate(&self, index: u32, now: clock::Millis) -> Option<candidate::Candidate> {
+        let entry = self.entries.get(index as usize)?;
+        if entry.stats.is_leaving(now) {
+            return None;
+        }
+        Some(entry.candidate(index))
+    }
+}
+
+/// The view shared by all requests.
+pub type Current = arc_swap::ArcSwapOption<Snapshot>;
+
+/// One loaded view.
+pub type Loaded = sync::Arc<Snapshot>;
