--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -3,13 +3,16 @@
 use std::sync;
 use std::sync::atomic;
 
+use basilgrade_config::model::deployment;
 use basilgrade_policy::router;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use basilgrade_types::revision;
 use basilgrade_upstream::upstream;
 
 use crate::ledger;
 use crate::limits;
+use crate::metrics;
 use crate::recent;
 use crate::view::registry;
 use crate::view::snapshot;
@@ -34,6 +37,8 @@
     pub router: sync::Arc<dyn router::Router>,
     /// Claims on request keys.
     pub ledger: sync::Arc<dyn ledger::Ledger>,
+    /// Instruments.
+    pub metrics: sync::Arc<metrics::Metrics>,
     /// Limits towards callers.
     pub limits: limits::Limits,
     /// Failure domain of this daemon.
@@ -73,6 +78,31 @@
         self.parts.clock.now()
     }
 
+    /// Puts a configuration in force unless a later one already is.
+    pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
+        self.registry
+            .retain(|upstream| deployment.upstreams.contains_key(upstream));
+        let built = sync::Arc::new(snapshot::Snapshot::build(
+            revision,
+            deployment.clone(),
+            &self.parts.domain,
+            &self.registry,
+        ));
+        let newer =
+            |old: &Option<snapshot::Loaded>| old.as_ref().is_none_or(|old| old.revision < revision);
+        let before = self.current.rcu(|old| {
+            if newer(old) {
+                Some(sync::Arc::clone(&built))
+            } else {
+                old.clone()
+            }
+        });
+        if newer(&before) {
+            self.parts.metrics.revision(revision);
+            log::info!("event=configuration-in-force revision={revision}");
+        }
+    }
+
     /// Whether new requests are wanted.
     pub fn phase(&self) -> Phase {
         if self.draining.load(atomic::Ordering::Acquire) {
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod exec;
 pub mod ledger;
 pub mod limits;
+pub mod listener;
+pub mod metrics;
 pub mod recent;
 pub mod serve;
 pub mod view;
--- /dev/null
+++ b/crates/basilgrade_server/src/listener.rs
@@ -0,0 +1,103 @@
+//! Accepting of callers' connections and graceful shutdown.
+
+use std::convert;
+use std::io;
+use std::net;
+use std::sync;
+use std::time;
+
+use basilgrade_types::clock;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use hyper_util::server::graceful;
+use tokio::net as tokio_net;
+use tokio_util::sync::CancellationToken;
+
+use crate::core;
+use crate::serve;
+
+/// Wait after an error of `accept`, such as too many open files, before the next one.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// A listener for callers.
+pub struct Listener {
+    core: sync::Arc<core::Core>,
+    socket: tokio_net::TcpListener,
+}
+
+impl Listener {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error when the address is in use or not local.
+    pub async fn bind(core: sync::Arc<core::Core>, address: net::SocketAddr) -> io::Result<Self> {
+        let socket = tokio_net::TcpListener::bind(address).await?;
+        Ok(Self { core, socket })
+    }
+
+    /// The address bound.
+    ///
+    /// # Errors
+    ///
+    /// An I/O error of the socket.
+    pub fn address(&self) -> io::Result<net::SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Serves until `stop`, then tells the balancer to send nothing new, goes on accepting for
+    /// `linger`, and returns when every request and stream has ended.
+    pub async fn run(self, stop: CancellationToken, linger: clock::Millis) {
+        let graceful = graceful::GracefulShutdown::new();
+        let closing = async {
+            stop.cancelled().await;
+            self.core.drain();
+            log::info!("event=drain-started linger={linger}");
+            tokio::time::sleep(linger.duration()).await;
+        };
+        tokio::pin!(closing);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut closing => break,
+                accepted = self.socket.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => self.start(stream, &graceful),
+                Err(error) => {
+                    log::warn!("event=accept-failed error={:?}", error.to_string());
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(self.socket);
+        graceful.shutdown().await;
+        log::info!("event=drain-finished");
+    }
+
+    fn start(&self, stream: tokio_net::TcpStream, graceful: &graceful::GracefulShutdown) {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("event=nodelay-failed error={:?}", error.to_string());
+        }
+        let core = sync::Arc::clone(&self.core);
+        let limits = core.parts.limits;
+        let service = service::service_fn(move |request| {
+            let core = sync::Arc::clone(&core);
+            async move { Ok::<_, convert::Infallible>(serve::serve(core, request).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(rt::TokioTimer::new())
+            .header_read_timeout(limits.sender.duration())
+            .max_buf_size((limits.head.0 as usize).max(MIN_BUFFER))
+            .serve_connection(rt::TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = watched.await {
+                log::debug!("event=connection-closed error={:?}", error.to_string());
+            }
+        });
+    }
+}
+
+/// The HTTP library refuses smaller buffers.
+const MIN_BUFFER: usize = 8192;
--- /dev/null
+++ b/crates/basilgrade_server/src/metrics.rs
@@ -0,0 +1,145 @@
+//! Metrics by OpenTelemetry, served for scraping in the Prometheus text format.
+
+use basilgrade_types::id;
+use basilgrade_types::verdict;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics;
+use opentelemetry::metrics::MeterProvider;
+use prometheus::Encoder;
+
+use crate::caller::failure;
+
+/// Instruments of one daemon.
+pub struct Metrics {
+    registry: prometheus::Registry,
+    // Instruments stop recording when their provider is dropped.
+    _provider: opentelemetry_sdk::metrics::SdkMeterProvider,
+    requests: metrics::Counter<u64>,
+    attained: metrics::Counter<u64>,
+    refusals: metrics::Counter<u64>,
+    retries: metrics::Counter<u64>,
+    dropped: metrics::Counter<u64>,
+    cost: metrics::Counter<f64>,
+    billed: metrics::Counter<u64>,
+    revision: metrics::Gauge<u64>,
+    active: metrics::Gauge<u64>,
+    duration: metrics::Histogram<f64>,
+}
+
+/// How a request ended with respect to its deadline.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Attainment {
+    /// A whole answer in time.
+    Attained,
+    /// No answer, or a late one.
+    Missed,
+}
+
+impl Metrics {
+    /// Instruments with a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// An error of the exporter, which means that two instruments have the same name.
+    pub fn new() -> Result<Self, String> {
+        let registry = prometheus::Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| error.to_string())?;
+        let provider = opentelemetry_sdk::metrics::SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("basilgrade");
+        let counter = |name, text| meter.u64_counter(name).with_description(text).build();
+        let gauge = |name, text| meter.u64_gauge(name).with_description(text).build();
+        Ok(Self {
+            registry,
+            requests: counter("basilgrade_requests", "Requests by target and verdict"),
+            attained: counter("basilgrade_deadlines", "Requests by target and attainment"),
+            refusals: counter("basilgrade_refusals", "Requests refused, by reason"),
+            retries: counter("basilgrade_retries", "Attempts beyond the first, by stage"),
+            dropped: counter(
+                "basilgrade_dropped_answers",
+                "Answers dropped because they were late, double or for another call",
+            ),
+            cost: meter
+                .f64_counter("basilgrade_stage_cost")
+                .with_description("Price paid by stage, in millionths of the currency")
+                .build(),
+            billed: counter(
+                "basilgrade_billed_bytes",
+                "Bytes sent to and received from upstreams in other regions",
+            ),
+            revision: gauge("basilgrade_revision", "Configuration revision in force"),
+            active: gauge("basilgrade_active_requests", "Requests being worked on"),
+            duration: meter
+                .f64_histogram("basilgrade_request_duration_ms")
+                .with_description("Time from head to answer, in milliseconds")
+                .build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a finished request.
+    pub fn request(
+        &self,
+        target: &str,
+        verdict: verdict::Verdict,
+        attainment: Attainment,
+        millis: f64,
+    ) {
+        let target = KeyValue::new("target", target.to_owned());
+        let state = match attainment {
+            Attainment::Attained => "attained",
+            Attainment::Missed => "missed",
+        };
+        self.requests.add(
+            1,
+            &[target.clone(), KeyValue::new("verdict", verdict.as_str())],
+        );
+        self.attained
+            .add(1, &[target.clone(), KeyValue::new("state", state)]);
+        self.duration.record(millis, &[target]);
+    }
+
+    /// Counts a request without an answer.
+    pub fn refusal(&self, failure: &failure::Failure) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", failure.label())]);
+    }
+
+    /// Counts an attempt beyond the first.
+    pub fn retry(&self, stage: &id::StageId) {
+        self.retries
+            .add(1, &[KeyValue::new("stage", stage.to_string())]);
+    }
+
+    /// Counts an answer that was dropped.
+    pub fn dropped_answer(&self, reason: &'static str) {
+        self.dropped.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Adds the price of a call and the bytes it moved between regions.
+    pub fn stage_cost(&self, stage: &id::StageId, price: f64, billed: u64) {
+        let stage = KeyValue::new("stage", stage.to_string());
+        self.cost.add(price, std::slice::from_ref(&stage));
+        self.billed.add(billed, &[stage]);
+    }
+
+    /// Sets the revision in force.
+    pub fn revision(&self, revision: basilgrade_types::revision::Revision) {
+        self.revision.record(revision.0, &[]);
+    }
+
+    /// The current values as text.
+    pub fn render(&self, active: usize) -> Vec<u8> {
+        self.active.record(active as u64, &[]);
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = prometheus::TextEncoder::new().encode(&families, &mut text) {
+            log::error!("event=metrics-failed error={:?}", error.to_string());
+        }
+        text
+    }
+}
--- a/crates/basilgrade_server/src/serve.rs
+++ b/crates/basilgrade_server/src/serve.rs
@@ -5,6 +5,7 @@
 
 use basilgrade_types::clock;
 use basilgrade_types::request;
+use basilgrade_types::verdict;
 use bytes::Bytes;
 use hyper::body;
 
@@ -18,6 +19,7 @@
 use crate::exec::output;
 use crate::exec::pipeline;
 use crate::exec::service;
+use crate::metrics;
 use crate::view::snapshot;
 
 /// Answers one request; every outcome is a response.
@@ -34,13 +36,20 @@
     match target {
         target::Target::Health => return respond::plain(hyper::StatusCode::OK, "ok\n"),
         target::Target::Ready => return ready(&core),
+        target::Target::Metrics => return scrape(&core),
+        target::Target::Keys => return mint(&core, id),
         _ => {}
     }
+    let started = core.now();
+    let name = target.name().to_owned();
     let active = Active::start(&core);
     let result = match active {
         Some(_) => answer(&core, id, target, request).await,
         None => Err(failure::Failure::Overloaded),
     };
+    let spent = core.now().since(started);
+    let failure = result.as_ref().err();
+    account(&core.parts.metrics, &name, spent, failure);
     result.unwrap_or_else(|failure| {
         log::info!(
             "event=request-failed request={id} verdict={} reason={} error={:?}",
@@ -52,6 +61,29 @@
     })
 }
 
+/// Counts a finished request. Names that are not declared share one label, so that callers cannot
+/// create metrics at will.
+fn account(
+    metrics: &metrics::Metrics,
+    name: &str,
+    spent: clock::Millis,
+    failure: Option<&failure::Failure>,
+) {
+    let Some(failure) = failure else {
+        let attained = metrics::Attainment::Attained;
+        metrics.request(name, verdict::Verdict::Ran, attained, spent.as_f64());
+        return;
+    };
+    let declared = !matches!(
+        failure,
+        failure::Failure::UnknownTarget(..) | failure::Failure::Forbidden(..)
+    );
+    let name = if declared { name } else { "undeclared" };
+    let missed = metrics::Attainment::Missed;
+    metrics.request(name, failure.verdict(), missed, spent.as_f64());
+    metrics.refusal(failure);
+}
+
 fn ready(core: &core::Core) -> hyper::Response<respond::Body> {
     let configured = core.current.load().is_some();
     match core.phase() {
@@ -66,6 +98,23 @@
     }
 }
 
+fn scrape(core: &core::Core) -> hyper::Response<respond::Body> {
+    let active = core.active.load(atomic::Ordering::Acquire);
+    hyper::Response::new(respond::whole(core.parts.metrics.render(active)))
+}
+
+fn mint(core: &core::Core, id: request::RequestId) -> hyper::Response<respond::Body> {
+    let Some(key) = core.parts.ledger.mint() else {
+        let reason = "this failure domain holds no slot yet".to_owned();
+        let failure = failure::Failure::ClaimUnavailable("none".to_owned(), reason);
+        return respond::failed(id, &failure);
+    };
+    let body = serde_json::json!({"key": key.to_string()}).to_string();
+    let mut response = hyper::Response::new(respond::whole(body));
+    respond::stamp(response.headers_mut(), id, verdict::Verdict::Ran);
+    response
+}
+
 async fn answer<B>(
     core: &sync::Arc<core::Core>,
     id: request::RequestId,
