Read the configuration and the process settings

Cause: the daemon and the command line need a checked model and settings. Ruled out: one call of rust-ini for the whole text, because it keeps no positions, stops at the first fault and joins a line without `=` with the next one. Change: rust-ini reads one line at a time; `parse` and `settings::parse` report every fault with file, section, key, line and what was expected, and suggest the nearest known name. `Deployment` has a `name`.

--- /dev/null
+++ b/crates/basilgrade_config/src/limits.rs
@@ -0,0 +1,41 @@
+//! Bounds on the size of a configuration.
+//!
+//! They leave room above the two-year size (4,200 customers, 1,200 engines, 20 failure domains)
+//! and keep a faulty or hostile text from taking a daemon's memory.
+
+/// The longest text, in bytes; 4,200 customers and 1,200 upstreams take less than 1 MiB.
+pub const TEXT: usize = 8 << 20;
+/// The longest line, in bytes.
+pub const LINE: usize = 4096;
+/// Most problems kept in one report; further ones are only counted.
+pub const PROBLEMS: usize = 200;
+/// Most failure domains.
+pub const DOMAINS: usize = 256;
+/// Most links between regions.
+pub const LINKS: usize = 4096;
+/// Most pools.
+pub const POOLS: usize = 1024;
+/// Most upstreams.
+pub const UPSTREAMS: usize = 16_384;
+/// Most pipelines.
+pub const PIPELINES: usize = 512;
+/// Most stages of one pipeline.
+pub const STAGES: usize = 16;
+/// Most plain services.
+pub const SERVICES: usize = 1024;
+/// Most customers.
+pub const CUSTOMERS: usize = 32_768;
+/// Most names in one list.
+pub const LIST: usize = 128;
+/// The longest deadline or other time, in milliseconds.
+pub const TIME_MS: u64 = 24 * 3_600_000;
+/// The highest price, in millionths of the currency.
+pub const PRICE: u64 = 1_000_000_000_000;
+/// The highest capacity of one upstream, in calls.
+pub const CAPACITY: u32 = 65_536;
+/// The highest request rate of one customer, per second.
+pub const RATE: f64 = 1_000_000.0;
+/// The largest burst of one customer, in requests.
+pub const BURST: u32 = 1_000_000;
+/// Most tokens of one stage.
+pub const TOKENS: u64 = 1_000_000;
--- a/crates/basilgrade_config/src/model/deployment.rs
+++ b/crates/basilgrade_config/src/model/deployment.rs
@@ -1,6 +1,7 @@
 //! The whole configuration.
 
 use basilgrade_types::id;
+use compact_str::CompactString;
 use indexmap::IndexMap;
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,6 +19,8 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Deployment {
+    /// The name of the deployment; the same in every revision.
+    pub name: CompactString,
     /// What the deployment values.
     pub weights: weights::Weights,
     /// Failure domains by name.
--- a/crates/basilgrade_config/src/model/pool.rs
+++ b/crates/basilgrade_config/src/model/pool.rs
@@ -1,6 +1,10 @@
 //! Pools of upstreams.
 
+use std::fmt;
+use std::str;
+
 use basilgrade_types::id;
+use basilgrade_types::parse;
 use basilgrade_types::price;
 use serde::Deserialize;
 use serde::Serialize;
@@ -56,3 +60,96 @@
     /// Price of one call.
     pub price: price::Price,
 }
+
+impl Kind {
+    /// The text in a configuration.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Encoder => "encoder",
+            Self::Engine => "engine",
+            Self::Reranker => "reranker",
+            Self::Retriever => "retriever",
+            Self::Service => "service",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl str::FromStr for Kind {
+    type Err = parse::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "encoder" => Ok(Self::Encoder),
+            "engine" => Ok(Self::Engine),
+            "reranker" => Ok(Self::Reranker),
+            "retriever" => Ok(Self::Retriever),
+            "service" => Ok(Self::Service),
+            _ => Err(parse::ParseError::new(
+                text,
+                "`encoder`, `engine`, `reranker`, `retriever` or `service`",
+            )),
+        }
+    }
+}
+
+impl Fencing {
+    /// The text in a configuration.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Checked => "checked",
+            Self::Ignored => "ignored",
+        }
+    }
+}
+
+impl fmt::Display for Fencing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl str::FromStr for Fencing {
+    type Err = parse::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "checked" => Ok(Self::Checked),
+            "ignored" => Ok(Self::Ignored),
+            _ => Err(parse::ParseError::new(text, "`checked` or `ignored`")),
+        }
+    }
+}
+
+impl Keys {
+    /// The text in a configuration.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Honoured => "honoured",
+            Self::Ignored => "ignored",
+        }
+    }
+}
+
+impl fmt::Display for Keys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl str::FromStr for Keys {
+    type Err = parse::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "honoured" => Ok(Self::Honoured),
+            "ignored" => Ok(Self::Ignored),
+            _ => Err(parse::ParseError::new(text, "`honoured` or `ignored`")),
+        }
+    }
+}
--- a/crates/basilgrade_config/src/model/stage.rs
+++ b/crates/basilgrade_config/src/model/stage.rs
@@ -1,6 +1,10 @@
 //! Stages of a pipeline.
 
+use std::fmt;
+use std::str;
+
 use basilgrade_types::id;
+use basilgrade_types::parse;
 use basilgrade_types::size;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,3 +50,34 @@
     /// What may be dropped.
     pub degrade: Degrade,
 }
+
+impl Idempotency {
+    /// The text in a configuration.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non-idempotent",
+        }
+    }
+}
+
+impl fmt::Display for Idempotency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl str::FromStr for Idempotency {
+    type Err = parse::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "idempotent" => Ok(Self::Idempotent),
+            "non-idempotent" => Ok(Self::NonIdempotent),
+            _ => Err(parse::ParseError::new(
+                text,
+                "`idempotent` or `non-idempotent`",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/parse.rs
@@ -0,0 +1,40 @@
+//! Reads a configuration.
+
+mod customers;
+mod domains;
+mod headers;
+mod links;
+mod names;
+mod pipelines;
+mod pools;
+mod prices;
+mod services;
+mod stages;
+mod upstreams;
+mod whole;
+
+use crate::model::deployment;
+use crate::parse::names::Names;
+use crate::problem;
+use crate::source;
+
+/// Reads a configuration; `file` is the name used in errors.
+///
+/// # Errors
+///
+/// All faults at once, each with file, section, key, line and what was expected.
+pub fn parse(text: &str, file: &str) -> Result<deployment::Deployment, problem::Problems> {
+    let mut source = source::Source::scan(text, file);
+    let sections = headers::check(&mut source);
+    let names = Names::collect(&sections);
+    let mut deployment = whole::read(&sections, &mut source);
+    deployment.domains = domains::read(&sections, &mut source);
+    let prices = prices::read(&sections, &mut source);
+    deployment.links = links::read(&sections, &mut source, &deployment, &prices);
+    deployment.pools = pools::read(&sections, &mut source, &prices);
+    deployment.upstreams = upstreams::read(&sections, &mut source, &names);
+    deployment.pipelines = pipelines::read(&sections, &mut source, &names, &deployment.pools);
+    deployment.services = services::read(&sections, &mut source, &names, &deployment.pools);
+    deployment.customers = customers::read(&sections, &mut source, &names);
+    source.problems.finish(deployment)
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/parse/customers.rs
@@ -0,0 +1,62 @@
+//! Sections `[customer NAME]`.
+
+use basilgrade_types::id;
+use basilgrade_types::rate;
+use indexmap::IndexMap;
+
+use crate::limits;
+use crate::model::customer;
+use crate::parse::headers;
+use crate::parse::names::Names;
+use crate::reader;
+use crate::section;
+use crate::source;
+use crate::value;
+
+pub(super) fn read(
+    sections: &[section::Section],
+    source: &mut source::Source,
+    names: &Names<'_>,
+) -> IndexMap<id::CustomerId, customer::Customer> {
+    headers::of(sections, "customer")
+        .filter_map(|section| read_one(section, source, names))
+        .map(|customer| (customer.id.clone(), customer))
+        .collect()
+}
+
+fn rate(text: &str) -> Result<rate::RequestRate, value::Expected> {
+    let rate: rate::RequestRate = value::parsed(text)?;
+    if rate.0 > 0.0 && rate.0 <= limits::RATE {
+        return Ok(rate);
+    }
+    Err(format!("a rate above 0 and at most {}/s", limits::RATE).into())
+}
+
+fn read_one(
+    section: &section::Section,
+    source: &mut source::Source,
+    names: &Names<'_>,
+) -> Option<customer::Customer> {
+    let mut reader = reader::Reader::new(section, source);
+    let rate = reader.required("rate", rate);
+    let burst = reader.required("burst", value::whole(1..=limits::BURST));
+    let targets = reader.optional("targets", value::list).unwrap_or_default();
+    for (index, target) in targets.iter().enumerate() {
+        if targets[..index].contains(target) {
+            let found = format!("`{target}` is listed twice");
+            reader.report("targets", found, "each target once");
+        }
+        let name = target.as_str();
+        if !names.pipelines.contains(name) && !names.services.contains(name) {
+            let known = names.pipelines.iter().chain(&names.services).copied();
+            reader.report_unknown("targets", "pipeline or service", name, known);
+        }
+    }
+    reader.finish();
+    Some(customer::Customer {
+        id: headers::name(section, 0)?,
+        rate: rate?,
+        burst: burst?,
+        targets,
+    })
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/parse/pools.rs
@@ -0,0 +1,54 @@
+//! Sections `[pool NAME]`.
+
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+use crate::model::pool;
+use crate::parse::headers;
+use crate::parse::prices;
+use crate::reader;
+use crate::section;
+use crate::source;
+use crate::value;
+
+pub(super) fn read(
+    sections: &[section::Section],
+    source: &mut source::Source,
+    prices: &prices::Prices,
+) -> IndexMap<id::PoolId, pool::Pool> {
+    headers::of(sections, "pool")
+        .filter_map(|section| read_one(section, source, prices))
+        .map(|pool| (pool.id.clone(), pool))
+        .collect()
+}
+
+fn read_one(
+    section: &section::Section,
+    source: &mut source::Source,
+    prices: &prices::Prices,
+) -> Option<pool::Pool> {
+    let mut reader = reader::Reader::new(section, source);
+    let kind = reader.required("kind", value::parsed::<pool::Kind>);
+    // Orders go to engines only, so the other kinds need not say.
+    let fencing = if kind == Some(pool::Kind::Engine) {
+        reader.required("fencing", value::parsed)
+    } else {
+        let fencing = reader.optional("fencing", value::parsed);
+        Some(fencing.unwrap_or(pool::Fencing::Ignored))
+    };
+    let keys = reader.optional("keys", value::parsed);
+    let default = kind.and_then(|kind| prices.call(kind));
+    let price = if default.is_some() || kind.is_none() {
+        reader.optional("price", prices::price).or(default)
+    } else {
+        reader.required("price", prices::price)
+    };
+    reader.finish();
+    Some(pool::Pool {
+        id: headers::name(section, 0)?,
+        kind: kind?,
+        fencing: fencing?,
+        keys: keys.unwrap_or(pool::Keys::Ignored),
+        price: price?,
+    })
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/parse/stages.rs
@@ -0,0 +1,125 @@
+//! Sections `[stage PIPELINE NAME]`.
+
+use basilgrade_types::id;
+use basilgrade_types::size;
+use indexmap::IndexMap;
+
+use crate::limits;
+use crate::model::pool;
+use crate::model::stage;
+use crate::parse::headers;
+use crate::parse::names::Names;
+use crate::reader;
+use crate::section;
+use crate::source;
+use crate::value;
+
+/// Reads one stage.
+pub(super) fn read(
+    section: &section::Section,
+    source: &mut source::Source,
+    names: &Names<'_>,
+    pools: &IndexMap<id::PoolId, pool::Pool>,
+) -> Option<stage::Stage> {
+    let mut reader = reader::Reader::new(section, source);
+    let pool = reader.required("pool", value::parsed::<id::PoolId>);
+    reader.check("pool", pool.as_ref().map(id::PoolId::as_str), &names.pools);
+    let declared = pool.as_ref().and_then(|pool| pools.get(pool));
+    let model = reader.optional("model", value::parsed);
+    let most = size::TokenCount(limits::TOKENS);
+    let tokens = reader.optional("tokens", value::bounded(size::TokenCount(1)..=most));
+    check_kind(&mut reader, declared);
+    let idempotency = reader.required("idempotency", value::parsed);
+    let degrade = read_degrade(&mut reader, names, pools, declared, tokens);
+    reader.finish();
+    Some(stage::Stage {
+        id: headers::name(section, 1)?,
+        pool: pool?,
+        model,
+        tokens: tokens.unwrap_or_default(),
+        idempotency: idempotency?,
+        degrade,
+    })
+}
+
+/// Engines need a model and a bound on tokens; other kinds would ignore both.
+fn check_kind(reader: &mut reader::Reader<'_>, pool: Option<&pool::Pool>) {
+    let Some(pool) = pool else {
+        return;
+    };
+    for (key, what) in [
+        ("model", "the name of a model"),
+        ("tokens", "a whole number of tokens"),
+    ] {
+        match (pool.kind == pool::Kind::Engine, reader.has(key)) {
+            (true, false) => {
+                let found = format!("the key is missing, but `{}` is a pool of engines", pool.id);
+                reader.report(key, found, what);
+            }
+            (false, true) => {
+                let found = format!("`{}` is a pool of kind `{}`", pool.id, pool.kind);
+                reader.report(key, found, "the key only for a pool of engines");
+            }
+            _ => {}
+        }
+    }
+}
+
+fn read_degrade(
+    reader: &mut reader::Reader<'_>,
+    names: &Names<'_>,
+    pools: &IndexMap<id::PoolId, pool::Pool>,
+    pool: Option<&pool::Pool>,
+    tokens: Option<size::TokenCount>,
+) -> stage::Degrade {
+    let skip = reader.optional("skip", value::boolean);
+    let most = size::TokenCount(limits::TOKENS);
+    let shorten = reader.optional("shorten", value::bounded(size::TokenCount(1)..=most));
+    let substitute = reader.optional("substitute", value::parsed::<id::PoolId>);
+    let given: Vec<&str> = ["skip", "shorten", "substitute"]
+        .into_iter()
+        .filter(|key| reader.has(key))
+        .collect();
+    if given.len() > 1 {
+        let found = format!("`{}` is given as well", given[0]);
+        reader.report(given[1], found, "one of `skip`, `shorten` and `substitute`");
+    }
+    if let (Some(shorten), Some(tokens)) = (shorten, tokens)
+        && shorten >= tokens
+    {
+        let found = format!("`{shorten}` does not shorten {tokens} tokens");
+        reader.report("shorten", found, "less than `tokens`");
+    }
+    if shorten.is_some() && pool.is_some_and(|pool| pool.kind != pool::Kind::Engine) {
+        let found = "the stage generates no tokens";
+        reader.report("shorten", found, "the key only for a pool of engines");
+    }
+    if let Some(substitute) = &substitute {
+        reader.check("substitute", Some(substitute.as_str()), &names.pools);
+        check_substitute(reader, pool, pools.get(substitute));
+    }
+    match (skip, shorten, substitute) {
+        (Some(true), ..) => stage::Degrade::Skip,
+        (_, Some(shorten), _) => stage::Degrade::Shorten(shorten),
+        (.., Some(substitute)) => stage::Degrade::Substitute(substitute),
+        _ => stage::Degrade::Never,
+    }
+}
+
+fn check_substitute(
+    reader: &mut reader::Reader<'_>,
+    pool: Option<&pool::Pool>,
+    substitute: Option<&pool::Pool>,
+) {
+    let (Some(pool), Some(substitute)) = (pool, substitute) else {
+        return;
+    };
+    if pool.id == substitute.id {
+        let found = "the substitute is the pool itself";
+        reader.report("substitute", found, "another pool");
+    } else if pool.kind != substitute.kind {
+        let found = format!("`{}` is of kind `{}`", substitute.id, substitute.kind);
+        let expected = format!("a pool of kind `{}`", pool.kind);
+        reader.report("substitute", found, expected);
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/parse/upstreams.rs
@@ -0,0 +1,60 @@
+//! Sections `[upstream NAME]`.
+
+use std::collections::HashMap;
+use std::net;
+
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+use crate::limits;
+use crate::model::upstream;
+use crate::parse::headers;
+use crate::parse::names::Names;
+use crate::reader;
+use crate::section;
+use crate::source;
+use crate::value;
+
+pub(super) fn read(
+    sections: &[section::Section],
+    source: &mut source::Source,
+    names: &Names<'_>,
+) -> IndexMap<id::UpstreamId, upstream::Upstream> {
+    let mut addresses = HashMap::new();
+    headers::of(sections, "upstream")
+        .filter_map(|section| read_one(section, source, names, &mut addresses))
+        .map(|upstream| (upstream.id.clone(), upstream))
+        .collect()
+}
+
+fn read_one<'a>(
+    section: &'a section::Section,
+    source: &mut source::Source,
+    names: &Names<'_>,
+    addresses: &mut HashMap<net::SocketAddr, &'a str>,
+) -> Option<upstream::Upstream> {
+    let mut reader = reader::Reader::new(section, source);
+    let pool = reader.required("pool", value::parsed::<id::PoolId>);
+    reader.check("pool", pool.as_ref().map(id::PoolId::as_str), &names.pools);
+    let domain = reader.required("domain", value::parsed::<id::DomainId>);
+    let domain_name = domain.as_ref().map(id::DomainId::as_str);
+    reader.check("domain", domain_name, &names.domains);
+    let address = reader.required("address", value::address);
+    if let Some(address) = address {
+        if let Some(other) = addresses.get(&address) {
+            let found = format!("`{address}` is also the address of [{other}]");
+            reader.report("address", found, "each address once");
+        } else {
+            addresses.insert(address, &section.header);
+        }
+    }
+    let capacity = reader.required("capacity", value::whole(1..=limits::CAPACITY));
+    reader.finish();
+    Some(upstream::Upstream {
+        id: headers::name(section, 0)?,
+        pool: pool?,
+        domain: domain?,
+        address: address?,
+        capacity: capacity?,
+    })
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/parse/whole.rs
@@ -0,0 +1,47 @@
+//! Sections `[deployment]` and `[weights]`.
+
+use compact_str::CompactString;
+
+use crate::model::deployment;
+use crate::model::weights;
+use crate::parse::headers;
+use crate::reader;
+use crate::section;
+use crate::source;
+use crate::value;
+
+fn name(text: &str) -> Result<CompactString, value::Expected> {
+    // The name follows the rule of all names.
+    value::parsed::<basilgrade_types::id::PoolId>(text).map(|id| CompactString::new(id.as_str()))
+}
+
+/// A deployment with name and weights and nothing else.
+pub(super) fn read(
+    sections: &[section::Section],
+    source: &mut source::Source,
+) -> deployment::Deployment {
+    let mut deployment = deployment::Deployment::default();
+    if let Some(section) = headers::of(sections, "deployment").next() {
+        let mut reader = reader::Reader::new(section, source);
+        deployment.name = reader.required("name", name).unwrap_or_default();
+        reader.finish();
+    } else {
+        let found = "the section is missing";
+        source.report(1, "deployment", "", found, "`[deployment]` with `name`");
+    }
+    if let Some(section) = headers::of(sections, "weights").next() {
+        let mut reader = reader::Reader::new(section, source);
+        let default = weights::Weights::default();
+        let attainment = reader.optional("attainment", value::weight);
+        let cost = reader.optional("cost", value::weight);
+        deployment.weights = weights::Weights {
+            attainment: attainment.unwrap_or(default.attainment),
+            cost: cost.unwrap_or(default.cost),
+        };
+        if deployment.weights.attainment + deployment.weights.cost <= 0.0 {
+            reader.report("cost", "both weights are 0", "one weight above 0");
+        }
+        reader.finish();
+    }
+    deployment
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/section.rs
@@ -0,0 +1,30 @@
+//! One section of an INI text with positions.
+
+/// A key and its value.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) line: usize,
+}
+
+/// A section with its entries in order.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Section {
+    /// The header without brackets, its words separated by one space.
+    pub(crate) header: String,
+    pub(crate) line: usize,
+    pub(crate) entries: Vec<Entry>,
+}
+
+impl Section {
+    /// The first word of the header: what the section declares.
+    pub(crate) fn kind(&self) -> &str {
+        self.header.split(' ').next().unwrap_or_default()
+    }
+
+    /// The words after the first.
+    pub(crate) fn names(&self) -> Vec<&str> {
+        self.header.split(' ').skip(1).collect()
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/settings/log/level.rs
@@ -0,0 +1,66 @@
+//! Log levels.
+
+use std::fmt;
+use std::str;
+
+use basilgrade_types::parse;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The least severe log line that is written.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// Faults that need an operator.
+    Error,
+    /// Faults that the system handles.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Every decision.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+impl Level {
+    /// The text in settings.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Off => "off",
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+            Self::Trace => "trace",
+        }
+    }
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl str::FromStr for Level {
+    type Err = parse::ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "off" => Ok(Self::Off),
+            "error" => Ok(Self::Error),
+            "warn" => Ok(Self::Warn),
+            "info" => Ok(Self::Info),
+            "debug" => Ok(Self::Debug),
+            "trace" => Ok(Self::Trace),
+            _ => Err(parse::ParseError::new(
+                text,
+                "`off`, `error`, `warn`, `info`, `debug` or `trace`",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/settings/peers/secret.rs
@@ -0,0 +1,32 @@
+//! The secret shared by daemons and operators.
+
+use std::fmt;
+
+use crate::value;
+
+/// The shortest secret, in bytes: 128 bits if it is random.
+const SHORTEST: usize = 16;
+
+/// A shared secret; it is never printed.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Secret(Vec<u8>);
+
+impl Secret {
+    /// The bytes of the secret.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+pub(crate) fn read(text: &str) -> Result<Secret, value::Expected> {
+    if text.len() < SHORTEST {
+        return Err(format!("at least {SHORTEST} bytes").into());
+    }
+    Ok(Secret(text.as_bytes().to_vec()))
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/settings/requests.rs
@@ -0,0 +1,51 @@
+//! Section `[limits]`: bounds on callers' requests.
+
+use basilgrade_types::clock;
+use basilgrade_types::size;
+
+use crate::reader;
+use crate::value;
+
+/// Bounds on callers' requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Requests {
+    /// `header-bytes`: the longest request head. Default 16 KiB.
+    pub header_bytes: size::ByteCount,
+    /// `body-bytes`: the longest request body. Default 1 MiB.
+    pub body_bytes: size::ByteCount,
+    /// `concurrent-requests`: requests in progress at once. Default 1024.
+    ///
+    /// 40 requests a second per daemon at the two-year size, under deadlines of 10 s, keep 400 in
+    /// progress.
+    pub concurrent_requests: u32,
+    /// `slow-sender`: longest time for a caller to send head and body. Default 10 s.
+    pub slow_sender: clock::Millis,
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        Self {
+            header_bytes: size::ByteCount(16 << 10),
+            body_bytes: size::ByteCount(1 << 20),
+            concurrent_requests: 1024,
+            slow_sender: clock::Millis::from_secs(10),
+        }
+    }
+}
+
+pub(super) fn read(reader: &mut reader::Reader<'_>) -> Requests {
+    let default = Requests::default();
+    // hyper's HTTP/1 read buffer must hold at least 8 KiB.
+    let header = size::ByteCount(8 << 10)..=size::ByteCount(1 << 20);
+    let body = size::ByteCount(1)..=size::ByteCount(64 << 20);
+    let header_bytes = reader.optional("header-bytes", value::bounded(header));
+    let body_bytes = reader.optional("body-bytes", value::bounded(body));
+    let concurrent = reader.optional("concurrent-requests", value::whole(1..=100_000));
+    let slow_sender = reader.optional("slow-sender", value::time);
+    Requests {
+        header_bytes: header_bytes.unwrap_or(default.header_bytes),
+        body_bytes: body_bytes.unwrap_or(default.body_bytes),
+        concurrent_requests: concurrent.unwrap_or(default.concurrent_requests),
+        slow_sender: slow_sender.unwrap_or(default.slow_sender),
+    }
+}
