Add the HTTP client for upstreams

Cause: the trait Upstream has no implementation. Ruled out: hyper-util's pooled client, because it returns a connection to its pool before it is known whether a duplicate answer follows, and because it does not say whether a failed call was started. Change: HttpUpstream on hyper's client::conn::http1 with an own bounded pool.

--- a/crates/basilgrade_upstream/src/call.rs
+++ b/crates/basilgrade_upstream/src/call.rs
@@ -38,7 +38,8 @@
     pub stage: id::StageId,
     /// The attempt at the stage.
     pub attempt: attempt::Attempt,
-    /// Key passed on to upstreams that honour keys.
+    /// Key of a non-idempotent call, passed on to the upstream. A call with a key gets a new
+    /// connection, as a pooled one may be closing.
     pub key: Option<key::RequestKey>,
     /// Time left for this call.
     pub left: clock::Millis,
@@ -55,7 +56,7 @@
     pub model: Option<id::ModelId>,
     /// The prompt.
     pub prompt: String,
-    /// Most tokens to generate.
+    /// Most tokens of the whole answer; a stream resumed at `offset` gets the rest of them.
     pub tokens: size::TokenCount,
     /// First token wanted; above 0 when a stream is resumed on another engine.
     pub offset: size::TokenCount,
--- a/crates/basilgrade_upstream/src/call_error.rs
+++ b/crates/basilgrade_upstream/src/call_error.rs
@@ -41,6 +41,10 @@
         TooLarge(address: net::SocketAddr, limit: u64) {
             display("`{}` sent more than {} bytes; raise the limit or shorten the answer", address, limit)
         }
+        /// The call was given up before a byte was sent, for a reason that is not the upstream's.
+        Unsent(address: net::SocketAddr, reason: String) {
+            display("call to `{}` was not sent: {}", address, reason)
+        }
     }
 }
 
@@ -48,7 +52,7 @@
     /// Whether the call may have run.
     pub fn verdict(&self) -> verdict::Verdict {
         match self {
-            Self::Connect(..) | Self::Refused(..) => verdict::Verdict::NotRun,
+            Self::Connect(..) | Self::Refused(..) | Self::Unsent(..) => verdict::Verdict::NotRun,
             Self::Broken(..)
             | Self::Malformed(..)
             | Self::Mismatch(..)
--- /dev/null
+++ b/crates/basilgrade_upstream/src/client/cancel.rs
@@ -0,0 +1,101 @@
+//! Cancellation of calls that were given up.
+
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use tokio::runtime;
+use tokio::time;
+
+use crate::call;
+use crate::call_error;
+use crate::client::counters;
+use crate::client::exchange;
+use crate::client::identity;
+use crate::client::shared;
+use crate::client::whole;
+
+/// Cancels a generation at its engine when dropped before the end of the answer.
+pub(super) struct Guard {
+    armed: bool,
+    address: net::SocketAddr,
+    identity: identity::Identity,
+    handle: runtime::Handle,
+    shared: sync::Arc<shared::Shared>,
+}
+
+impl Guard {
+    /// Must be created inside the runtime, as dropping may happen outside of it.
+    pub(super) fn new(shared: &sync::Arc<shared::Shared>, call: &call::Call) -> Self {
+        Self {
+            armed: true,
+            address: call.address,
+            identity: identity::Identity::of(call),
+            handle: runtime::Handle::current(),
+            shared: sync::Arc::clone(shared),
+        }
+    }
+
+    /// The engine has nothing left to cancel.
+    pub(super) fn disarm(&mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let permits = sync::Arc::clone(&self.shared.cancels);
+        let Ok(permit) = permits.try_acquire_owned() else {
+            // The closed connection remains as a signal to the engine.
+            counters::increment(&self.shared.counting.cancels_dropped);
+            return;
+        };
+        counters::increment(&self.shared.counting.cancels);
+        let shared = sync::Arc::clone(&self.shared);
+        let identity = self.identity.clone();
+        let address = self.address;
+        self.handle.spawn(async move {
+            let request = identity.request;
+            if let Err(error) = send(&shared, address, identity).await {
+                log::debug!("request={request} cancel=failed error=\"{error}\"");
+            }
+            drop(permit);
+        });
+    }
+}
+
+/// Sends a cancellation. With a stage and attempt it concerns only these.
+pub(super) async fn send(
+    shared: &sync::Arc<shared::Shared>,
+    address: net::SocketAddr,
+    mut identity: identity::Identity,
+) -> Result<(), call_error::CallError> {
+    identity.echo = call::Echo::Optional;
+    let deadline = time::Instant::now() + shared.settings.control.duration();
+    let mut request = hyper::Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = hyper::Method::POST;
+    *request.uri_mut() = format!("/v1/cancel/{}", identity.request)
+        .parse()
+        .map_err(|_| {
+            call_error::CallError::Unsent(address, "request id is not a path".to_owned())
+        })?;
+    exchange::prepare(&mut request, address, &identity);
+    let outgoing = exchange::Outgoing {
+        address,
+        request,
+        identity,
+        reuse: exchange::Reuse::Pooled,
+        deadline,
+    };
+    let answer = exchange::send(shared, outgoing).await?;
+    let status = answer.response.status();
+    whole::read(shared, answer, shared.settings.body, deadline).await?;
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(call_error::CallError::Status(address, status.as_u16()))
+}
--- /dev/null
+++ b/crates/basilgrade_upstream/src/client/connection.rs
@@ -0,0 +1,73 @@
+//! Connections to upstreams.
+
+use std::error::Error;
+use std::net;
+use std::sync;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use tokio::time;
+
+use crate::call_error;
+use crate::client::counters;
+use crate::client::shared;
+
+/// Bounds the memory for a response head and for one read.
+const BUFFER_LIMIT: usize = 64 << 10;
+
+#[derive(Debug)]
+pub(super) struct Connection {
+    pub(super) address: net::SocketAddr,
+    pub(super) sender: http1::SendRequest<Full<Bytes>>,
+}
+
+/// Establishes a connection. No error of this function is reported after a byte of a call was sent.
+pub(super) async fn open(
+    shared: &sync::Arc<shared::Shared>,
+    address: net::SocketAddr,
+    deadline: time::Instant,
+) -> Result<Connection, call_error::CallError> {
+    let failed = |reason: String| call_error::CallError::Connect(address, reason);
+    let limit = deadline.min(time::Instant::now() + shared.settings.connect.duration());
+    let stream = time::timeout_at(limit, tokio::net::TcpStream::connect(address))
+        .await
+        .map_err(|_| failed("timed out".to_owned()))?
+        .map_err(|error| failed(error.to_string()))?;
+    stream
+        .set_nodelay(true)
+        .map_err(|error| failed(error.to_string()))?;
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(BUFFER_LIMIT)
+        .handshake(rt::TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    counters::increment(&shared.counting.connects);
+    let shared = sync::Arc::clone(shared);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await
+            && is_unexpected(&error)
+        {
+            counters::increment(&shared.counting.unexpected);
+            log::warn!("upstream={address} dropped=unexpected-bytes error=\"{error}\"");
+        }
+    });
+    Ok(Connection { address, sender })
+}
+
+/// Whether the connection failed because bytes arrived while no call was in progress.
+///
+/// `hyper` has no predicate for this kind; it is the only one left after the others, and it has
+/// no source.
+fn is_unexpected(error: &hyper::Error) -> bool {
+    error.source().is_none()
+        && !error.is_body_write_aborted()
+        && !error.is_canceled()
+        && !error.is_closed()
+        && !error.is_incomplete_message()
+        && !error.is_parse()
+        && !error.is_shutdown()
+        && !error.is_timeout()
+        && !error.is_user()
+}
--- /dev/null
+++ b/crates/basilgrade_upstream/src/client/http_upstream.rs
@@ -0,0 +1,359 @@
+//! The implementation of [`upstream::Upstream`] over HTTP/1.1.
+
+use std::net;
+use std::sync;
+
+use basilgrade_types::request;
+use basilgrade_types::size;
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future;
+use futures::stream;
+use http_body_util::Full;
+use hyper::header;
+use serde::Serialize;
+use serde::de;
+use tokio::time;
+
+use crate::call;
+use crate::call_error;
+use crate::client::cancel;
+use crate::client::counters;
+use crate::client::exchange;
+use crate::client::identity;
+use crate::client::pool;
+use crate::client::settings;
+use crate::client::shared;
+use crate::client::sse;
+use crate::client::token_stream;
+use crate::client::whole;
+use crate::load;
+use crate::order;
+use crate::reply;
+use crate::token;
+use crate::upstream;
+
+/// Path of generations at engines.
+const COMPLETIONS: &str = "/v1/completions";
+
+#[derive(Serialize)]
+struct Completion<'a> {
+    prompt: &'a str,
+    max_tokens: size::TokenCount,
+    priority: u8,
+    offset: size::TokenCount,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    model: Option<&'a str>,
+    #[serde(skip_serializing_if = "<[String]>::is_empty")]
+    received: &'a [String],
+}
+
+/// Calls upstreams over HTTP/1.1 and sends each call at most once.
+///
+/// Clones share connections and counters. Calls have to be made inside a tokio runtime.
+#[derive(Clone, Debug)]
+pub struct HttpUpstream {
+    shared: sync::Arc<shared::Shared>,
+}
+
+impl HttpUpstream {
+    /// A client with these limits.
+    pub fn new(settings: settings::Settings) -> Self {
+        Self {
+            shared: sync::Arc::new(shared::Shared {
+                counting: counters::Counting::default(),
+                pool: pool::Pool::new(settings.connections, settings.idle),
+                cancels: sync::Arc::new(tokio::sync::Semaphore::new(settings.cancels)),
+                settings,
+            }),
+        }
+    }
+
+    /// What the client did and dropped so far.
+    pub fn counters(&self) -> counters::Counters {
+        self.shared.counting.read()
+    }
+
+    /// The number of idle connections to an upstream.
+    pub fn idle(&self, address: net::SocketAddr) -> usize {
+        self.shared.pool.count(address)
+    }
+
+    async fn send(&self, call: call::Call) -> Result<reply::Reply, call_error::CallError> {
+        let mut guard = is_generation(&call).then(|| cancel::Guard::new(&self.shared, &call));
+        let result = self.exchange(call).await;
+        if let Some(guard) = &mut guard
+            && match &result {
+                Ok(_) => true,
+                Err(error) => error.verdict() == basilgrade_types::verdict::Verdict::NotRun,
+            }
+        {
+            guard.disarm();
+        }
+        result
+    }
+
+    async fn exchange(&self, call: call::Call) -> Result<reply::Reply, call_error::CallError> {
+        let deadline = deadline(call.left);
+        let outgoing = outgoing(call, deadline)?;
+        let answer = exchange::send(&self.shared, outgoing).await?;
+        whole::read(&self.shared, answer, self.shared.settings.body, deadline).await
+    }
+
+    async fn control(
+        &self,
+        address: net::SocketAddr,
+        method: hyper::Method,
+        path: String,
+        body: Bytes,
+        limit: size::ByteCount,
+    ) -> Result<Bytes, call_error::CallError> {
+        let deadline = deadline(self.shared.settings.control);
+        let identity = identity::Identity::control();
+        let mut request = build(address, method, &path, body)?;
+        exchange::prepare(&mut request, address, &identity);
+        let outgoing = exchange::Outgoing {
+            address,
+            request,
+            identity,
+            reuse: exchange::Reuse::Pooled,
+            deadline,
+        };
+        let answer = exchange::send(&self.shared, outgoing).await?;
+        let reply = whole::read(&self.shared, answer, limit, deadline).await?;
+        if reply.status.is_success() {
+            return Ok(reply.body);
+        }
+        Err(call_error::CallError::Status(
+            address,
+            reply.status.as_u16(),
+        ))
+    }
+
+    async fn fetch<T: de::DeserializeOwned>(
+        &self,
+        address: net::SocketAddr,
+        path: String,
+    ) -> Result<T, call_error::CallError> {
+        let limit = self.shared.settings.body;
+        let body = self
+            .control(address, hyper::Method::GET, path, Bytes::new(), limit)
+            .await?;
+        serde_json::from_slice(&body)
+            .map_err(|error| call_error::CallError::Malformed(address, error.to_string()))
+    }
+}
+
+impl Default for HttpUpstream {
+    fn default() -> Self {
+        Self::new(settings::Settings::default())
+    }
+}
+
+impl upstream::Upstream for HttpUpstream {
+    fn call(
+        &self,
+        call: call::Call,
+    ) -> future::BoxFuture<'_, Result<reply::Reply, call_error::CallError>> {
+        self.send(call).boxed()
+    }
+
+    fn generate(
+        &self,
+        generation: call::Generation,
+    ) -> stream::BoxStream<'static, Result<token::Token, call_error::CallError>> {
+        let deadline = deadline(generation.call.left);
+        let decoder = sse::Decoder::new(generation.offset.0, generation.tokens.0);
+        let mut guard = cancel::Guard::new(&self.shared, &generation.call);
+        match completion(generation).and_then(|call| outgoing(call, deadline)) {
+            Ok(outgoing) => {
+                let shared = sync::Arc::clone(&self.shared);
+                token_stream::TokenStream::new(shared, outgoing, guard, decoder).boxed()
+            }
+            Err(error) => {
+                guard.disarm();
+                stream::iter([Err(error)]).boxed()
+            }
+        }
+    }
+
+    fn cancel(
+        &self,
+        address: net::SocketAddr,
+        request: request::RequestId,
+    ) -> future::BoxFuture<'_, Result<(), call_error::CallError>> {
+        let identity = identity::Identity {
+            request,
+            ..identity::Identity::control()
+        };
+        cancel::send(&self.shared, address, identity).boxed()
+    }
+
+    fn load(
+        &self,
+        address: net::SocketAddr,
+    ) -> future::BoxFuture<'_, Result<load::Load, call_error::CallError>> {
+        self.fetch(address, "/load".to_owned()).boxed()
+    }
+
+    fn cache_events(
+        &self,
+        address: net::SocketAddr,
+        seq: u64,
+    ) -> future::BoxFuture<'_, Result<Vec<load::CacheEvent>, call_error::CallError>> {
+        self.fetch(address, format!("/cache/events?from={seq}"))
+            .boxed()
+    }
+
+    fn order(
+        &self,
+        address: net::SocketAddr,
+        order: order::Order,
+    ) -> future::BoxFuture<'_, Result<(), call_error::CallError>> {
+        async move {
+            let body = encode(address, &order)?;
+            let limit = self.shared.settings.body;
+            self.control(
+                address,
+                hyper::Method::POST,
+                "/orders".to_owned(),
+                body,
+                limit,
+            )
+            .await
+            .map(drop)
+        }
+        .boxed()
+    }
+
+    fn export_kv(
+        &self,
+        address: net::SocketAddr,
+        prefix: u64,
+    ) -> future::BoxFuture<'_, Result<Bytes, call_error::CallError>> {
+        let path = format!("/kv/{prefix}");
+        let limit = self.shared.settings.kv;
+        self.control(address, hyper::Method::GET, path, Bytes::new(), limit)
+            .boxed()
+    }
+
+    fn import_kv(
+        &self,
+        address: net::SocketAddr,
+        prefix: u64,
+        cache: Bytes,
+    ) -> future::BoxFuture<'_, Result<(), call_error::CallError>> {
+        let path = format!("/kv/{prefix}");
+        let limit = self.shared.settings.body;
+        self.control(address, hyper::Method::PUT, path, cache, limit)
+            .map(|result| result.map(drop))
+            .boxed()
+    }
+}
+
+/// The end of a call, kept in the range of the timer.
+fn deadline(left: basilgrade_types::clock::Millis) -> time::Instant {
+    const LONGEST: basilgrade_types::clock::Millis =
+        basilgrade_types::clock::Millis::from_secs(86_400);
+    time::Instant::now() + left.min(LONGEST).duration()
+}
+
+/// Whether an engine has to be told when the call is given up.
+fn is_generation(call: &call::Call) -> bool {
+    call.path.split('?').next() == Some(COMPLETIONS)
+}
+
+/// Whether the call may go on a pooled connection.
+///
+/// A pooled connection may be closing without the client knowing yet. A call on it would be `may
+/// have run` although it did not run, and a non-idempotent call could then not be repeated.
+fn reuse(call: &call::Call) -> exchange::Reuse {
+    let service = call.echo == call::Echo::Optional;
+    if call.key.is_some() || (service && !call.method.is_idempotent()) {
+        return exchange::Reuse::Never;
+    }
+    exchange::Reuse::Pooled
+}
+
+fn outgoing(
+    call: call::Call,
+    deadline: time::Instant,
+) -> Result<exchange::Outgoing, call_error::CallError> {
+    let reuse = reuse(&call);
+    let identity = identity::Identity::of(&call);
+    let mut request = build(call.address, call.method, &call.path, call.body)?;
+    *request.headers_mut() = call.headers;
+    exchange::prepare(&mut request, call.address, &identity);
+    request.headers_mut().remove(identity::KEY);
+    if let Some(key) = call.key {
+        identity::set(request.headers_mut(), identity::KEY, &key.to_string());
+    }
+    Ok(exchange::Outgoing {
+        address: call.address,
+        request,
+        identity,
+        reuse,
+        deadline,
+    })
+}
+
+fn completion(generation: call::Generation) -> Result<call::Call, call_error::CallError> {
+    let mut call = generation.call;
+    call.method = hyper::Method::POST;
+    COMPLETIONS.clone_into(&mut call.path);
+    call.body = encode(
+        call.address,
+        &Completion {
+            prompt: &generation.prompt,
+            max_tokens: generation.tokens,
+            priority: generation.priority,
+            offset: generation.offset,
+            model: generation
+                .model
+                .as_ref()
+                .map(basilgrade_types::id::ModelId::as_str),
+            received: &generation.received,
+        },
+    )?;
+    call.headers.insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    call.headers.insert(
+        header::ACCEPT,
+        header::HeaderValue::from_static("text/event-stream"),
+    );
+    Ok(call)
+}
+
+fn encode(
+    address: net::SocketAddr,
+    value: &impl Serialize,
+) -> Result<Bytes, call_error::CallError> {
+    serde_json::to_vec(value)
+        .map(Bytes::from)
+        .map_err(|error| call_error::CallError::Unsent(address, error.to_string()))
+}
+
+fn build(
+    address: net::SocketAddr,
+    method: hyper::Method,
+    path: &str,
+    body: Bytes,
+) -> Result<hyper::Request<Full<Bytes>>, call_error::CallError> {
+    let unsent = |reason: &str| {
+        call_error::CallError::Unsent(address, format!("path `{path}` is not valid: {reason}"))
+    };
+    // A target that does not start with a slash could name another host.
+    if !path.starts_with('/') {
+        return Err(unsent("it does not start with `/`"));
+    }
+    let uri: hyper::Uri = path
+        .parse()
+        .map_err(|_| unsent("it has characters that are not allowed"))?;
+    let mut request = hyper::Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    Ok(request)
+}
