Add load polling and run-time log levels

Cause: the router needs load reports, and operators change the level without a restart.

Ruled out: restarting the logger for a new level, as log lines would be lost meanwhile.

Change: one poll a second in the own region and one in five elsewhere; simplelog lets everything through and the level is set by the log facade.

--- /dev/null
+++ b/crates/basilgrade_server/src/background.rs
@@ -0,0 +1,3 @@
+//! Tasks beside the path of requests.
+
+pub mod load;
--- /dev/null
+++ b/crates/basilgrade_server/src/background/load.rs
@@ -0,0 +1,73 @@
+//! Polling of load reports.
+
+use std::sync;
+use std::sync::atomic;
+
+use basilgrade_types::clock;
+use basilgrade_upstream::load;
+use futures::StreamExt;
+use futures::stream;
+use tokio_util::sync::CancellationToken;
+
+use crate::core;
+use crate::exec::attempts;
+use crate::view::entry;
+
+/// Time between polls of upstreams in this daemon's region.
+const NEAR_INTERVAL: clock::Millis = clock::Millis::from_secs(1);
+
+/// Rounds between polls of upstreams in other regions; every byte to them is billed.
+const FAR_ROUNDS: u64 = 5;
+
+/// Polls in flight at once.
+const CONCURRENCY: usize = 32;
+
+/// Polls load reports until `stop`.
+pub async fn run(core: sync::Arc<core::Core>, stop: CancellationToken) {
+    let mut round = 0_u64;
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(NEAR_INTERVAL.duration()) => {}
+        }
+        round += 1;
+        poll(&core, round.is_multiple_of(FAR_ROUNDS)).await;
+    }
+}
+
+async fn poll(core: &sync::Arc<core::Core>, far: bool) {
+    let Some(view) = core.current.load_full() else {
+        return;
+    };
+    let wanted = view
+        .entries
+        .iter()
+        .filter(|entry| far || entry.region == view.home);
+    stream::iter(wanted)
+        .for_each_concurrent(CONCURRENCY, |entry| async {
+            match core.parts.upstream.load(entry.address).await {
+                Ok(load) => apply(entry, &load, core.now()),
+                Err(error) => log::debug!(
+                    "event=load-report-failed upstream={} error={:?}",
+                    entry.id,
+                    error.to_string()
+                ),
+            }
+        })
+        .await;
+}
+
+fn apply(entry: &entry::Entry, load: &load::Load, now: clock::Millis) {
+    let stats = &entry.stats;
+    let store = |counter: &atomic::AtomicU32, value| {
+        counter.store(value, atomic::Ordering::Relaxed);
+    };
+    store(&stats.running, load.running);
+    store(&stats.queued, load.queued);
+    store(&stats.sent, 0);
+    let reported = now.since(clock::Millis(load.age));
+    stats.reported.store(reported.0, atomic::Ordering::Relaxed);
+    if load.leaving {
+        stats.mark_leaving(now.plus(attempts::LEAVING_SPAN));
+    }
+}
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -1,11 +1,13 @@
 //! The daemon: caller interface, pipeline executor, background tasks, metrics and shutdown.
 
+pub mod background;
 pub mod caller;
 pub mod core;
 pub mod exec;
 pub mod ledger;
 pub mod limits;
 pub mod listener;
+pub mod logger;
 pub mod metrics;
 pub mod recent;
 pub mod serve;
--- /dev/null
+++ b/crates/basilgrade_server/src/logger.rs
@@ -0,0 +1,34 @@
+//! Logging by simplelog; the level can be changed while the daemon runs.
+
+use basilgrade_config::settings::log::level;
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// When a logger was set before.
+pub fn start(level: level::Level) -> Result<(), log::SetLoggerError> {
+    // The logger itself lets everything through, so that `set_level` can lower and raise it.
+    let mut config = simplelog::ConfigBuilder::new();
+    config
+        .set_target_level(log::LevelFilter::Off)
+        .set_thread_level(log::LevelFilter::Off)
+        .set_location_level(log::LevelFilter::Off)
+        .set_time_format_rfc3339()
+        .add_filter_allow_str("basilgrade");
+    simplelog::WriteLogger::init(log::LevelFilter::Trace, config.build(), std::io::stderr())?;
+    set_level(level);
+    Ok(())
+}
+
+/// Changes the level from now on.
+pub fn set_level(level: level::Level) {
+    log::set_max_level(match level {
+        level::Level::Off => log::LevelFilter::Off,
+        level::Level::Error => log::LevelFilter::Error,
+        level::Level::Warn => log::LevelFilter::Warn,
+        level::Level::Info => log::LevelFilter::Info,
+        level::Level::Debug => log::LevelFilter::Debug,
+        level::Level::Trace => log::LevelFilter::Trace,
+    });
+}
