--- /dev/null
+++ b/crates/basilgrade_journal/src/config_state.rs
@@ -0,0 +1,162 @@
+//! The configuration in force.
+
+use std::collections::VecDeque;
+
+use basilgrade_types::clock;
+use basilgrade_types::offset;
+use basilgrade_types::revision;
+use serde::Deserialize;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::config_record::Change;
+use crate::config_record::ConfigRecord;
+use crate::merge;
+use crate::replay;
+
+/// How many publications are remembered by id: more than a burst of publishers, and under 3 KiB.
+const RECENT_LIMIT: usize = 64;
+
+/// Why a publication had no effect.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Rejection {
+    /// Another revision than its base was in force.
+    Base,
+    /// Its delta does not merge into the text in force.
+    Merge(merge::MergeError),
+}
+
+/// What a record of stream `config` did.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigEvent {
+    /// The publication became `revision`.
+    Accepted {
+        /// The publication.
+        id: Uuid,
+        /// The revision it became.
+        revision: revision::Revision,
+    },
+    /// The publication had no effect.
+    Rejected {
+        /// The publication.
+        id: Uuid,
+        /// The revision in force instead.
+        revision: revision::Revision,
+        /// Why.
+        reason: Rejection,
+    },
+}
+
+/// The accepted revision and its text.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigState {
+    revision: revision::Revision,
+    text: String,
+    recent: VecDeque<(revision::Revision, Uuid)>,
+}
+
+impl ConfigState {
+    /// The revision in force; 0 before the first publication.
+    pub const fn revision(&self) -> revision::Revision {
+        self.revision
+    }
+
+    /// The text in force.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// The publication that became `revision`, if it is among the newest 64.
+    pub fn publication(&self, revision: revision::Revision) -> Option<Uuid> {
+        self.recent
+            .iter()
+            .find(|(made, _)| *made == revision)
+            .map(|(_, id)| *id)
+    }
+
+    fn publish(
+        &mut self,
+        merger: &dyn merge::Merge,
+        id: Uuid,
+        base: revision::Revision,
+        change: Change,
+    ) -> Result<revision::Revision, Rejection> {
+        if base != self.revision {
+            return Err(Rejection::Base);
+        }
+        let text = match change {
+            Change::Text(text) => text,
+            Change::Delta(delta) => merger.merge(&self.text, &delta).map_err(Rejection::Merge)?,
+        };
+        self.text = text;
+        self.revision = base.next();
+        self.recent.push_back((self.revision, id));
+        while self.recent.len() > RECENT_LIMIT {
+            self.recent.pop_front();
+        }
+        Ok(self.revision)
+    }
+}
+
+impl replay::Replay for ConfigState {
+    type Record = ConfigRecord;
+    type Event = ConfigEvent;
+    type Context = dyn merge::Merge;
+
+    fn apply(
+        &mut self,
+        context: &Self::Context,
+        _offset: offset::Offset,
+        record: ConfigRecord,
+        events: &mut Vec<ConfigEvent>,
+    ) {
+        let ConfigRecord::Publish { id, base, change } = record else {
+            return;
+        };
+        events.push(match self.publish(context, id, base, change) {
+            Ok(revision) => ConfigEvent::Accepted { id, revision },
+            Err(reason) => ConfigEvent::Rejected {
+                id,
+                revision: self.revision,
+                reason,
+            },
+        });
+    }
+
+    fn restore(
+        record: ConfigRecord,
+    ) -> Result<(offset::Offset, clock::Millis, Self), ConfigRecord> {
+        match record {
+            ConfigRecord::Snapshot {
+                revision,
+                through,
+                at,
+                text,
+                recent,
+            } => Ok((
+                through,
+                at,
+                Self {
+                    revision,
+                    text,
+                    recent: recent.into_iter().take(RECENT_LIMIT).collect(),
+                },
+            )),
+            record @ ConfigRecord::Publish { .. } => Err(record),
+        }
+    }
+
+    fn follows(&self, earlier: &Self) -> bool {
+        self.revision >= earlier.revision
+    }
+
+    fn restate(&self, through: offset::Offset, at: clock::Millis) -> ConfigRecord {
+        ConfigRecord::Snapshot {
+            revision: self.revision,
+            through,
+            at,
+            text: self.text.clone(),
+            recent: self.recent.iter().copied().collect(),
+        }
+    }
+}
--- a/crates/basilgrade_journal/src/lib.rs
+++ b/crates/basilgrade_journal/src/lib.rs
@@ -1,1 +1,22 @@
 //! Records in the log and their replay: configuration revisions, slot grants and leases.
+
+pub mod chunk;
+pub mod config_record;
+pub mod config_state;
+pub mod control_record;
+pub mod control_state;
+pub mod encode;
+pub mod entry;
+pub mod export;
+pub mod fold;
+pub mod grant;
+pub mod history;
+pub mod lease;
+pub mod lease_keeper;
+pub mod merge;
+pub mod node;
+pub mod publication;
+pub mod replay;
+pub mod snapshot_schedule;
+pub mod stream;
+pub mod tenure;
--- /dev/null
+++ b/crates/basilgrade_journal/src/node.rs
@@ -0,0 +1,26 @@
+//! One run of a daemon.
+
+use std::fmt;
+
+use basilgrade_types::id;
+use basilgrade_types::incarnation;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A daemon and its incarnation.
+///
+/// Grants and leases name the incarnation because a restarted daemon has lost its claims and must
+/// not be taken for the member that held them.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Node {
+    /// The VM that the daemon runs on.
+    pub vm: id::VmId,
+    /// The start time of the daemon.
+    pub incarnation: incarnation::Incarnation,
+}
+
+impl fmt::Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.vm, self.incarnation)
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_journal/src/tenure.rs
@@ -0,0 +1,19 @@
+//! What is in force for a slot.
+
+use basilgrade_types::clock;
+use basilgrade_types::offset;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::grant;
+
+/// The newest effective record of a slot.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Tenure {
+    /// Offset of the record; the next record of the slot has to name it as `prev`.
+    pub epoch: offset::Offset,
+    /// Keys below this instant may have been claimed under this or an earlier epoch.
+    pub ceiling: clock::Millis,
+    /// The pair; `None` after a clean release.
+    pub grant: Option<grant::Grant>,
+}
