--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -78,6 +78,14 @@
         self.parts.clock.now()
     }
 
+    /// The revision in force; 0 when there is none.
+    pub fn revision(&self) -> revision::Revision {
+        self.current
+            .load()
+            .as_ref()
+            .map_or_else(revision::Revision::default, |view| view.revision)
+    }
+
     /// Puts a configuration in force unless a later one already is.
     pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
         self.registry
--- /dev/null
+++ b/crates/basilgrade_server/src/journal/streams.rs
@@ -0,0 +1,125 @@
+//! Both streams of this daemon.
+
+use std::sync;
+
+use basilgrade_config as config;
+use basilgrade_journal::config_state;
+use basilgrade_journal::control_state;
+use basilgrade_journal::fold;
+use basilgrade_journal::stream;
+use basilgrade_platform::error;
+use basilgrade_platform::log_service;
+use basilgrade_types::clock;
+
+use crate::core;
+use crate::journal::config_merge;
+use crate::journal::replica;
+
+/// Replay of the configuration and of grants and leases.
+pub struct Streams {
+    /// Stream `config`.
+    pub config: replica::Replica<config_state::ConfigState>,
+    /// Stream `control`.
+    pub control: replica::Replica<control_state::ControlState>,
+}
+
+impl Default for Streams {
+    fn default() -> Self {
+        Self {
+            config: replica::Replica::new(sync::Arc::new(config_merge::ConfigMerge)),
+            control: replica::Replica::new(sync::Arc::new(())),
+        }
+    }
+}
+
+impl Streams {
+    /// Reads both streams to their ends and puts a new configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// The error of the log; what was read before it counts.
+    pub async fn catch_up(
+        &self,
+        log: &dyn log_service::LogService,
+        core: &core::Core,
+    ) -> Result<(), error::ReadError> {
+        let moved = self.config.catch_up(log, stream::CONFIG, core.now()).await;
+        self.apply(core);
+        moved?;
+        self.control
+            .catch_up(log, stream::CONTROL, core.now())
+            .await?;
+        Ok(())
+    }
+
+    /// Puts the newest configuration in force if it is not yet.
+    pub fn apply(&self, core: &core::Core) {
+        let known = core.revision();
+        let newer = self.config.with(|fold: &fold::Fold<_>| {
+            let state = fold.state();
+            let newer = fold.is_current() && state.revision() > known;
+            newer.then(|| (state.revision(), state.text().to_owned()))
+        });
+        let Some((revision, text)) = newer else {
+            return;
+        };
+        match config::parse(&text, &format!("revision {revision}")) {
+            Ok(deployment) => core.install(revision, &deployment),
+            // `basilctl publish` checks before it appends, so this text came from elsewhere. The
+            // revision in force stays, as half a configuration would be worse.
+            Err(problems) => log::error!(
+                "event=configuration-invalid revision={revision} error={:?}",
+                problems.to_string()
+            ),
+        }
+    }
+
+    /// The instant-independent state used in heartbeats: revision and control offset.
+    pub fn progress(&self) -> (u64, u64) {
+        let revision = self.config.with(|fold| fold.state().revision().0);
+        (revision, self.control.next().0)
+    }
+
+    /// Whether this daemon knows the log up to some recent point.
+    pub fn is_current(&self) -> bool {
+        self.config.is_current() && self.control.is_current()
+    }
+
+    /// Appends snapshots that are due, so that retention never removes the state.
+    pub async fn restate(
+        &self,
+        log: &dyn log_service::LogService,
+        now: clock::Millis,
+        retention: clock::Millis,
+        jitter: clock::Millis,
+    ) {
+        let due = |schedule: &basilgrade_journal::snapshot_schedule::SnapshotSchedule, next| {
+            schedule.is_due(now, retention, jitter, next)
+        };
+        let config = self.config.with(|fold| {
+            due(fold.schedule(), fold.next())
+                .then(|| fold.snapshot(now))
+                .flatten()
+                .map(|record| basilgrade_journal::encode::line(&record))
+        });
+        let control = self.control.with(|fold| {
+            due(fold.schedule(), fold.next())
+                .then(|| fold.snapshot(now))
+                .flatten()
+                .map(|record| basilgrade_journal::encode::line(&record))
+        });
+        for (name, body) in [(stream::CONFIG, config), (stream::CONTROL, control)] {
+            let Some(body) = body else {
+                continue;
+            };
+            match log.append(name, body).await {
+                Ok(offset) => log::info!("event=snapshot-appended stream={name} offset={offset}"),
+                // A second snapshot does no harm, so an unknown outcome needs no reading back.
+                Err(error) => log::warn!(
+                    "event=snapshot-failed stream={name} error={:?}",
+                    error.to_string()
+                ),
+            }
+        }
+    }
+}
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod core;
 pub mod exec;
+pub mod journal;
 pub mod ledger;
 pub mod limits;
 pub mod listener;
