Print configurations and make deltas between texts

Ruled out: deltas by section name only, because they cannot restore order and repeated headers byte for byte; a general line comparison, because it takes n^2 steps in the worst case.

--- /dev/null
+++ b/crates/basilgrade_config/src/delta/steps.rs
@@ -0,0 +1,103 @@
+//! The steps of a delta.
+
+use std::fmt::Write as _;
+
+use crate::delta::error::DeltaError;
+use crate::delta::sequence;
+
+/// One step over the sections of the base.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Step<'a> {
+    /// Takes this text into the result.
+    Add(Vec<&'a str>),
+    /// Leaves out this many sections.
+    Drop(usize),
+    /// Takes over this many sections.
+    Keep(usize),
+}
+
+/// The steps from the sections `old` to the sections `new`.
+pub(super) fn between<'a>(old: &[&str], new: &[&'a str]) -> Vec<Step<'a>> {
+    let mut steps = Vec::new();
+    let mut next = 0;
+    for (place, section) in sequence::shared(old, new).into_iter().zip(new) {
+        if let Some(place) = place {
+            push(&mut steps, Step::Drop(place - next));
+            push(&mut steps, Step::Keep(1));
+            next = place + 1;
+        } else {
+            push(&mut steps, Step::Add(vec![section]));
+        }
+    }
+    push(&mut steps, Step::Drop(old.len() - next));
+    steps
+}
+
+/// Adds a step, joined with the last one if it is of the same kind.
+fn push<'a>(steps: &mut Vec<Step<'a>>, step: Step<'a>) {
+    match (steps.last_mut(), step) {
+        (_, Step::Drop(0)) => {}
+        (Some(Step::Keep(count)), Step::Keep(more))
+        | (Some(Step::Drop(count)), Step::Drop(more)) => *count += more,
+        (Some(Step::Add(sections)), Step::Add(more)) => sections.extend(more),
+        (_, step) => steps.push(step),
+    }
+}
+
+impl<'a> Step<'a> {
+    /// Appends the step to the text of a delta.
+    pub(super) fn write(&self, text: &mut String) {
+        // Writing to a `String` does not fail.
+        let _ = match self {
+            Self::Add(sections) => {
+                let bytes: usize = sections.iter().map(|section| section.len()).sum();
+                write!(text, "add {bytes}\n{}", sections.concat())
+            }
+            Self::Drop(count) => writeln!(text, "drop {count}"),
+            Self::Keep(count) => writeln!(text, "keep {count}"),
+        };
+    }
+
+    /// Reads the first step of `text` and gives the text after it.
+    pub(super) fn read(text: &'a str) -> Result<(Self, &'a str), DeltaError> {
+        let malformed = || DeltaError::Malformed("`keep`, `drop` or `add` with a number");
+        let (line, rest) = text.split_once('\n').ok_or_else(malformed)?;
+        let (word, number) = line.split_once(' ').ok_or_else(malformed)?;
+        let number: usize = number.parse().map_err(|_| malformed())?;
+        match word {
+            "add" => {
+                let (section, rest) = rest
+                    .split_at_checked(number)
+                    .ok_or(DeltaError::Malformed("as many bytes as `add` counts"))?;
+                Ok((Self::Add(vec![section]), rest))
+            }
+            "drop" => Ok((Self::Drop(number), rest)),
+            "keep" => Ok((Self::Keep(number), rest)),
+            _ => Err(malformed()),
+        }
+    }
+
+    /// Applies the step to the sections of the base that are left, and gives those left after it.
+    pub(super) fn apply<'b>(
+        &self,
+        base: &'b [&'b str],
+        text: &mut String,
+    ) -> Result<&'b [&'b str], DeltaError> {
+        let split = |count: usize| {
+            base.split_at_checked(count)
+                .ok_or(DeltaError::Malformed("no more sections than the base has"))
+        };
+        match self {
+            Self::Add(sections) => {
+                text.extend(sections.iter().copied());
+                Ok(base)
+            }
+            Self::Drop(count) => Ok(split(*count)?.1),
+            Self::Keep(count) => {
+                let (kept, left) = split(*count)?;
+                text.extend(kept.iter().copied());
+                Ok(left)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_config/src/diff.rs
@@ -0,0 +1,73 @@
+//! The difference between two configurations, for operators.
+
+pub mod change;
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+
+use crate::diff::change::Change;
+use crate::model::deployment;
+use crate::print;
+use crate::section;
+use crate::source;
+
+/// Sections that differ.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Diff {
+    /// Changed and removed sections in the order of the old text, then added ones.
+    pub changes: Vec<Change>,
+}
+
+impl Diff {
+    /// Whether the configurations are equal.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
+impl fmt::Display for Diff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.changes
+            .iter()
+            .try_for_each(|change| write!(f, "{change}"))
+    }
+}
+
+type Sections = IndexMap<String, IndexMap<String, String>>;
+
+/// Compares two configurations section by section.
+pub fn diff(old: &deployment::Deployment, new: &deployment::Deployment) -> Diff {
+    let old = sections(old);
+    let new = sections(new);
+    let none = IndexMap::new();
+    let kept = old.iter().filter_map(|(header, keys)| {
+        let after = new.get(header);
+        let kind = match after {
+            Some(_) => change::Kind::Changed,
+            None => change::Kind::Removed,
+        };
+        Change::between(header, kind, keys, after.unwrap_or(&none))
+    });
+    let added = new
+        .iter()
+        .filter(|(header, _)| !old.contains_key(*header))
+        .filter_map(|(header, keys)| Change::between(header, change::Kind::Added, &none, keys));
+    Diff {
+        changes: kept.chain(added).collect(),
+    }
+}
+
+fn sections(deployment: &deployment::Deployment) -> Sections {
+    let source = source::Source::scan(&print::print(deployment), "");
+    let pair = |entry: section::Entry| (entry.key, entry.value);
+    source
+        .sections
+        .into_iter()
+        .map(|section| {
+            let keys = section.entries.into_iter().map(pair).collect();
+            (section.header, keys)
+        })
+        .collect()
+}
--- a/crates/basilgrade_config/src/lib.rs
+++ b/crates/basilgrade_config/src/lib.rs
@@ -1,8 +1,12 @@
 //! Configuration and process settings: reading, checking, printing and comparing.
 
+pub mod delta;
+pub mod diff;
+pub mod digest;
 pub mod limits;
 pub mod model;
 pub mod parse;
+pub mod print;
 pub mod problem;
 pub mod settings;
 
@@ -12,6 +16,10 @@
 mod source;
 mod value;
 
+pub use delta::delta;
+pub use delta::merge;
+pub use diff::diff;
 pub use parse::parse;
+pub use print::print;
 pub use problem::Problem;
 pub use problem::Problems;
--- a/crates/basilgrade_config/src/parse/links.rs
+++ b/crates/basilgrade_config/src/parse/links.rs
@@ -45,7 +45,8 @@
             source.report(section.line, &section.header, "", found, expected);
             continue;
         }
-        lines.insert(pair, section.line);
+        lines.insert(pair.clone(), section.line);
+        let (from, to) = pair;
         if let Some((price, latency)) = price {
             found.push(link::Link {
                 from,
@@ -56,6 +57,8 @@
         }
     }
     report_missing(source, &regions, &lines);
+    // The order and direction of links mean nothing, so equal deployments get equal models.
+    found.sort_by(|a, b| (&a.from, &a.to).cmp(&(&b.from, &b.to)));
     found
 }
 
--- /dev/null
+++ b/crates/basilgrade_config/tests/print.rs
@@ -0,0 +1,52 @@
+//! Printing and comparing configurations.
+
+use basilgrade_config::diff;
+use basilgrade_config::parse;
+use basilgrade_config::print;
+
+mod common;
+
+/// Guards against values that are lost or changed by printing.
+#[test]
+fn printing_and_reading_gives_the_same() {
+    let deployment = parse(&common::deployment(), "birrete.ini").expect("the text is valid");
+
+    let text = print(&deployment);
+
+    let again = parse(&text, "printed.ini").expect("printed text is valid");
+    assert_eq!(again, deployment);
+    assert_eq!(print(&again), text);
+}
+
+/// Guards against a canonical text that depends on the order in the operator's file.
+#[test]
+fn order_of_sections_does_not_show() {
+    let text = common::deployment();
+    let (first, second) = text.split_at(text.find("[pool assistant]").expect("is there"));
+    let turned =
+        format!("{second}\n{first}").replace("link cordoba rosario", "link rosario cordoba");
+
+    let one = parse(&text, "birrete.ini").expect("the text is valid");
+    let other = parse(&turned, "birrete.ini").expect("the text is valid");
+
+    assert_eq!(one, other);
+    assert_eq!(print(&one), print(&other));
+}
+
+/// Guards against a comparison that shows unchanged sections or hides changed ones.
+#[test]
+fn diff_shows_only_what_differs() {
+    let old = parse(&common::deployment(), "old.ini").expect("the text is valid");
+    let text = common::deployment().replace("rate = 40/s", "rate = 50/s")
+        + "[customer teatro]\nrate = 1/s\nburst = 2\n";
+    let new = parse(&text, "new.ini").expect("the text is valid");
+
+    let found = diff(&old, &new);
+
+    assert!(diff(&old, &old).is_empty());
+    assert_eq!(
+        found.to_string(),
+        "  [customer graduacion-sur]\n- rate = 40/s\n+ rate = 50/s\n\
+         + [customer teatro]\n+ rate = 1/s\n+ burst = 2\n"
+    );
+}
