Apply configuration deltas during replay

Cause: publishes carry deltas, so replay needs the delta format of the configuration package.

Ruled out: whole texts only; with 4,200 customers each change would cost hundreds of KiB.

Change: the replay's merge calls basilgrade_config::delta.

--- a/crates/basilgrade_server/src/journal/config_merge.rs
+++ b/crates/basilgrade_server/src/journal/config_merge.rs
@@ -1,5 +1,6 @@
 //! The delta format of the configuration package, as the journal needs it.
 
+use basilgrade_config::delta;
 use basilgrade_journal::merge;
 
 /// Applies deltas of configuration texts.
@@ -7,9 +8,7 @@
 pub struct ConfigMerge;
 
 impl merge::Merge for ConfigMerge {
-    fn merge(&self, _text: &str, _delta: &str) -> Result<String, merge::MergeError> {
-        Err(merge::MergeError::Invalid(
-            "deltas are not supported by this version".to_owned(),
-        ))
+    fn merge(&self, text: &str, delta: &str) -> Result<String, merge::MergeError> {
+        delta::merge(text, delta).map_err(|error| merge::MergeError::Invalid(error.to_string()))
     }
 }
--- a/crates/basilgrade_server/src/journal/streams.rs
+++ b/crates/basilgrade_server/src/journal/streams.rs
@@ -6,6 +6,7 @@
 use basilgrade_journal::config_state;
 use basilgrade_journal::control_state;
 use basilgrade_journal::fold;
+use basilgrade_journal::merge;
 use basilgrade_journal::stream;
 use basilgrade_platform::error;
 use basilgrade_platform::log_service;
@@ -25,8 +26,9 @@
 
 impl Default for Streams {
     fn default() -> Self {
+        let merge: sync::Arc<dyn merge::Merge> = sync::Arc::new(config_merge::ConfigMerge);
         Self {
-            config: replica::Replica::new(sync::Arc::new(config_merge::ConfigMerge)),
+            config: replica::Replica::new(merge),
             control: replica::Replica::new(sync::Arc::new(())),
         }
     }
