Add tarpc calls between daemons

Cause: gossip, claims and pulls of log records need typed calls over the authenticated links.

Ruled out: a server generic over the handler, because the futures of a generic async trait are not known to be Send; the handler is a trait object instead.

--- a/crates/basilgrade_peer/src/error.rs
+++ b/crates/basilgrade_peer/src/error.rs
@@ -8,6 +8,10 @@
     /// Why a link could not be set up or was closed.
     #[derive(Debug)]
     pub enum LinkError {
+        /// The call failed after the link was open.
+        Call(reason: String) {
+            display("the peer did not answer: {}", reason)
+        }
         /// The other side does not know the secret.
         Unauthenticated {
             display("the peer does not know the shared secret; check `secret` under `[peers]`")
--- a/crates/basilgrade_peer/src/lib.rs
+++ b/crates/basilgrade_peer/src/lib.rs
@@ -2,7 +2,13 @@
 
 pub mod codec;
 pub mod error;
+pub mod handler;
 pub mod handshake;
+pub mod links;
+pub mod listener;
 pub mod postcard_format;
 pub mod secret;
+pub mod server;
+pub mod service;
+pub mod transfer;
 pub mod transport;
--- /dev/null
+++ b/crates/basilgrade_peer/src/server.rs
@@ -0,0 +1,53 @@
+//! The server side of [`crate::service::Peer`].
+
+use std::sync;
+
+use basilgrade_journal::config_state;
+use basilgrade_journal::control_state;
+use basilgrade_types::id;
+use basilgrade_types::offset;
+use bytes::Bytes;
+use tarpc::context;
+
+use crate::handler;
+use crate::service;
+use crate::transfer;
+
+/// Passes calls on to a handler.
+#[derive(Clone)]
+pub struct PeerServer {
+    handler: sync::Arc<dyn handler::Handler>,
+}
+
+impl PeerServer {
+    /// A server in front of `handler`.
+    pub fn new(handler: sync::Arc<dyn handler::Handler>) -> Self {
+        Self { handler }
+    }
+}
+
+impl service::Peer for PeerServer {
+    async fn gossip(self, _: context::Context, from: id::VmId, message: Bytes) {
+        self.handler.gossip(from, message);
+    }
+
+    async fn claims(self, _: context::Context, from: id::VmId, message: Bytes) {
+        self.handler.claims(from, message);
+    }
+
+    async fn pull_config(
+        self,
+        _: context::Context,
+        from: offset::Offset,
+    ) -> transfer::Transfer<config_state::ConfigState> {
+        self.handler.pull_config(from)
+    }
+
+    async fn pull_control(
+        self,
+        _: context::Context,
+        from: offset::Offset,
+    ) -> transfer::Transfer<control_state::ControlState> {
+        self.handler.pull_control(from)
+    }
+}
--- a/crates/basilgrade_server/src/journal/replica.rs
+++ b/crates/basilgrade_server/src/journal/replica.rs
@@ -4,9 +4,9 @@
 
 use basilgrade_journal::chunk;
 use basilgrade_journal::entry;
-use basilgrade_journal::export;
 use basilgrade_journal::fold;
 use basilgrade_journal::replay;
+use basilgrade_peer::transfer;
 use basilgrade_platform::error;
 use basilgrade_platform::log_service;
 use basilgrade_types::clock;
@@ -24,18 +24,6 @@
     first: offset::Offset,
 }
 
-/// What a peer gets that asks for records.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
-#[serde(bound = "S: serde::Serialize + serde::de::DeserializeOwned")]
-pub enum Transfer<S> {
-    /// The records it lacks.
-    Records(chunk::Chunk),
-    /// The whole state, as the records are no longer kept.
-    State(export::Export<S>),
-    /// Nothing: this daemon is not ahead.
-    Nothing,
-}
-
 /// One stream as replayed by this daemon.
 pub struct Replica<S: replay::Replay> {
     inner: sync::Mutex<Inner<S>>,
@@ -101,11 +89,11 @@
     }
 
     /// What a peer gets that has everything before `from`.
-    pub fn transfer(&self, from: offset::Offset) -> Transfer<S> {
+    pub fn transfer(&self, from: offset::Offset) -> transfer::Transfer<S> {
         let inner = self.lock();
         let next = inner.fold.next();
         if !inner.fold.is_current() || (next <= from && from.0 > 0) {
-            return Transfer::Nothing;
+            return transfer::Transfer::Nothing;
         }
         if from >= inner.first && !inner.tail.is_empty() {
             let entries = inner
@@ -114,7 +102,7 @@
                 .filter(|entry| entry.offset >= from)
                 .cloned()
                 .collect();
-            return Transfer::Records(chunk::Chunk {
+            return transfer::Transfer::Records(chunk::Chunk {
                 from,
                 first: inner.first,
                 next,
@@ -124,15 +112,15 @@
         inner
             .fold
             .export()
-            .map_or(Transfer::Nothing, Transfer::State)
+            .map_or(transfer::Transfer::Nothing, transfer::Transfer::State)
     }
 
     /// Takes what a peer sent and says whether the state moved on.
-    pub fn take(&self, now: clock::Millis, transfer: Transfer<S>) -> bool {
+    pub fn take(&self, now: clock::Millis, transfer: transfer::Transfer<S>) -> bool {
         match transfer {
-            Transfer::Nothing => false,
-            Transfer::Records(chunk) => self.feed(now, &chunk),
-            Transfer::State(export) => {
+            transfer::Transfer::Nothing => false,
+            transfer::Transfer::Records(chunk) => self.feed(now, &chunk),
+            transfer::Transfer::State(export) => {
                 let mut inner = self.lock();
                 let moved = inner.fold.import(now, export);
                 if moved {
