Add stand-ins of the platform, engines, pools and services

Cause: the client and the daemon have nothing to be tested against. Ruled out: hyper's server, as it cannot send a short body or answer twice. Change: servers on plain loopback sockets with switchable faults and a record of executions; first tests of the client against them.

--- /dev/null
+++ b/crates/basilgrade_standins/src/engine/options.rs
@@ -0,0 +1,49 @@
+//! Settings of an engine.
+
+use basilgrade_types::clock;
+
+/// What an engine does with the fencing number of an order.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fencing {
+    /// Refuses an order with a number below the highest so far.
+    #[default]
+    Checked,
+    /// Follows every order.
+    Ignored,
+}
+
+/// Settings of an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// Generations that run at the same time; the others wait in order of priority.
+    pub batch: usize,
+    /// Time before each token.
+    pub interval: clock::Millis,
+    /// How far load reports lag behind.
+    pub lag: clock::Millis,
+    /// Prefixes that fit in the cache.
+    pub cache: usize,
+    /// Every so many cache events one is lost; 0 for none.
+    pub gap: u64,
+    /// Treatment of fencing numbers.
+    pub fencing: Fencing,
+    /// Time to load one model.
+    pub loading: clock::Millis,
+    /// Models loaded at the start.
+    pub models: Vec<String>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            batch: 64,
+            interval: clock::Millis::ZERO,
+            lag: clock::Millis::ZERO,
+            cache: 64,
+            gap: 0,
+            fencing: Fencing::Checked,
+            loading: clock::Millis::ZERO,
+            models: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_standins/src/fault_switch.rs
@@ -0,0 +1,51 @@
+//! Switching of faults while a stand-in runs.
+
+use std::collections;
+use std::sync;
+
+use crate::fault;
+
+#[derive(Debug, Default)]
+struct State {
+    standing: fault::Fault,
+    next: collections::VecDeque<fault::Fault>,
+}
+
+/// The faults of a stand-in: one that stands until changed, and a queue with one for each call.
+#[derive(Clone, Debug, Default)]
+pub struct FaultSwitch {
+    state: sync::Arc<sync::Mutex<State>>,
+}
+
+impl FaultSwitch {
+    /// Applies a fault to all calls from now on. For [`fault::Fault::Dead`] use
+    /// [`crate::server::Server::set`], which waits until the port is closed.
+    pub fn set(&self, fault: fault::Fault) {
+        self.lock().standing = fault;
+    }
+
+    /// Applies a fault to the next call that has none queued yet.
+    pub fn push(&self, fault: fault::Fault) {
+        self.lock().next.push_back(fault);
+    }
+
+    /// The fault that applies while none is queued.
+    pub fn standing(&self) -> fault::Fault {
+        self.lock().standing.clone()
+    }
+
+    /// Takes the fault for one call.
+    pub(crate) fn take(&self) -> fault::Fault {
+        let mut state = self.lock();
+        match state.next.pop_front() {
+            Some(fault) => fault,
+            None => state.standing.clone(),
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_standins/src/platform/options.rs
@@ -0,0 +1,27 @@
+//! Settings of the platform.
+
+use basilgrade_types::clock;
+
+/// Settings of the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Options {
+    /// Records retained in each stream.
+    pub retention: usize,
+    /// Appends a second over all streams; 0 for no limit.
+    pub rate: u64,
+    /// How far the VM list lags behind.
+    pub lag: clock::Millis,
+    /// Delivery rate of the weight store in bytes a second.
+    pub weights: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            retention: 100_000,
+            rate: 0,
+            lag: clock::Millis::ZERO,
+            weights: 200e6,
+        }
+    }
+}
--- a/crates/basilgrade_upstream/src/client/whole.rs
+++ b/crates/basilgrade_upstream/src/client/whole.rs
@@ -55,17 +55,16 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    match body.size_hint().exact() {
-        Some(declared) if declared > limit.0 => return Err(too_large()),
-        Some(_) => {}
-        // The end of such a body cannot be told from a process that died while it answered.
-        None if !headers.contains_key(header::TRANSFER_ENCODING) => {
-            return Err(call_error::CallError::Malformed(
-                address,
-                "length of the body is not declared".to_owned(),
-            ));
-        }
-        None => {}
+    let declared = body.size_hint().exact();
+    if declared.is_some_and(|declared| declared > limit.0) {
+        return Err(too_large());
+    }
+    // The end of such a body cannot be told from a process that died while it answered.
+    if declared.is_none() && !headers.contains_key(header::TRANSFER_ENCODING) {
+        return Err(call_error::CallError::Malformed(
+            address,
+            "length of the body is not declared".to_owned(),
+        ));
     }
     let mut first = Bytes::new();
     let mut whole = BytesMut::new();
--- /dev/null
+++ b/crates/basilgrade_upstream/tests/common/mod.rs
@@ -0,0 +1,79 @@
+//! Fixtures shared by the tests of the client.
+
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
+
+use std::net;
+use std::str::FromStr;
+
+use basilgrade_types::attempt;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::request;
+use basilgrade_types::size;
+use basilgrade_upstream::call;
+use basilgrade_upstream::call_error;
+use basilgrade_upstream::client;
+use basilgrade_upstream::token;
+use basilgrade_upstream::upstream::Upstream;
+use futures::StreamExt;
+
+/// Far more than any test needs, so that no test depends on the speed of the machine.
+pub(crate) const LONG: clock::Millis = clock::Millis::from_secs(120);
+
+pub(crate) fn client() -> client::HttpUpstream {
+    client::HttpUpstream::new(client::Settings {
+        connect: LONG,
+        control: LONG,
+        idle: LONG,
+        ..client::Settings::default()
+    })
+}
+
+/// A pool call with input `in`.
+pub(crate) fn call(address: net::SocketAddr) -> call::Call {
+    call::Call {
+        address,
+        method: hyper::Method::POST,
+        path: "/run".to_owned(),
+        headers: hyper::HeaderMap::new(),
+        body: "in".into(),
+        request: request::RequestId::mint(),
+        stage: id::StageId::from_str("rerank").expect("valid name"),
+        attempt: attempt::Attempt(0),
+        key: None,
+        left: LONG,
+        echo: call::Echo::Required,
+    }
+}
+
+pub(crate) fn generation(address: net::SocketAddr, tokens: u64) -> call::Generation {
+    call::Generation {
+        call: call(address),
+        model: None,
+        prompt: "Which gown is worn in Mendoza?".to_owned(),
+        tokens: size::TokenCount(tokens),
+        offset: size::TokenCount(0),
+        received: Vec::new(),
+        priority: 0,
+    }
+}
+
+/// Reads a stream to its end: its tokens, and the error if it failed.
+pub(crate) async fn collect(
+    client: &client::HttpUpstream,
+    generation: call::Generation,
+) -> (Vec<token::Token>, Option<call_error::CallError>) {
+    let mut stream = client.generate(generation);
+    let mut tokens = Vec::new();
+    while let Some(item) = stream.next().await {
+        match item {
+            Ok(token) => tokens.push(token),
+            Err(error) => return (tokens, Some(error)),
+        }
+    }
+    (tokens, None)
+}
+
+pub(crate) fn text(tokens: &[token::Token]) -> String {
+    tokens.iter().map(|token| token.text.as_str()).collect()
+}
