--- a/crates/basilgrade_policy/src/router.rs
+++ b/crates/basilgrade_policy/src/router.rs
@@ -6,6 +6,16 @@
 use crate::candidate;
 use crate::refusal;
 
+mod baseline;
+pub mod eligible;
+pub mod least_outstanding;
+pub mod random;
+pub mod round_robin;
+pub mod score;
+pub mod scored;
+pub mod settings;
+pub mod two_choices;
+
 /// What the choice depends on, besides the candidates.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CallShape {
--- /dev/null
+++ b/crates/basilgrade_policy/src/router/score.rs
@@ -0,0 +1,123 @@
+//! The score of one candidate for one call.
+
+use basilgrade_types::clock;
+
+use crate::candidate;
+use crate::router;
+use crate::router::settings;
+
+/// Bytes in the unit that traffic is priced in.
+const MIB: f32 = 1_048_576.0;
+
+/// Share of the attainment weight that using up the whole remaining time costs.
+///
+/// It makes the router prefer the earlier of two finishes that both meet the deadline, without
+/// outweighing the price of traffic.
+const TIME_SHARE: f32 = 0.05;
+
+/// Slowdown of a call on a full upstream against an idle one, from the batch it shares.
+const CROWDING: f32 = 0.25;
+
+/// Ratio of expected finish to remaining time below which a miss is not expected.
+const SAFE: f32 = 0.5;
+
+/// Ratio of expected finish to remaining time above which a miss is certain.
+const LOST: f32 = 1.25;
+
+/// Expected finish, expected price and their weighted sum.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Score {
+    /// Expected time until the call is done, in milliseconds.
+    pub finish: f32,
+    /// Expected price in millionths of the currency, traffic included.
+    pub cost: f32,
+    /// Weighted sum; the lowest is best.
+    pub total: f32,
+}
+
+/// The parts of a score that are the same for every candidate of a call.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale<'a> {
+    call: &'a router::CallShape,
+    echo: f32,
+    /// Value of one unit of price.
+    cost: f32,
+    attainment: f32,
+    /// Reciprocal of the remaining time in milliseconds.
+    urgency: f32,
+    mebibytes: f32,
+    prompt: f32,
+    output: f32,
+}
+
+impl<'a> Scale<'a> {
+    /// Prepares the scoring of candidates for `call`.
+    pub fn new(
+        settings: &settings::Settings,
+        now: clock::Millis,
+        call: &'a router::CallShape,
+    ) -> Self {
+        Self {
+            call,
+            echo: settings.echo,
+            cost: settings.cost,
+            attainment: settings.attainment,
+            urgency: 1.0 / (call.deadline - now).0.max(1) as f32,
+            mebibytes: call.bytes as f32 / MIB,
+            prompt: call.prompt as f32,
+            output: call.output as f32,
+        }
+    }
+
+    /// Scores one candidate.
+    #[inline]
+    pub fn score(&self, candidate: &candidate::Candidate) -> Score {
+        let region = usize::from(candidate.region);
+        let latency = self.call.latency.get(region).copied().unwrap_or(0.0);
+        let price = self.call.prices.get(region).copied().unwrap_or(0.0);
+
+        let reported = (candidate.running + candidate.queued) as f32;
+        let sent = candidate.sent as f32 * self.echo;
+        let load = larger(reported + sent, candidate.inflight as f32);
+        let share = 1.0 / candidate.capacity.max(1) as f32;
+
+        let fresh = larger(self.prompt - candidate.cached as f32, 0.0);
+        let base = candidate.service + candidate.decode * self.output;
+        let alone = base + candidate.prefill * fresh;
+        // Calls ahead in the queue are taken to be like this one, without its cached prefix.
+        let ahead = base + candidate.prefill * self.prompt;
+
+        let wait = larger((load + 1.0) * share - 1.0, 0.0) * ahead;
+        let crowd = 1.0 + CROWDING * smaller(load * share, 1.0);
+        let finish = 2.0 * latency + wait + alone * crowd;
+        let cost = candidate.price + price * self.mebibytes;
+        let ratio = finish * self.urgency;
+        let total = self.cost * cost + self.attainment * (miss_chance(ratio) + TIME_SHARE * ratio);
+        Score {
+            finish,
+            cost,
+            total,
+        }
+    }
+}
+
+/// Chance that a call with this ratio of expected finish to remaining time misses its deadline.
+///
+/// A cubic step instead of a distribution function, because it is evaluated for every candidate.
+pub fn miss_chance(ratio: f32) -> f32 {
+    let x = (ratio - SAFE) * (1.0 / (LOST - SAFE));
+    let x = larger(smaller(x, 1.0), 0.0);
+    x * x * (3.0 - 2.0 * x)
+}
+
+/// The larger of two numbers that are not NaN; one instruction, where `f32::max` takes several.
+#[inline]
+const fn larger(one: f32, other: f32) -> f32 {
+    if one > other { one } else { other }
+}
+
+/// The smaller of two numbers that are not NaN.
+#[inline]
+const fn smaller(one: f32, other: f32) -> f32 {
+    if one < other { one } else { other }
+}
--- /dev/null
+++ b/crates/basilgrade_policy/src/router/settings.rs
@@ -0,0 +1,37 @@
+//! Settings of the scored router.
+
+use basilgrade_config::model::weights;
+use basilgrade_types::clock;
+
+/// What the scored router weighs and which corrections it applies.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Price in millionths of the currency that one missed deadline is worth.
+    pub attainment: f32,
+    /// Factor on every price paid.
+    pub cost: f32,
+    /// Calls assumed to have been sent by all daemons for each own call since the report; 0 ignores
+    /// own calls.
+    pub echo: f32,
+    /// Age of a load report above which the best of a random subset is taken;
+    /// [`clock::Millis::MAX`] always takes the best of all.
+    pub stale: clock::Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::new(weights::Weights::default())
+    }
+}
+
+impl Settings {
+    /// Settings for a deployment that values `weights`.
+    pub fn new(weights: weights::Weights) -> Self {
+        Self {
+            attainment: weights.attainment as f32,
+            cost: weights.cost as f32,
+            echo: 1.0,
+            stale: clock::Millis(500),
+        }
+    }
+}
