Check references and bounds, and test every rule

Cause: a pool without upstreams and a pair of regions without a price were accepted or reported without a section. Ruled out: checks on the finished model only, because it has no lines.

--- a/crates/basilgrade_config/src/parse.rs
+++ b/crates/basilgrade_config/src/parse.rs
@@ -1,5 +1,6 @@
 //! Reads a configuration.
 
+mod coverage;
 mod customers;
 mod domains;
 mod headers;
@@ -36,5 +37,6 @@
     deployment.pipelines = pipelines::read(&sections, &mut source, &names, &deployment.pools);
     deployment.services = services::read(&sections, &mut source, &names, &deployment.pools);
     deployment.customers = customers::read(&sections, &mut source, &names);
+    coverage::check(&sections, &mut source);
     source.problems.finish(deployment)
 }
--- a/crates/basilgrade_config/src/parse/links.rs
+++ b/crates/basilgrade_config/src/parse/links.rs
@@ -56,7 +56,7 @@
             });
         }
     }
-    report_missing(source, &regions, &lines);
+    report_missing(sections, source, &regions, &lines);
     // The order and direction of links mean nothing, so equal deployments get equal models.
     found.sort_by(|a, b| (&a.from, &a.to).cmp(&(&b.from, &b.to)));
     found
@@ -99,7 +99,10 @@
 }
 
 /// Traffic between any two regions is possible, so each pair needs a price.
+///
+/// A missing link is reported at the first failure domain of the later region.
 fn report_missing(
+    sections: &[section::Section],
     source: &mut source::Source,
     regions: &BTreeSet<&id::RegionId>,
     lines: &HashMap<(id::RegionId, id::RegionId), usize>,
@@ -109,9 +112,15 @@
             if lines.contains_key(&ordered(from, to)) {
                 continue;
             }
+            let Some(domain) = headers::of(sections, "domain")
+                .find(|section| section.value("region") == Some(to.as_str()))
+            else {
+                continue;
+            };
             let found = format!("no link between `{from}` and `{to}` is declared");
             let expected = format!("`[link {from} {to}]` with `price` and `latency`");
-            source.report(1, "", "", found, expected);
+            let line = domain.line_of("region");
+            source.report(line, &domain.header, "region", found, expected);
         }
     }
 }
--- a/crates/basilgrade_config/src/reader.rs
+++ b/crates/basilgrade_config/src/reader.rs
@@ -33,11 +33,11 @@
         read: impl Fn(&str) -> Result<T, value::Expected>,
     ) -> Option<T> {
         self.known.push(key);
-        let entry = self.section.entries.iter().find(|entry| entry.key == key)?;
-        match read(&entry.value) {
+        let text = self.section.value(key)?;
+        match read(text) {
             Ok(value) => Some(value),
             Err(expected) => {
-                let found = format!("`{}` is not valid", source::excerpt(&entry.value));
+                let found = format!("`{}` is not valid", source::excerpt(text));
                 self.report(key, found, expected);
                 None
             }
@@ -66,12 +66,12 @@
         read: impl Fn(&str) -> Result<T, value::Expected>,
     ) -> Option<T> {
         self.known.push(key);
-        let Some(entry) = self.section.entries.iter().find(|entry| entry.key == key) else {
+        let Some(text) = self.section.value(key) else {
             let expected = read("").err().unwrap_or_default();
             self.report(key, "the key is missing", expected);
             return None;
         };
-        match read(&entry.value) {
+        match read(text) {
             Ok(value) => Some(value),
             Err(expected) => {
                 self.report(key, "the value is not valid", expected);
@@ -82,7 +82,7 @@
 
     /// Whether the section has the key.
     pub(crate) fn has(&self, key: &str) -> bool {
-        self.section.entries.iter().any(|entry| entry.key == key)
+        self.section.value(key).is_some()
     }
 
     /// Records a problem with a key, on its line if it is there.
@@ -92,12 +92,7 @@
         found: impl Into<String>,
         expected: impl Into<String>,
     ) {
-        let line = self
-            .section
-            .entries
-            .iter()
-            .find(|entry| entry.key == key)
-            .map_or(self.section.line, |entry| entry.line);
+        let line = self.section.line_of(key);
         self.source
             .report(line, &self.section.header, key, found, expected);
     }
--- a/crates/basilgrade_config/src/section.rs
+++ b/crates/basilgrade_config/src/section.rs
@@ -27,4 +27,16 @@
     pub(crate) fn names(&self) -> Vec<&str> {
         self.header.split(' ').skip(1).collect()
     }
+
+    /// The value of a key as it stands in the text.
+    pub(crate) fn value(&self, key: &str) -> Option<&str> {
+        let entry = self.entries.iter().find(|entry| entry.key == key)?;
+        Some(&entry.value)
+    }
+
+    /// The line of a key, or of the header if the key is missing.
+    pub(crate) fn line_of(&self, key: &str) -> usize {
+        let entry = self.entries.iter().find(|entry| entry.key == key);
+        entry.map_or(self.line, |entry| entry.line)
+    }
 }
--- a/crates/basilgrade_config/tests/parse.rs
+++ b/crates/basilgrade_config/tests/parse.rs
@@ -1,10 +1,12 @@
 //! Reading a configuration.
 
 use basilgrade_config::Problem;
+use basilgrade_config::limits;
 use basilgrade_config::model::pool;
 use basilgrade_config::model::stage;
 use basilgrade_config::parse;
 use basilgrade_types::clock;
+use basilgrade_types::price;
 use basilgrade_types::size;
 
 mod common;
@@ -63,3 +65,253 @@
     assert!(found[2].expected.contains("`capacity`"));
     assert!(found[3].expected.contains("`assistant`"));
 }
+
+/// Replaces one text by another and gives the report, one problem a line.
+fn report_after(from: &str, to: &str) -> String {
+    let before = common::deployment();
+    let text = before.replacen(from, to, 1);
+    assert!(text != before, "`{from}` is in the fixture");
+    parse(&text, "birrete.ini")
+        .expect_err("the text is faulty")
+        .to_string()
+}
+
+/// A text of the fixture, what takes its place, and a part of the report.
+const RULES: &[(&str, &str, &str)] = &[
+    (
+        "name = birrete",
+        "name = ñ/",
+        "birrete.ini:2: [deployment] `name`: `ñ/` is not valid",
+    ),
+    (
+        "[deployment]\nname = birrete",
+        "",
+        "birrete.ini:1: [deployment] the section is missing",
+    ),
+    (
+        "[deployment]",
+        "name = x\n[deployment]",
+        "birrete.ini:1: `name`: a key before any section",
+    ),
+    (
+        "[deployment]",
+        "[weights]\nattainment = 0\ncost = 0\n[deployment]",
+        "both weights are 0",
+    ),
+    (
+        "[link cordoba rosario]\nprice = 90\nlatency = 9ms\n",
+        "",
+        "birrete.ini:7: [domain rosario-a] `region`: no link between `cordoba` and `rosario`",
+    ),
+    (
+        "[link cordoba rosario]",
+        "[link cordoba cordoba]",
+        "birrete.ini:9: [link cordoba cordoba] both ends are the same region",
+    ),
+    (
+        "[link cordoba rosario]",
+        "[link cordoba rosari]",
+        "no failure domain lies in region `rosari`; expected the region of a failure domain, the nearest being `rosario`",
+    ),
+    (
+        "[link cordoba rosario]",
+        "[link rosario cordoba]\nprice = 1\nlatency = 9ms\n[link cordoba rosario]",
+        "birrete.ini:12: [link cordoba rosario] the link is already on line 9",
+    ),
+    (
+        "latency = 9ms",
+        "latency = 9",
+        "birrete.ini:11: [link cordoba rosario] `latency`: `9` is not valid; expected a time with unit",
+    ),
+    (
+        "latency = 9ms",
+        "latency = 0ms",
+        "expected a value from 1ms",
+    ),
+    (
+        "fencing = checked\n",
+        "",
+        "birrete.ini:13: [pool assistant] `fencing`: the key is missing; expected `checked` or `ignored`",
+    ),
+    ("price = 400", "price = -4", "`price`: `-4` is not valid"),
+    (
+        "kind = service\nprice = 10",
+        "kind = service",
+        "`price`: the key is missing",
+    ),
+    (
+        "domain = cordoba-a",
+        "domain = cordoba-b",
+        "domain `cordoba-b` is not declared; expected a declared domain, the nearest being `cordoba-a`",
+    ),
+    (
+        "10.0.2.1:9000",
+        "10.0.1.1:9000",
+        "`10.0.1.1:9000` is also the address of [upstream assistant-1]",
+    ),
+    (
+        "10.0.2.1:9000",
+        "tickets:9000",
+        "expected an IP address and a port",
+    ),
+    (
+        "capacity = 8",
+        "capacity = 0",
+        "expected a whole number from 1 to 65536",
+    ),
+    (
+        "pool = ticket-sales",
+        "pool = assistant",
+        "pool `ticket-sales` has no upstream",
+    ),
+    (
+        "stages = answer",
+        "stages = answer, rank",
+        "stage `rank` is not declared",
+    ),
+    (
+        "stages = answer",
+        "stages = answer, answer",
+        "stage `answer` is listed twice",
+    ),
+    ("stages = answer", "stages =", "expected 1 to 16 stages"),
+    (
+        "stages = answer",
+        "stages = answers",
+        "pipeline `seating` does not list the stage",
+    ),
+    (
+        "[stage seating answer]",
+        "[stage seatings answer]",
+        "pipeline `seatings` is not declared",
+    ),
+    (
+        "tokens = 300\n",
+        "",
+        "`tokens`: the key is missing, but `assistant` is a pool of engines",
+    ),
+    (
+        "shorten = 80",
+        "shorten = 300",
+        "`300` does not shorten 300 tokens",
+    ),
+    (
+        "shorten = 80",
+        "shorten = 80\nskip = true",
+        "one of `skip`, `shorten` and `substitute`",
+    ),
+    (
+        "shorten = 80",
+        "substitute = assistant",
+        "the substitute is the pool itself",
+    ),
+    (
+        "shorten = 80",
+        "substitute = ticket-sales",
+        "expected a pool of kind `engine`",
+    ),
+    (
+        "shorten = 80",
+        "substitute = asistant",
+        "the nearest being `assistant`",
+    ),
+    (
+        "[service ticket-sales]",
+        "[service assistant]",
+        "expected a pool of kind `service`",
+    ),
+    (
+        "[service ticket-sales]",
+        "[pipeline ticket-sales]\ndeadline = 1s\nstages = a\n[stage ticket-sales a]\n\
+             pool = ticket-sales\nidempotency = idempotent\n[service ticket-sales]",
+        "`ticket-sales` is also the name of a pipeline",
+    ),
+    (
+        "\nidempotency = non-idempotent",
+        "",
+        "`idempotency`: the key is missing; expected `idempotent` or `non-idempotent`",
+    ),
+    ("rate = 40/s", "rate = 40", "expected a rate such as `40/s`"),
+    ("rate = 40/s", "rate = 0/s", "expected a rate above 0"),
+    (
+        "targets = seating,",
+        "targets = seting,",
+        "the nearest being `seating`",
+    ),
+    (
+        "targets = seating,",
+        "targets = ,",
+        "items separated by single commas",
+    ),
+    (
+        "[customer graduacion-sur]",
+        "[custmer graduacion-sur]",
+        "the nearest being `customer`",
+    ),
+    (
+        "[customer graduacion-sur]",
+        "[customer graduacion sur]",
+        "expected `[customer NAME]`",
+    ),
+    (
+        "[customer graduacion-sur]",
+        "[pool assistant]",
+        "the section is already on line 13",
+    ),
+    (
+        "burst = 80",
+        "burst = 80\nburst = 81",
+        "the key is already on line 48",
+    ),
+    (
+        "burst = 80",
+        "burst 80",
+        "birrete.ini:48: [customer graduacion-sur] the line has no known form",
+    ),
+    ("burst = 80", "[burst", "the line has no known form"),
+    ("burst = 80", "burst = 80\0", "a control character"),
+];
+
+/// Guards against checks that are lost; each row breaks one rule. A second problem is possible
+/// where the fault takes a name away that is used elsewhere.
+#[test]
+fn each_rule_has_its_own_error() {
+    for (from, to, message) in RULES {
+        let report = report_after(from, to);
+
+        assert!(report.contains(message), "{to}: {report}");
+        assert!(report.lines().count() <= 3, "{to}: {report}");
+    }
+}
+
+/// Guards against prices that are not taken from `[prices]`.
+#[test]
+fn default_prices_stand_in() {
+    let text = common::deployment()
+        .replace("price = 90\n", "")
+        .replace("price = 10\n", "")
+        + "[prices]\nlink = 7\nservice = 8\n";
+
+    let deployment = parse(&text, "birrete.ini").expect("the text is valid");
+
+    assert_eq!(deployment.links[0].price, price::Price(7));
+    assert_eq!(deployment.pools["ticket-sales"].price, price::Price(8));
+    assert_eq!(deployment.pools["assistant"].price, price::Price(400));
+}
+
+/// Guards against unbounded work and reports for hostile texts.
+#[test]
+fn sizes_are_bounded() {
+    let long = "#".repeat(limits::TEXT + 1);
+    let line = format!("[{}]", "x".repeat(limits::LINE));
+    let faults = "fault\n".repeat(10_000);
+
+    let long = parse(&long, "x.ini").expect_err("the text is too long");
+    let line = parse(&line, "x.ini").expect_err("the line is too long");
+    let faults = parse(&faults, "x.ini").expect_err("the text is faulty");
+
+    assert!(long.to_string().contains("expected at most 8388608"));
+    assert!(line.to_string().contains("expected at most 4096"));
+    assert_eq!(faults.items.len(), limits::PROBLEMS);
+    assert!(faults.more >= 10_000 - limits::PROBLEMS);
+}
--- a/crates/basilgrade_config/tests/settings.rs
+++ b/crates/basilgrade_config/tests/settings.rs
@@ -33,3 +33,75 @@
     assert!(!error.to_string().contains("hunter2"));
     assert!(error.to_string().contains("at least 16 bytes"));
 }
+
+/// Guards against checks that are lost; each row breaks one rule of a valid file.
+#[test]
+fn each_rule_has_its_own_error() {
+    let rules = [
+        (
+            "vm = vm-1\n",
+            "",
+            "vm-1.ini:1: [process] `vm`: the key is missing",
+        ),
+        ("[platform]", "[platfrom]", "the nearest being `platform`"),
+        ("secret", "sercet", "the nearest being `secret`"),
+        (
+            "127.0.0.1:8081",
+            "127.0.0.1:8080",
+            "`peer-address`: the address is also `caller-address`",
+        ),
+        (
+            "127.0.0.1:8081",
+            "peer:8081",
+            "expected an IP address and a port",
+        ),
+        (
+            "[peers]",
+            "[claims]\nhorizon = 10m\n[peers]",
+            "`600000ms` is below `autonomy`; expected at least 900000ms",
+        ),
+        (
+            "[peers]",
+            "[limits]\nbody-bytes = 9\n[peers]",
+            "expected a size with unit",
+        ),
+        (
+            "[peers]",
+            "[limits]\nheader-bytes = 1KiB\n[peers]",
+            "expected a value from 8192B",
+        ),
+        (
+            "[peers]",
+            "[log]\nlevel = loud\n[peers]",
+            "expected `off`, `error`",
+        ),
+        (
+            "[peers]",
+            "[peers]\nseeds = 127.0.0.1:1, x",
+            "`seeds`: `127.0.0.1:1, x` is not valid",
+        ),
+    ];
+    for (from, to, message) in rules {
+        let text = common::settings().replacen(from, to, 1);
+
+        let error = settings::parse(&text, "vm-1.ini").expect_err("the text is faulty");
+
+        assert!(error.to_string().contains(message), "{to}: {error}");
+    }
+}
+
+/// Guards against optional settings that are read but not used.
+#[test]
+fn reads_optional_settings() {
+    let text = common::settings()
+        + "seeds = 127.0.0.1:1, 127.0.0.1:2\n[drain]\nlinger = 0ms\n[log]\nlevel = debug\n\
+           [limits]\nslow-sender = 3s\n[claims]\nautonomy = 1m\n";
+
+    let found = settings::parse(&text, "vm-1.ini").expect("the text is valid");
+
+    assert_eq!(found.peers.seeds.len(), 2);
+    assert_eq!(found.drain.linger, clock::Millis::ZERO);
+    assert_eq!(found.log.level, settings::log::level::Level::Debug);
+    assert_eq!(found.limits.slow_sender, clock::Millis::from_secs(3));
+    assert_eq!(found.claims.autonomy, clock::Millis::from_secs(60));
+}
