--- a/crates/basilgrade_server/src/background.rs
+++ b/crates/basilgrade_server/src/background.rs
@@ -1,3 +1,4 @@
 //! Tasks beside the path of requests.
 
 pub mod load;
+pub mod reader;
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 
 use basilgrade_config::model::deployment;
+use basilgrade_config::model::weights;
 use basilgrade_policy::router;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -33,8 +34,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// Calls to upstreams.
     pub upstream: sync::Arc<dyn upstream::Upstream>,
-    /// Choice of upstream.
-    pub router: sync::Arc<dyn router::Router>,
+    /// Makes the choice of upstream for what a deployment values.
+    pub router: fn(weights::Weights) -> sync::Arc<dyn router::Router>,
     /// Claims on request keys.
     pub ledger: sync::Arc<dyn ledger::Ledger>,
     /// Instruments.
@@ -95,6 +96,7 @@
             deployment.clone(),
             &self.parts.domain,
             &self.registry,
+            (self.parts.router)(deployment.weights),
         ));
         let newer =
             |old: &Option<snapshot::Loaded>| old.as_ref().is_none_or(|old| old.revision < revision);
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -58,8 +58,8 @@
         let view = &self.context.view;
         let candidates = view.candidates(&self.step.pool, now);
         let shape = self.shape();
-        let router = &self.context.core.parts.router;
-        let choice = router
+        let choice = view
+            .router
             .choose(now, &shape, &candidates, &mut rand::rng())
             .and_then(|choice| {
                 let entry = view.entries.get(choice.index as usize);
@@ -80,6 +80,32 @@
         }
     }
 
+    /// Notes what an attempt cost; `received` counts the bytes of its answer.
+    pub fn finished(
+        &self,
+        entry: &entry::Entry,
+        attempt: attempt::Attempt,
+        received: usize,
+        verdict: verdict::Verdict,
+    ) {
+        let crosses = entry.region != self.context.view.home;
+        let moved = (self.step.input.len() + received) as u64;
+        let billed = if crosses { moved } else { 0 };
+        let core = &self.context.core;
+        let outcome = recent::Outcome {
+            left: self.context.left(),
+            billed,
+            verdict,
+        };
+        core.recent
+            .finish(self.context.request, &self.step.stage, attempt, outcome);
+        let metrics = &core.parts.metrics;
+        metrics.stage_cost(&self.step.stage, f64::from(entry.price), billed);
+        if attempt.0 > 0 {
+            metrics.retry(&self.step.stage);
+        }
+    }
+
     /// Notes a failed attempt and says whether another one is allowed.
     ///
     /// # Errors
@@ -88,9 +114,14 @@
     pub fn failed(
         &mut self,
         entry: &entry::Entry,
+        attempt: attempt::Attempt,
         error: call_error::CallError,
     ) -> Result<(), failure::Failure> {
         let verdict = error.verdict();
+        self.finished(entry, attempt, 0, verdict);
+        if let call_error::CallError::Mismatch(..) = error {
+            self.context.core.parts.metrics.dropped_answer("mismatch");
+        }
         self.worst = self.worst.max(Some(verdict));
         if let call_error::CallError::Refused(_, true) = error {
             let until = self.context.core.now().plus(LEAVING_SPAN);
@@ -174,6 +205,7 @@
             reason: choice.map_or("refused", |(_, choice)| choice.reason),
             finish: choice.map_or(0.0, |(_, choice)| choice.finish),
             cost: choice.map_or(0.0, |(_, choice)| choice.cost),
+            outcome: None,
         });
     }
 }
@@ -202,9 +234,10 @@
         match result {
             Ok(reply) => {
                 entry.stats.observe(core.now().since(started), 0);
+                attempts.finished(entry, attempt, reply.body.len(), verdict::Verdict::Ran);
                 return Ok(reply);
             }
-            Err(error) => attempts.failed(entry, error)?,
+            Err(error) => attempts.failed(entry, attempt, error)?,
         }
     }
 }
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -53,6 +53,8 @@
                 None => {
                     let count = (received.len() - before) as u64;
                     entry.stats.observe(core.now().since(started), count);
+                    let bytes = received[before..].iter().map(String::len).sum();
+                    attempts.finished(entry, attempt, bytes, verdict::Verdict::Ran);
                     return Ok(());
                 }
                 Some(Err(error)) => break error,
@@ -71,7 +73,7 @@
                 }
             }
         };
-        attempts.failed(entry, error)?;
+        attempts.failed(entry, attempt, error)?;
     }
 }
 
--- a/crates/basilgrade_server/src/ledger.rs
+++ b/crates/basilgrade_server/src/ledger.rs
@@ -1,5 +1,7 @@
 //! The border between the executor and the claims on request keys.
 
+pub mod closed;
+
 use basilgrade_types::key;
 use bytes::Bytes;
 use futures::future;
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod background;
 pub mod caller;
 pub mod core;
+pub mod daemon;
 pub mod exec;
 pub mod journal;
 pub mod ledger;
@@ -10,6 +11,7 @@
 pub mod listener;
 pub mod logger;
 pub mod metrics;
+pub mod platform;
 pub mod recent;
 pub mod serve;
 pub mod view;
--- a/crates/basilgrade_server/src/recent.rs
+++ b/crates/basilgrade_server/src/recent.rs
@@ -7,6 +7,7 @@
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::request;
+use basilgrade_types::verdict;
 use serde::Serialize;
 
 /// Decisions kept; at 40 requests a second with five stages this covers about 20 s.
@@ -33,6 +34,19 @@
     pub finish: f32,
     /// Expected price, in millionths of the currency.
     pub cost: f32,
+    /// What became of the attempt, once it is finished.
+    pub outcome: Option<Outcome>,
+}
+
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Outcome {
+    /// Time left until the request's deadline.
+    pub left: clock::Millis,
+    /// Bytes sent to and received from another region.
+    pub billed: u64,
+    /// Whether the call may have run.
+    pub verdict: verdict::Verdict,
 }
 
 /// A bounded record of decisions.
@@ -65,6 +79,23 @@
         kept.push_back(decision);
     }
 
+    /// Adds what became of an attempt to its decision, if that is still kept.
+    pub fn finish(
+        &self,
+        request: request::RequestId,
+        stage: &id::StageId,
+        attempt: attempt::Attempt,
+        outcome: Outcome,
+    ) {
+        let mut kept = self.lock();
+        let found = kept.iter_mut().rev().find(|decision| {
+            decision.request == request && decision.attempt == attempt && &decision.stage == stage
+        });
+        if let Some(decision) = found {
+            decision.outcome = Some(outcome);
+        }
+    }
+
     /// The decisions kept for a request, in order.
     pub fn of(&self, request: request::RequestId) -> Vec<Decision> {
         self.lock()
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -4,6 +4,7 @@
 
 use basilgrade_config::model::deployment;
 use basilgrade_policy::candidate;
+use basilgrade_policy::router;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::revision;
@@ -14,7 +15,6 @@
 use crate::view::registry;
 
 /// An immutable view that requests read without a lock; a new revision replaces it as a whole.
-#[derive(Debug)]
 pub struct Snapshot {
     /// The revision in force.
     pub revision: revision::Revision,
@@ -32,6 +32,8 @@
     pub prices: Vec<Vec<f32>>,
     /// One-way latency from row region to column region, in milliseconds.
     pub latency: Vec<Vec<f32>>,
+    /// Choice of upstream for what this deployment values.
+    pub router: sync::Arc<dyn router::Router>,
 }
 
 impl Snapshot {
@@ -41,6 +43,7 @@
         deployment: deployment::Deployment,
         domain: &id::DomainId,
         registry: &registry::Registry,
+        router: sync::Arc<dyn router::Router>,
     ) -> Self {
         let regions: IndexSet<_> = deployment
             .domains
@@ -104,6 +107,7 @@
             home,
             prices,
             latency,
+            router,
         }
     }
 
