Add the hot path benchmark

Cause: time of decisions, requests and tokens has to be known before it is tuned.

Ruled out: figures without a baseline; each stands beside direct calls to the same stand-in.

--- a/crates/basilgrade/examples/quickstart/caller.rs
+++ b/crates/basilgrade/examples/quickstart/caller.rs
@@ -7,19 +7,19 @@
 use hyper_util::rt;
 
 /// A response and what its headers say.
-pub struct Response {
+pub(crate) struct Response {
     /// HTTP status.
-    pub status: u16,
+    pub(crate) status: u16,
     /// Identity of the request.
-    pub request: Option<request::RequestId>,
+    pub(crate) request: Option<request::RequestId>,
     /// The verdict.
-    pub verdict: String,
+    pub(crate) verdict: String,
     /// The whole body.
-    pub body: Vec<u8>,
+    pub(crate) body: Vec<u8>,
 }
 
 /// Sends one `POST` and reads the whole response.
-pub async fn post(
+pub(crate) async fn post(
     address: net::SocketAddr,
     path: &str,
     headers: &[(&str, &str)],
--- a/crates/basilgrade/examples/quickstart/deployment.rs
+++ b/crates/basilgrade/examples/quickstart/deployment.rs
@@ -17,14 +17,14 @@
 use basilgrade_types::revision;
 
 /// Tokens of the last stage.
-pub const TOKENS: u64 = 24;
+pub(crate) const TOKENS: u64 = 24;
 
 /// Everything that runs.
-pub struct Deployment {
+pub(crate) struct Deployment {
     /// The daemons; the first two stand in `cordoba-a`, the third in `rosario-a`.
-    pub daemons: Vec<daemon::Daemon>,
+    pub(crate) daemons: Vec<daemon::Daemon>,
     /// The plain service.
-    pub service: standins::server::Server,
+    pub(crate) service: standins::server::Server,
     _platform: standins::platform::Platform,
     _engines: Vec<standins::engine::Engine>,
     _pools: Vec<standins::server::Server>,
@@ -32,7 +32,7 @@
 
 impl Deployment {
     /// Stops the daemons gracefully.
-    pub async fn stop(self) {
+    pub(crate) async fn stop(self) {
         for daemon in &self.daemons {
             daemon.stop();
         }
@@ -47,7 +47,7 @@
 }
 
 /// Starts stand-ins and daemons and publishes the configuration.
-pub async fn start() -> Result<Deployment, String> {
+pub(crate) async fn start() -> Result<Deployment, String> {
     let platform = standins::platform::start(standins::platform::Options::default())
         .await
         .map_err(io)?;
--- a/crates/basilgrade/examples/quickstart/scenario.rs
+++ b/crates/basilgrade/examples/quickstart/scenario.rs
@@ -8,7 +8,7 @@
 use crate::deployment;
 
 /// Sends all requests and checks their answers.
-pub async fn run(deployment: &deployment::Deployment) -> Result<(), String> {
+pub(crate) async fn run(deployment: &deployment::Deployment) -> Result<(), String> {
     for index in 0..6 {
         pipeline(deployment, index).await?;
     }
--- /dev/null
+++ b/crates/basilgrade_server/benches/hot_path/requests.rs
@@ -0,0 +1,82 @@
+//! Requests through the daemon against direct calls to the same service.
+
+use std::fmt::Write;
+use std::net;
+use std::sync;
+
+use basilgrade_standins::service;
+
+use crate::load;
+use crate::setup;
+
+const CONNECTIONS: usize = 32;
+const COUNT: usize = 1500;
+
+/// Measures both ways alternately, so that a change of the machine's load affects both.
+pub(crate) async fn run() {
+    let upstream = service::start(service::Echo::Sent, service::Keys::Ignored)
+        .await
+        .expect("the service starts");
+    println!("requests          rate_per_s  median_us  p99_us  processor_us");
+    for customers in [1, 4200] {
+        let daemon = setup::daemon(&configuration(upstream.address, customers), "a").await;
+        let (mut direct, mut through) = (None, None);
+        for _ in 0..2 {
+            direct =
+                Some(load::run(upstream.address, CONNECTIONS, COUNT, build("/lookup/b14")).await);
+            through = Some(
+                load::run(
+                    daemon,
+                    CONNECTIONS,
+                    COUNT,
+                    build("/v1/services/s/lookup/b14"),
+                )
+                .await,
+            );
+        }
+        let (Some(direct), Some(through)) = (direct, through) else {
+            return;
+        };
+        report("direct", &direct);
+        report(&format!("daemon/{customers}"), &through);
+        println!(
+            "  ratio of rates {:.3}; added median {:.0} us; daemon processor {:.1} us a request; {:.0} requests/s per core",
+            through.rate / direct.rate,
+            through.latency.0 - direct.latency.0,
+            through.processor - direct.processor,
+            1e6 / (through.processor - direct.processor),
+        );
+    }
+}
+
+fn report(name: &str, measured: &load::Measured) {
+    println!(
+        "{name:<16} {:>11.0} {:>10.0} {:>7.0} {:>13.1}",
+        measured.rate, measured.latency.0, measured.latency.1, measured.processor
+    );
+}
+
+fn configuration(address: net::SocketAddr, customers: usize) -> String {
+    let mut text = setup::common();
+    let _ = writeln!(
+        text,
+        "[pool s]\nkind = service\nprice = 1\n[service s]\ndeadline = 10s\n\
+         idempotency = idempotent\n[upstream s1]\npool = s\ndomain = a\naddress = {address}\n\
+         capacity = 1000"
+    );
+    for index in 1..customers {
+        let _ = writeln!(text, "[customer c{index}]\nrate = 10/s\nburst = 20");
+    }
+    text
+}
+
+fn build(path: &'static str) -> load::Build {
+    sync::Arc::new(move || {
+        hyper::Request::get(path)
+            .header("host", "bench")
+            .header("basilgrade-customer", "c")
+            .header("basilgrade-request-id", uuid::Uuid::now_v7().to_string())
+            .body(http_body_util::Full::default())
+            .expect("the request is valid")
+    })
+}
--- /dev/null
+++ b/crates/basilgrade_server/benches/hot_path/setup.rs
@@ -0,0 +1,49 @@
+//! A daemon core in front of stand-ins, without a platform.
+
+use std::net;
+use std::sync;
+
+use basilgrade_policy::router;
+use basilgrade_server::core;
+use basilgrade_server::ledger;
+use basilgrade_server::limits;
+use basilgrade_server::listener;
+use basilgrade_server::metrics;
+use basilgrade_types::clock;
+use basilgrade_types::revision;
+use basilgrade_upstream::client;
+use tokio_util::sync::CancellationToken;
+
+/// Starts a daemon core with this configuration and returns where it listens.
+pub(crate) async fn daemon(configuration: &str, domain: &str) -> net::SocketAddr {
+    let deployment =
+        basilgrade_config::parse(configuration, "bench.ini").expect("the configuration is valid");
+    let parts = core::Parts {
+        clock: sync::Arc::new(clock::SystemClock::new()),
+        upstream: sync::Arc::new(client::HttpUpstream::new(client::Settings::default())),
+        router: |weights| {
+            let settings = router::settings::Settings::new(weights);
+            sync::Arc::new(router::scored::ScoredRouter::new(settings))
+        },
+        ledger: sync::Arc::new(ledger::closed::ClosedLedger),
+        metrics: sync::Arc::new(metrics::Metrics::new().expect("metrics start")),
+        limits: limits::Limits::default(),
+        domain: domain.parse().expect("a valid name"),
+    };
+    let core = sync::Arc::new(core::Core::new(parts));
+    core.install(revision::Revision(1), &deployment);
+    let address = "127.0.0.1:0".parse().expect("a valid address");
+    let listener = listener::Listener::bind(core, address)
+        .await
+        .expect("a port is free");
+    let address = listener.address().expect("the port is bound");
+    tokio::spawn(listener.run(CancellationToken::new(), clock::Millis::ZERO));
+    address
+}
+
+/// The sections that every configuration of this benchmark has.
+pub(crate) fn common() -> String {
+    "[deployment]\nname = bench\n[domain a]\nregion = r\n\
+     [customer c]\nrate = 1000000/s\nburst = 1000000\n"
+        .to_owned()
+}
