Add HTTP clients for log service, VM list and weight store

Cause: the platform traits have no implementation. Ruled out: pooled connections, as calls are few and a stale connection would leave the outcome of an append open; a pass over gaps in offsets, as the skipped record could be a grant.

--- /dev/null
+++ b/crates/basilgrade_platform/src/http.rs
@@ -0,0 +1,13 @@
+//! HTTP clients for the platform.
+
+mod failure;
+pub mod http_log;
+pub mod http_vm_list;
+pub mod http_weight_store;
+pub mod settings;
+mod transport;
+
+pub use http_log::HttpLog;
+pub use http_vm_list::HttpVmList;
+pub use http_weight_store::HttpWeightStore;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/basilgrade_platform/src/http/http_vm_list.rs
@@ -0,0 +1,32 @@
+//! The VM list over HTTP.
+
+use std::net;
+
+use futures::FutureExt;
+use futures::future;
+
+use crate::error;
+use crate::http::settings;
+use crate::http::transport;
+use crate::vm_list;
+
+/// Fetches the VM list from `GET /vms`.
+#[derive(Clone, Debug)]
+pub struct HttpVmList {
+    transport: transport::Transport,
+}
+
+impl HttpVmList {
+    /// A client of the platform at this address.
+    pub fn new(address: net::SocketAddr, settings: settings::Settings) -> Self {
+        Self {
+            transport: transport::Transport::new(address, settings),
+        }
+    }
+}
+
+impl vm_list::VmList for HttpVmList {
+    fn fetch(&self) -> future::BoxFuture<'_, Result<Vec<vm_list::VmEntry>, error::ReadError>> {
+        self.transport.fetch("/vms").boxed()
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_platform/src/http/settings.rs
@@ -0,0 +1,28 @@
+//! Limits of the platform's clients.
+
+use basilgrade_types::clock;
+use basilgrade_types::size;
+
+/// Limits of the platform's clients.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Largest answer.
+    pub body: size::ByteCount,
+    /// Largest record to append.
+    pub record: size::ByteCount,
+    /// Time to establish a connection.
+    pub connect: clock::Millis,
+    /// Time for a whole call, including the connection.
+    pub call: clock::Millis,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            body: size::ByteCount(8 << 20),
+            record: size::ByteCount(1 << 20),
+            connect: clock::Millis(1000),
+            call: clock::Millis(5000),
+        }
+    }
+}
