Serve the thin whole path end to end

Cause: stages on upstreams without load reports went to other regions at random, because a report that never came counted as an old one.

Ruled out: polling pools that report nothing more often; they have nothing to say.

Change: an upstream that never reported is known by own calls alone.

--- a/crates/basilgrade/src/main.rs
+++ b/crates/basilgrade/src/main.rs
@@ -3,10 +3,8 @@
 use std::fs;
 use std::path;
 use std::process;
-use std::sync;
 
 use basilgrade_config::settings;
-use basilgrade_platform::http;
 use basilgrade_server::daemon;
 use basilgrade_server::logger;
 use basilgrade_server::platform;
@@ -34,11 +32,7 @@
 
 async fn serve(settings: settings::Settings) -> Result<(), String> {
     logger::start(settings.log.level).map_err(|error| error.to_string())?;
-    let client = sync::Arc::new(http::HttpPlatform::new(settings.platform.address));
-    let platform = platform::Platform {
-        log: client.clone(),
-        vms: client,
-    };
+    let platform = platform::Platform::http(settings.platform.address);
     // Registered before the start, so that a signal during the start is not lost.
     let mut terminate =
         unix::signal(unix::SignalKind::terminate()).map_err(|error| error.to_string())?;
--- a/crates/basilgrade_server/src/platform.rs
+++ b/crates/basilgrade_server/src/platform.rs
@@ -1,7 +1,9 @@
 //! The platform as one daemon uses it.
 
+use std::net;
 use std::sync;
 
+use basilgrade_platform::http;
 use basilgrade_platform::log_service;
 use basilgrade_platform::vm_list;
 
@@ -13,3 +15,14 @@
     /// The VM list.
     pub vms: sync::Arc<dyn vm_list::VmList>,
 }
+
+impl Platform {
+    /// The platform whose HTTP interface listens on `address`.
+    pub fn http(address: net::SocketAddr) -> Self {
+        let settings = http::Settings::default();
+        Self {
+            log: sync::Arc::new(http::HttpLog::new(address, settings.clone())),
+            vms: sync::Arc::new(http::HttpVmList::new(address, settings)),
+        }
+    }
+}
--- a/crates/basilgrade_server/src/view/entry.rs
+++ b/crates/basilgrade_server/src/view/entry.rs
@@ -30,17 +30,23 @@
 }
 
 impl Entry {
-    /// What the router sees of this upstream.
-    pub fn candidate(&self, index: u32) -> candidate::Candidate {
+    /// What the router sees of this upstream at `now`.
+    ///
+    /// An upstream that never reported its load is known by own calls alone, which are never old.
+    pub fn candidate(&self, index: u32, now: clock::Millis) -> candidate::Candidate {
         let load = |counter: &atomic::AtomicU32| counter.load(atomic::Ordering::Relaxed);
         let stats = &self.stats;
+        let reported = match stats.reported.load(atomic::Ordering::Relaxed) {
+            0 => now,
+            at => clock::Millis(at),
+        };
         candidate::Candidate {
             index,
             region: self.region,
             capacity: self.capacity,
             running: load(&stats.running),
             queued: load(&stats.queued),
-            reported: clock::Millis(stats.reported.load(atomic::Ordering::Relaxed)),
+            reported,
             sent: load(&stats.sent),
             inflight: load(&stats.inflight),
             limit: u32::MAX,
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -127,7 +127,7 @@
         if entry.stats.is_leaving(now) {
             return None;
         }
-        Some(entry.candidate(index))
+        Some(entry.candidate(index, now))
     }
 }
 
