Add the claims state machine: entry, primary, backup and proposer roles

Cause: a request marked non-idempotent must run at most once across pauses, deaths, partitions and log outages, and the daemon needs one interface for all roles.

Ruled out: comparing epochs of replication messages exactly (every renewal would stall the claims in flight; the log fold now names the pair that a renewal leaves unchanged); an old primary that returns as backup keeping its table (its unacknowledged claims could outrank those of the new primary); a request key as the unit of a claim (a pipeline may have several non-idempotent stages, so the stage index is part of the claim).

Change: Claims takes messages, log state, a view, time and randomness, and returns messages, appends and decisions. Tenure gained `pair` and `former`, from which each member tells whether its claims are complete.

--- /dev/null
+++ b/crates/basilgrade_claims/src/pending.rs
@@ -0,0 +1,15 @@
+//! A change of a claim that the backup has not acknowledged.
+
+use basilgrade_journal::node;
+use basilgrade_types::clock;
+
+/// A change of a claim that the backup has not acknowledged.
+#[derive(Clone, Debug)]
+pub(crate) struct Pending {
+    /// The version to be acknowledged.
+    pub(crate) version: u32,
+    /// The entry daemon that waits for the decision.
+    pub(crate) waiter: Option<node::Node>,
+    /// When the change was last sent.
+    pub(crate) sent: clock::Millis,
+}
--- /dev/null
+++ b/crates/basilgrade_claims/src/safety.rs
@@ -0,0 +1,38 @@
+//! Switches that disable single mechanisms in mutation tests.
+
+/// Which mechanisms are active; all of them outside mutation tests.
+///
+/// No setting reaches this. Tests use it to show that each mechanism is needed.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "one switch per mechanism")]
+pub struct Safety {
+    /// The primary waits for the backup's acknowledgement before it grants.
+    pub backup_ack: bool,
+    /// Members refuse messages of another pair than the newest they know.
+    pub pair_check: bool,
+    /// A new backup acknowledges only after it has received all claims.
+    pub sync_first: bool,
+    /// Only the attempt that holds a claim can release it.
+    pub attempt_match: bool,
+    /// Members keep the highest version of a claim.
+    pub version_order: bool,
+    /// Keys at or above the ceiling are refused.
+    pub ceiling: bool,
+    /// Keys below the floor never run.
+    pub floor: bool,
+}
+
+impl Default for Safety {
+    fn default() -> Self {
+        Self {
+            backup_ack: true,
+            pair_check: true,
+            sync_first: true,
+            attempt_match: true,
+            version_order: true,
+            ceiling: true,
+            floor: true,
+        }
+    }
+}
--- a/crates/basilgrade_journal/src/control_state.rs
+++ b/crates/basilgrade_journal/src/control_state.rs
@@ -72,8 +72,24 @@
         {
             return false;
         }
+        let (pair, former) = match held {
+            Some(held) if grant.history == history::History::Kept => {
+                let same = held
+                    .grant
+                    .as_ref()
+                    .is_some_and(|old| old.primary == grant.primary && old.backup == grant.backup);
+                if same {
+                    (held.pair, held.former)
+                } else {
+                    (offset, Some(held.pair))
+                }
+            }
+            _ => (offset, None),
+        };
         let tenure = tenure::Tenure {
             epoch: offset,
+            pair,
+            former,
             ceiling: grant.ceiling,
             grant: Some(grant.clone()),
         };
@@ -93,6 +109,8 @@
         }
         *held = tenure::Tenure {
             epoch: offset,
+            pair: offset,
+            former: None,
             ceiling: release.ceiling.clamp(grant.floor, grant.ceiling),
             grant: None,
         };
