Add the operators' interface of a daemon

Cause: basilctl needs status, explain, drain, log level and the configuration in force of a running daemon. Ruled out: running Cap'n Proto RPC on the daemon's runtime, because it is single-threaded; a MAC on each RPC message, because only the handshake is required on this link. Connections, messages and the time to authenticate are bounded.

--- /dev/null
+++ b/crates/basilgrade_admin/src/client.rs
@@ -0,0 +1,154 @@
+//! The tools' side.
+
+pub mod error;
+
+use std::net;
+use std::time;
+
+use basilgrade_config::settings::log::level;
+use basilgrade_config::settings::peers::secret;
+use basilgrade_types::request;
+use basilgrade_types::revision;
+use capnp::message;
+use capnp_rpc::rpc_twoparty_capnp;
+use capnp_rpc::twoparty;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::compat::TokioAsyncWriteCompatExt;
+
+use crate::admin_capnp;
+use crate::client::error::ClientError;
+use crate::configuration;
+use crate::handshake;
+use crate::status;
+use crate::wire;
+
+/// The longest wait for a connection or an answer.
+const WAIT: time::Duration = time::Duration::from_secs(10);
+/// The largest answer, in words of 8 bytes: a configuration of 8 MiB, with room to spare.
+const MESSAGE_WORDS: usize = 2 << 20;
+
+/// A connection to a daemon.
+pub struct Client {
+    admin: admin_capnp::admin::Client,
+}
+
+impl Client {
+    /// Connects and authenticates; must be called inside a [`tokio::task::LocalSet`].
+    ///
+    /// # Errors
+    ///
+    /// If the daemon cannot be reached or one side does not know the other's secret.
+    pub async fn connect(
+        address: net::SocketAddr,
+        secret: &secret::Secret,
+    ) -> Result<Self, ClientError> {
+        let connect = async {
+            let mut stream = tokio::net::TcpStream::connect(address)
+                .await
+                .map_err(|error| ClientError::Unreachable(address, error.to_string()))?;
+            stream
+                .set_nodelay(true)
+                .map_err(|error| ClientError::Unreachable(address, error.to_string()))?;
+            handshake::connect(&mut stream, secret.as_bytes())
+                .await
+                .map_err(|error| ClientError::handshake(address, &error))?;
+            Ok::<_, ClientError>(stream)
+        };
+        let stream = tokio::time::timeout(WAIT, connect)
+            .await
+            .map_err(|_| ClientError::Unreachable(address, "no answer in time".to_owned()))??;
+        let (reader, writer) = stream.into_split();
+        let mut options = message::ReaderOptions::new();
+        options.traversal_limit_in_words(Some(MESSAGE_WORDS));
+        let network = twoparty::VatNetwork::new(
+            reader.compat(),
+            writer.compat_write(),
+            rpc_twoparty_capnp::Side::Client,
+            options,
+        );
+        let mut system = capnp_rpc::RpcSystem::new(Box::new(network), None);
+        let admin = system.bootstrap(rpc_twoparty_capnp::Side::Server);
+        tokio::task::spawn_local(system);
+        Ok(Self { admin })
+    }
+
+    /// What the daemon knows and does.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon does not answer or its answer is malformed.
+    pub async fn status(&self) -> Result<status::Status, ClientError> {
+        let response = answer(self.admin.status_request().send().promise).await?;
+        Ok(wire::read_status(response.get()?.get_status()?)?)
+    }
+
+    /// The decisions of a request; `None` if the daemon keeps none.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon does not answer or its answer is malformed.
+    pub async fn explain(
+        &self,
+        request: request::RequestId,
+    ) -> Result<Option<Vec<String>>, ClientError> {
+        let mut call = self.admin.explain_request();
+        call.get().set_request(request.to_string().as_str());
+        let response = answer(call.send().promise).await?;
+        let explanation = response.get()?;
+        if !explanation.get_known() {
+            return Ok(None);
+        }
+        let mut lines = Vec::new();
+        for line in explanation.get_lines()? {
+            lines.push(line?.to_string().map_err(capnp::Error::from)?);
+        }
+        Ok(Some(lines))
+    }
+
+    /// Starts to drain the daemon.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon does not answer; it may be draining then.
+    pub async fn drain(&self) -> Result<(), ClientError> {
+        answer(self.admin.drain_request().send().promise).await?;
+        Ok(())
+    }
+
+    /// Changes the daemon's log level.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon does not answer.
+    pub async fn set_level(&self, level: level::Level) -> Result<(), ClientError> {
+        let mut call = self.admin.set_level_request();
+        call.get().set_level(level.as_str());
+        answer(call.send().promise).await?;
+        Ok(())
+    }
+
+    /// The configuration in force; `None` if the daemon has none yet.
+    ///
+    /// # Errors
+    ///
+    /// If the daemon does not answer or its answer is malformed.
+    pub async fn configuration(&self) -> Result<Option<configuration::Configuration>, ClientError> {
+        let response = answer(self.admin.configuration_request().send().promise).await?;
+        let found = response.get()?;
+        let revision = revision::Revision(found.get_revision());
+        if revision == revision::Revision::default() {
+            return Ok(None);
+        }
+        let text = found.get_text()?.to_string().map_err(capnp::Error::from)?;
+        Ok(Some(configuration::Configuration { revision, text }))
+    }
+}
+
+async fn answer<T>(
+    promise: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, ClientError> {
+    match tokio::time::timeout(WAIT, promise).await {
+        Ok(answer) => Ok(answer?),
+        Err(_) => Err(ClientError::Failed("no answer in time".to_owned())),
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_admin/src/server/connection.rs
@@ -0,0 +1,54 @@
+//! One connection of an operator's tool.
+
+use std::io;
+use std::sync::Arc;
+use std::time;
+
+use basilgrade_config::settings::peers::secret;
+use capnp::message;
+use capnp_rpc::rpc_twoparty_capnp;
+use capnp_rpc::twoparty;
+use tokio::net;
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::compat::TokioAsyncWriteCompatExt;
+
+use crate::admin;
+use crate::admin_capnp;
+use crate::handshake;
+use crate::server::service;
+
+/// The longest time to authenticate; it frees connections that send nothing.
+const AUTHENTICATION: time::Duration = time::Duration::from_secs(5);
+/// The longest life of a connection; it frees connections whose tool has disappeared.
+const LIFE: time::Duration = time::Duration::from_mins(5);
+/// The largest message from a tool, in words of 8 bytes; calls carry one short text at most.
+const MESSAGE_WORDS: usize = 8 << 10;
+
+/// Authenticates the client and serves it until it closes the connection.
+pub(super) async fn run(
+    mut stream: net::TcpStream,
+    secret: &secret::Secret,
+    admin: Arc<dyn admin::Admin>,
+) -> Result<(), handshake::HandshakeError> {
+    stream.set_nodelay(true)?;
+    tokio::time::timeout(
+        AUTHENTICATION,
+        handshake::accept(&mut stream, secret.as_bytes()),
+    )
+    .await
+    .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let (reader, writer) = stream.into_split();
+    let mut options = message::ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MESSAGE_WORDS));
+    let network = twoparty::VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        rpc_twoparty_capnp::Side::Server,
+        options,
+    );
+    let client: admin_capnp::admin::Client = capnp_rpc::new_client(service::Service::new(admin));
+    let system = capnp_rpc::RpcSystem::new(Box::new(network), Some(client.client));
+    // The client ends the connection by closing it, with or without an error.
+    let _ = tokio::time::timeout(LIFE, system).await;
+    Ok(())
+}
--- a/crates/basilgrade_config/src/settings/peers/secret.rs
+++ b/crates/basilgrade_config/src/settings/peers/secret.rs
@@ -5,13 +5,20 @@
 use crate::value;
 
 /// The shortest secret, in bytes: 128 bits if it is random.
-const SHORTEST: usize = 16;
+pub const SHORTEST: usize = 16;
 
 /// A shared secret; it is never printed.
 #[derive(Clone, Eq, PartialEq)]
 pub struct Secret(Vec<u8>);
 
 impl Secret {
+    /// The secret with this text, unless it is too short.
+    ///
+    /// There is no `FromStr`, because its error would repeat the text.
+    pub fn new(text: &str) -> Option<Self> {
+        (text.len() >= SHORTEST).then(|| Self(text.as_bytes().to_vec()))
+    }
+
     /// The bytes of the secret.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
@@ -25,8 +32,5 @@
 }
 
 pub(crate) fn read(text: &str) -> Result<Secret, value::Expected> {
-    if text.len() < SHORTEST {
-        return Err(format!("at least {SHORTEST} bytes").into());
-    }
-    Ok(Secret(text.as_bytes().to_vec()))
+    Secret::new(text).ok_or_else(|| format!("at least {SHORTEST} bytes").into())
 }
