--- /dev/null
+++ b/crates/basilgrade_server/src/core.rs
@@ -0,0 +1,130 @@
+//! What all requests of a daemon share.
+
+use std::sync;
+use std::sync::atomic;
+
+use basilgrade_config::model::deployment;
+use basilgrade_config::model::weights;
+use basilgrade_policy::router;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::revision;
+use basilgrade_upstream::upstream;
+
+use crate::ledger;
+use crate::limits;
+use crate::metrics;
+use crate::recent;
+use crate::view::registry;
+use crate::view::snapshot;
+
+/// Whether the daemon takes new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum Phase {
+    /// Finishing what it has; the balancer is told to send nothing new.
+    Draining,
+    /// Serving.
+    Serving,
+}
+
+/// The parts that a daemon is built from.
+pub struct Parts {
+    /// Source of time.
+    pub clock: sync::Arc<dyn clock::Clock>,
+    /// Calls to upstreams.
+    pub upstream: sync::Arc<dyn upstream::Upstream>,
+    /// Makes the choice of upstream for what a deployment values.
+    pub router: fn(weights::Weights) -> sync::Arc<dyn router::Router>,
+    /// Claims on request keys.
+    pub ledger: sync::Arc<dyn ledger::Ledger>,
+    /// Instruments.
+    pub metrics: sync::Arc<metrics::Metrics>,
+    /// Limits towards callers.
+    pub limits: limits::Limits,
+    /// Failure domain of this daemon.
+    pub domain: id::DomainId,
+}
+
+/// State shared by all requests.
+pub struct Core {
+    /// The parts.
+    pub parts: Parts,
+    /// The configuration in force, if there is one.
+    pub current: snapshot::Current,
+    /// Observed state of upstreams.
+    pub registry: registry::Registry,
+    /// Latest decisions.
+    pub recent: recent::Recent,
+    /// Requests being worked on.
+    pub active: atomic::AtomicUsize,
+    draining: atomic::AtomicBool,
+}
+
+impl Core {
+    /// A core without configuration; it is not ready until one is installed.
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            parts,
+            current: snapshot::Current::empty(),
+            registry: registry::Registry::default(),
+            recent: recent::Recent::default(),
+            active: atomic::AtomicUsize::default(),
+            draining: atomic::AtomicBool::default(),
+        }
+    }
+
+    /// The current instant.
+    pub fn now(&self) -> clock::Millis {
+        self.parts.clock.now()
+    }
+
+    /// The revision in force; 0 when there is none.
+    pub fn revision(&self) -> revision::Revision {
+        self.current
+            .load()
+            .as_ref()
+            .map_or_else(revision::Revision::default, |view| view.revision)
+    }
+
+    /// Puts a configuration in force unless a later one already is.
+    pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
+        self.registry
+            .retain(|upstream| deployment.upstreams.contains_key(upstream));
+        let built = sync::Arc::new(snapshot::Snapshot::build(
+            revision,
+            deployment.clone(),
+            &self.parts.domain,
+            &self.registry,
+            (self.parts.router)(deployment.weights),
+        ));
+        let newer =
+            |old: &Option<snapshot::Loaded>| old.as_ref().is_none_or(|old| old.revision < revision);
+        let before = self.current.rcu(|old| {
+            if newer(old) {
+                Some(sync::Arc::clone(&built))
+            } else {
+                old.clone()
+            }
+        });
+        if newer(&before) {
+            self.parts.metrics.revision(revision);
+            log::info!("event=configuration-in-force revision={revision}");
+        }
+    }
+
+    /// Whether new requests are wanted.
+    pub fn phase(&self) -> Phase {
+        if self.draining.load(atomic::Ordering::Acquire) {
+            Phase::Draining
+        } else {
+            Phase::Serving
+        }
+    }
+
+    /// Tells the balancer, through `/readyz`, to send nothing new. Requests that still come are
+    /// served.
+    pub fn drain(&self) {
+        self.draining.store(true, atomic::Ordering::Release);
+    }
+}
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -1,1 +1,17 @@
 //! The daemon: caller interface, pipeline executor, background tasks, metrics and shutdown.
+
+pub mod background;
+pub mod caller;
+pub mod core;
+pub mod daemon;
+pub mod exec;
+pub mod journal;
+pub mod ledger;
+pub mod limits;
+pub mod listener;
+pub mod logger;
+pub mod metrics;
+pub mod platform;
+pub mod recent;
+pub mod serve;
+pub mod view;
