--- a/crates/basilgrade_standins/src/fault_switch.rs
+++ b/crates/basilgrade_standins/src/fault_switch.rs
@@ -29,6 +29,11 @@
         self.lock().next.push_back(fault);
     }
 
+    /// Removes the queued faults.
+    pub fn clear(&self) {
+        self.lock().next.clear();
+    }
+
     /// The fault that applies while none is queued.
     pub fn standing(&self) -> fault::Fault {
         self.lock().standing.clone()
--- a/crates/basilgrade_upstream/src/client/connection.rs
+++ b/crates/basilgrade_upstream/src/client/connection.rs
@@ -46,16 +46,25 @@
     counters::increment(&shared.counting.connects);
     let shared = sync::Arc::clone(shared);
     tokio::spawn(async move {
-        if let Err(error) = connection.await
-            && is_unexpected(&error)
-        {
-            counters::increment(&shared.counting.unexpected);
-            log::warn!("upstream={address} dropped=unexpected-bytes error=\"{error}\"");
+        if let Err(error) = connection.await {
+            note_unexpected(&shared, address, &error);
         }
     });
     Ok(Connection { address, sender })
 }
 
+/// Counts a connection that was closed because of bytes after a complete answer.
+pub(super) fn note_unexpected(
+    shared: &shared::Shared,
+    address: net::SocketAddr,
+    error: &hyper::Error,
+) {
+    if is_unexpected(error) {
+        counters::increment(&shared.counting.unexpected);
+        log::warn!("upstream={address} dropped=unexpected-bytes error=\"{error}\"");
+    }
+}
+
 /// Whether the connection failed because bytes arrived while no call was in progress.
 ///
 /// `hyper` has no predicate for this kind; it is the only one left after the others, and it has
--- a/crates/basilgrade_upstream/src/client/exchange.rs
+++ b/crates/basilgrade_upstream/src/client/exchange.rs
@@ -1,5 +1,6 @@
 //! Sending one call and receiving the head of its answer.
 
+use std::error::Error;
 use std::net;
 use std::sync;
 
@@ -131,7 +132,13 @@
     match time::timeout_at(deadline, sending).await {
         Ok(Ok(response)) => Ok(Sent::Answered(response)),
         Ok(Err(mut error)) => match error.take_message() {
-            Some(request) => Ok(Sent::Untouched(request)),
+            Some(request) => {
+                let cause = error.error().source();
+                if let Some(cause) = cause.and_then(|cause| cause.downcast_ref()) {
+                    connection::note_unexpected(shared, address, cause);
+                }
+                Ok(Sent::Untouched(request))
+            }
             None => Err(classify(address, error.error())),
         },
         Err(_) => {
--- a/crates/basilgrade_upstream/tests/common/mod.rs
+++ b/crates/basilgrade_upstream/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use basilgrade_upstream::token;
 use basilgrade_upstream::upstream::Upstream;
 use futures::StreamExt;
+use proptest::test_runner;
 
 /// Far more than any test needs, so that no test depends on the speed of the machine.
 pub(crate) const LONG: clock::Millis = clock::Millis::from_secs(120);
@@ -74,6 +75,28 @@
     (tokens, None)
 }
 
+/// A configuration of property tests that always generates the same cases.
+pub(crate) fn cases(cases: u32, seed: u64) -> test_runner::Config {
+    test_runner::Config {
+        cases,
+        failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(seed),
+        ..test_runner::Config::default()
+    }
+}
+
+/// Waits until a condition holds; a failure shows as a test that does not end in time.
+pub(crate) async fn until(mut holds: impl FnMut() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(clock::Millis(1).duration()).await;
+        }
+    };
+    tokio::time::timeout(LONG.duration(), waiting)
+        .await
+        .expect("condition did not come to hold");
+}
+
 pub(crate) fn text(tokens: &[token::Token]) -> String {
     tokens.iter().map(|token| token.text.as_str()).collect()
 }
