--- a/crates/basilgrade_standins/src/engine/running.rs
+++ b/crates/basilgrade_standins/src/engine/running.rs
@@ -76,6 +76,11 @@
         self.state.lock().started.clone()
     }
 
+    /// Generations that wait for their turn.
+    pub fn waiting(&self) -> usize {
+        self.state.batch.load().1
+    }
+
     /// Requests whose generation stopped because of a cancellation.
     pub fn stopped(&self) -> Vec<String> {
         self.state.lock().cancelled.iter().cloned().collect()
