Plan stages under the deadline, and simulate both deployments

Cause: at 1.5 times the capacity, calls wait at the upstreams until their deadline has passed, and a slow stage uses up the time of the later ones.

Ruled out: refusing later stages by their quantiles too (their cost is already paid); quantiles without probes, which keep refusing after a stage recovers.

Change: budget::{planner,plan,quantiles}; speed (observed against expected time per upstream); the benchmark policy with four baselines and a full-knowledge router.

--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/daemon.rs
@@ -0,0 +1,64 @@
+//! One daemon with its own view of the upstreams.
+
+use basilgrade_policy::budget::planner;
+use basilgrade_policy::candidate;
+use basilgrade_policy::router;
+use basilgrade_policy::speed;
+use basilgrade_types::clock;
+
+use crate::server;
+
+/// A call of this daemon that is in flight.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    pub(crate) call: usize,
+    pub(crate) at: f64,
+    /// Expected time at speed factor 1.
+    pub(crate) expected: f32,
+}
+
+/// What a daemon knows of one upstream.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) load: server::Load,
+    pub(crate) reported: f64,
+    /// In the order of sending.
+    pub(crate) sent: Vec<Sent>,
+    pub(crate) speed: speed::Speed,
+    /// Not before this instant after a refused connection.
+    pub(crate) closed: f64,
+}
+
+impl View {
+    /// Calls sent after the report and not finished.
+    pub(crate) fn since_report(&self) -> u32 {
+        let reported = self.reported;
+        self.sent
+            .iter()
+            .rev()
+            .take_while(|sent| sent.at > reported)
+            .count() as u32
+    }
+
+    /// Removes a call that is no longer in flight.
+    pub(crate) fn take(&mut self, call: usize) -> Option<Sent> {
+        let position = self.sent.iter().position(|sent| sent.call == call)?;
+        Some(self.sent.remove(position))
+    }
+}
+
+/// One daemon.
+pub(crate) struct Daemon {
+    pub(crate) region: usize,
+    pub(crate) planner: planner::Planner,
+    pub(crate) router: Box<dyn router::Router>,
+    pub(crate) views: Vec<View>,
+    /// Reused for every decision.
+    pub(crate) candidates: Vec<candidate::Candidate>,
+}
+
+/// Virtual time as the policy sees it.
+pub(crate) fn millis(at: f64) -> clock::Millis {
+    // An offset keeps ages positive at the start of a run.
+    clock::Millis(at.max(0.0) as u64 + 100_000)
+}
--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/deployment.rs
@@ -0,0 +1,345 @@
+//! The shapes of both deployments: regions, pools, pipelines, customers and links.
+
+use basilgrade_config::model;
+use basilgrade_types::clock;
+use basilgrade_types::size;
+
+/// Number of regions; each is one failure domain in both deployments.
+pub(crate) const REGIONS: usize = 3;
+
+/// Entry VMs per region.
+pub(crate) const DAEMONS: usize = 3;
+
+/// What a stage may drop when its budget demands it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Degrade {
+    /// Nothing.
+    Never,
+    /// The stage itself.
+    Skip,
+    /// The tail of the answer: at most this share of its tokens, in percent.
+    Shorten(u32),
+}
+
+/// Upstreams that can stand in for each other.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    pub(crate) count: usize,
+    pub(crate) capacity: u32,
+    /// Time of a call without tokens, in milliseconds.
+    pub(crate) service: f64,
+    /// Time per prompt token that is not cached, in milliseconds.
+    pub(crate) prefill: f64,
+    /// Time per generated token, in milliseconds.
+    pub(crate) decode: f64,
+    /// Slowdown of a full batch against a single call.
+    pub(crate) crowd: f64,
+    /// Tokens that the prefix cache holds; 0 without a cache.
+    pub(crate) cache: usize,
+    /// Price of a call, in millionths of the currency.
+    pub(crate) price: f64,
+}
+
+/// One stage of a pipeline.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stage {
+    pub(crate) pool: usize,
+    /// Mean of generated tokens.
+    pub(crate) output: f64,
+    /// Bytes of input and output.
+    pub(crate) bytes: u32,
+    pub(crate) degrade: Degrade,
+}
+
+/// Stages under one deadline.
+#[derive(Clone, Debug)]
+pub(crate) struct Pipeline {
+    pub(crate) name: &'static str,
+    /// Milliseconds.
+    pub(crate) deadline: u64,
+    /// Share of all requests.
+    pub(crate) share: f64,
+    pub(crate) idempotent: bool,
+    pub(crate) stages: Vec<Stage>,
+}
+
+/// Prompts that share prefixes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Prompts {
+    /// Distinct topics per customer; a topic is drawn by Zipf's law.
+    pub(crate) topics: usize,
+    /// Blocks of the customer's own prefix.
+    pub(crate) common: usize,
+    /// Blocks of the topic's prefix.
+    pub(crate) topic: usize,
+    /// Mean of tokens that no other prompt has.
+    pub(crate) tail: f64,
+}
+
+/// One deployment.
+#[derive(Clone, Debug)]
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    pub(crate) attainment: f64,
+    pub(crate) cost: f64,
+    /// Share of the requests that enter in each region.
+    pub(crate) entry: [f64; REGIONS],
+    /// Share of the requests of each customer.
+    pub(crate) customers: Vec<f64>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) pipelines: Vec<Pipeline>,
+    pub(crate) prompts: Prompts,
+    /// One-way latency between regions, in milliseconds.
+    pub(crate) far: f64,
+    /// One-way latency inside a region, in milliseconds.
+    pub(crate) near: f64,
+    /// Price of 1 MiB between regions, in millionths of the currency.
+    pub(crate) link: f64,
+    /// Bytes per millisecond between regions.
+    pub(crate) bandwidth: f64,
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(kind: &str, index: usize) -> T {
+    format!("{kind}-{index}").parse().expect("a valid name")
+}
+
+fn plain(count: usize, capacity: u32, service: f64) -> Pool {
+    Pool {
+        count,
+        capacity,
+        service,
+        prefill: 0.0,
+        decode: 0.0,
+        crowd: 0.0,
+        cache: 0,
+        price: 2.0,
+    }
+}
+
+fn engines(count: usize, cache: usize) -> Pool {
+    Pool {
+        count,
+        capacity: 8,
+        service: 20.0,
+        prefill: 0.25,
+        decode: 8.0,
+        crowd: 0.6,
+        cache,
+        price: 50.0,
+    }
+}
+
+fn stage(pool: usize, bytes: u32) -> Stage {
+    Stage {
+        pool,
+        output: 0.0,
+        bytes,
+        degrade: Degrade::Never,
+    }
+}
+
+impl Deployment {
+    /// Ticketing: many short calls, small bodies, attainment weighted most.
+    pub(crate) fn birrete() -> Self {
+        let generate = Stage {
+            output: 120.0,
+            degrade: Degrade::Shorten(50),
+            ..stage(0, 16 << 10)
+        };
+        let rerank = Stage {
+            degrade: Degrade::Skip,
+            ..stage(3, 64 << 10)
+        };
+        let assistant = vec![stage(1, 4 << 10), stage(2, 8 << 10), rerank, generate];
+        Self {
+            name: "birrete",
+            attainment: 4000.0,
+            cost: 1.0,
+            entry: [0.40, 0.34, 0.26],
+            customers: vec![0.35, 0.25, 0.20, 0.12, 0.08],
+            pools: vec![
+                engines(12, 48_000),
+                plain(5, 4, 15.0),
+                plain(5, 4, 25.0),
+                plain(5, 2, 40.0),
+                plain(3, 4, 40.0),
+                plain(5, 4, 20.0),
+            ],
+            pipelines: vec![
+                Pipeline {
+                    name: "assistant",
+                    deadline: 10_000,
+                    share: 0.40,
+                    idempotent: true,
+                    stages: assistant,
+                },
+                Pipeline {
+                    name: "sales",
+                    deadline: 2000,
+                    share: 0.15,
+                    idempotent: false,
+                    stages: vec![stage(4, 4 << 10)],
+                },
+                Pipeline {
+                    name: "catalogue",
+                    deadline: 1000,
+                    share: 0.45,
+                    idempotent: true,
+                    stages: vec![stage(5, 32 << 10)],
+                },
+            ],
+            prompts: Prompts {
+                topics: 60,
+                common: 4,
+                topic: 8,
+                tail: 200.0,
+            },
+            far: 8.0,
+            near: 0.5,
+            link: 100.0,
+            bandwidth: 50_000.0,
+        }
+    }
+
+    /// Mastering: large bodies and few regions, traffic between regions weighted most.
+    pub(crate) fn adwenkor() -> Self {
+        let generate = |output: f64, kib: u32| Stage {
+            output,
+            ..stage(0, kib << 10)
+        };
+        let full = Stage {
+            degrade: Degrade::Shorten(50),
+            ..generate(260.0, 1024)
+        };
+        Self {
+            name: "adwenkor",
+            attainment: 2000.0,
+            cost: 2.0,
+            entry: [0.42, 0.33, 0.25],
+            customers: vec![0.30, 0.26, 0.20, 0.14, 0.10],
+            pools: vec![
+                engines(18, 64_000),
+                plain(5, 4, 60.0),
+                plain(5, 4, 25.0),
+                plain(5, 4, 30.0),
+                plain(3, 4, 40.0),
+            ],
+            pipelines: vec![
+                Pipeline {
+                    name: "review",
+                    deadline: 10_000,
+                    share: 0.20,
+                    idempotent: true,
+                    stages: vec![stage(1, 2 << 20), stage(2, 256 << 10), full],
+                },
+                Pipeline {
+                    name: "notes",
+                    deadline: 6000,
+                    share: 0.20,
+                    idempotent: true,
+                    stages: vec![stage(2, 128 << 10), generate(80.0, 256)],
+                },
+                Pipeline {
+                    name: "commentary",
+                    deadline: 3000,
+                    share: 0.20,
+                    idempotent: true,
+                    stages: vec![generate(40.0, 128)],
+                },
+                Pipeline {
+                    name: "bookings",
+                    deadline: 2000,
+                    share: 0.10,
+                    idempotent: false,
+                    stages: vec![stage(4, 4 << 10)],
+                },
+                Pipeline {
+                    name: "dispatch",
+                    deadline: 1500,
+                    share: 0.30,
+                    idempotent: true,
+                    stages: vec![stage(3, 64 << 10)],
+                },
+            ],
+            prompts: Prompts {
+                topics: 80,
+                common: 4,
+                topic: 12,
+                tail: 250.0,
+            },
+            far: 10.0,
+            near: 0.3,
+            link: 400.0,
+            bandwidth: 25_000.0,
+        }
+    }
+
+    /// The pipelines as the configuration declares them.
+    ///
+    /// An answer counts 100 tokens, so that shortening it is declared in percent.
+    pub(crate) fn model(&self) -> model::deployment::Deployment {
+        let stage = |index: usize, stage: &Stage| model::stage::Stage {
+            id: name("stage", index),
+            pool: name("pool", stage.pool),
+            model: None,
+            tokens: size::TokenCount(100),
+            idempotency: model::stage::Idempotency::Idempotent,
+            degrade: match stage.degrade {
+                Degrade::Never => model::stage::Degrade::Never,
+                Degrade::Skip => model::stage::Degrade::Skip,
+                Degrade::Shorten(percent) => {
+                    model::stage::Degrade::Shorten(size::TokenCount(u64::from(percent)))
+                }
+            },
+        };
+        let pipeline = |(index, pipeline): (usize, &Pipeline)| model::pipeline::Pipeline {
+            id: name(pipeline.name, index),
+            deadline: clock::Millis(pipeline.deadline),
+            stages: pipeline
+                .stages
+                .iter()
+                .enumerate()
+                .map(|(at, found)| stage(at, found))
+                .collect(),
+        };
+        model::deployment::Deployment {
+            pipelines: self
+                .pipelines
+                .iter()
+                .enumerate()
+                .map(pipeline)
+                .map(|pipeline| (pipeline.id.clone(), pipeline))
+                .collect(),
+            ..model::deployment::Deployment::default()
+        }
+    }
+
+    /// Share of the requests that have a stage on the engines.
+    pub(crate) fn engine_share(&self) -> f64 {
+        let uses = |pipeline: &&Pipeline| pipeline.stages.iter().any(|stage| stage.pool == 0);
+        self.pipelines
+            .iter()
+            .filter(uses)
+            .map(|pipeline| pipeline.share)
+            .sum()
+    }
+
+    /// A first estimate of the requests per second that saturate the engines, without cache hits.
+    pub(crate) fn rough_capacity(&self) -> f64 {
+        let engines = &self.pools[0];
+        let prompt = (self.prompts.common + self.prompts.topic) as f64 * crate::cache::BLOCK
+            + self.prompts.tail;
+        let demand: f64 = self
+            .pipelines
+            .iter()
+            .flat_map(|pipeline| pipeline.stages.iter().map(move |stage| (pipeline, stage)))
+            .filter(|(_, stage)| stage.pool == 0)
+            .map(|(pipeline, stage)| {
+                let work =
+                    engines.service + engines.prefill * prompt + engines.decode * stage.output;
+                pipeline.share * work * (1.0 + engines.crowd)
+            })
+            .sum();
+        engines.count as f64 * f64::from(engines.capacity) * 1000.0 / demand
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/report.rs
@@ -0,0 +1,204 @@
+//! Runs every combination and writes the tables.
+
+use std::fs;
+use std::io;
+use std::io::Write;
+use std::path;
+use std::sync::Mutex;
+use std::sync::atomic;
+use std::thread;
+
+use crate::deployment;
+use crate::outcome;
+use crate::scenario;
+use crate::strategy;
+use crate::workload;
+use crate::world;
+
+/// Seeds for choosing constants.
+const TUNING: [u64; 3] = [11, 12, 13];
+
+/// Seeds for the reported figures; no constant was chosen on them.
+const REPORTING: [u64; 3] = [101, 102, 103];
+
+/// Runs at once; half of the cores, because others share the machine.
+const THREADS: usize = 5;
+
+/// What to run.
+#[derive(Debug)]
+pub(crate) struct Options {
+    seeds: [u64; 3],
+    scenarios: Vec<String>,
+    strategies: Vec<String>,
+}
+
+impl Options {
+    pub(crate) fn parse(arguments: &[String]) -> Self {
+        let list = |name: &str| {
+            let position = arguments.iter().position(|argument| argument == name);
+            position
+                .and_then(|position| arguments.get(position + 1))
+                .map(|text| text.split(',').map(str::to_owned).collect())
+                .unwrap_or_default()
+        };
+        let tune = arguments.iter().any(|argument| argument == "--tune");
+        Self {
+            seeds: if tune { TUNING } else { REPORTING },
+            scenarios: list("--only"),
+            strategies: list("--with"),
+        }
+    }
+
+    fn includes(list: &[String], name: &str) -> bool {
+        list.is_empty() || list.iter().any(|prefix| name.starts_with(prefix.as_str()))
+    }
+}
+
+/// One combination and its figures.
+struct Row {
+    deployment: usize,
+    scenario: usize,
+    strategy: usize,
+    figures: outcome::Figures,
+}
+
+/// Requests per second at which the engines are saturated under the full-knowledge router.
+///
+/// Measured as engine calls finished per second at an offered load far above it.
+fn capacity(deployment: &deployment::Deployment) -> f64 {
+    let saturated = scenario::Scenario {
+        name: "saturated",
+        kind: scenario::Kind::Steady,
+        load: 2.0,
+    };
+    let mut patient = deployment.clone();
+    for pipeline in &mut patient.pipelines {
+        pipeline.deadline = 1_000_000;
+    }
+    let rough = deployment.rough_capacity();
+    let requests = workload::draw(&patient, &saturated, rough, TUNING[0]);
+    let oracle = strategy::Strategy::Oracle;
+    let outcome = world::World::new(&patient, &saturated, oracle, &requests, 1).run();
+    let rate = outcome.generated as f64 * 1000.0 / (scenario::END - scenario::WARM);
+    rate / deployment.engine_share()
+}
+
+/// Runs everything that the options include.
+pub(crate) fn run(options: &Options) -> io::Result<()> {
+    let deployments = [
+        deployment::Deployment::birrete(),
+        deployment::Deployment::adwenkor(),
+    ];
+    let capacities: Vec<f64> = deployments.iter().map(capacity).collect();
+    let mut jobs = Vec::new();
+    for deployment in 0..deployments.len() {
+        for (scenario, found) in scenario::ALL.iter().enumerate() {
+            for (strategy, way) in strategy::ALL.iter().enumerate() {
+                if Options::includes(&options.scenarios, found.name)
+                    && Options::includes(&options.strategies, &way.name())
+                {
+                    jobs.push((deployment, scenario, strategy));
+                }
+            }
+        }
+    }
+    let next = atomic::AtomicUsize::new(0);
+    let rows = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                while let Some(job) = jobs.get(next.fetch_add(1, atomic::Ordering::Relaxed)) {
+                    let (deployment, scenario, strategy) = *job;
+                    let row = Row {
+                        deployment,
+                        scenario,
+                        strategy,
+                        figures: figures(
+                            &deployments[deployment],
+                            &scenario::ALL[scenario],
+                            strategy::ALL[strategy],
+                            capacities[deployment],
+                            &options.seeds,
+                        ),
+                    };
+                    if let Ok(mut rows) = rows.lock() {
+                        rows.push(row);
+                    }
+                }
+            });
+        }
+    });
+    let mut rows = rows.into_inner().unwrap_or_default();
+    rows.sort_by_key(|row| (row.deployment, row.scenario, row.strategy));
+    for (deployment, capacity) in deployments.iter().zip(&capacities) {
+        println!("{}: capacity {capacity:.1} requests/s", deployment.name);
+    }
+    print(&deployments, &rows);
+    write(&deployments, &rows)
+}
+
+fn figures(
+    deployment: &deployment::Deployment,
+    scenario: &scenario::Scenario,
+    strategy: strategy::Strategy,
+    capacity: f64,
+    seeds: &[u64],
+) -> outcome::Figures {
+    let runs: Vec<_> = seeds
+        .iter()
+        .map(|seed| {
+            let requests = workload::draw(deployment, scenario, capacity, *seed);
+            let outcome = world::World::new(deployment, scenario, strategy, &requests, *seed).run();
+            outcome.figures(deployment.customers.len())
+        })
+        .collect();
+    outcome::Figures::mean(&runs)
+}
+
+fn print(deployments: &[deployment::Deployment], rows: &[Row]) {
+    print!("{:9} {:13} {:17}", "", "", "");
+    for name in outcome::COLUMNS {
+        print!(" {name:>9}");
+    }
+    println!();
+    for row in rows {
+        print!(
+            "{:9} {:13} {:17}",
+            deployments[row.deployment].name,
+            scenario::ALL[row.scenario].name,
+            strategy::ALL[row.strategy].name(),
+        );
+        for value in row.figures.columns() {
+            print!(" {value:>9.4}");
+        }
+        println!();
+    }
+}
+
+fn write(deployments: &[deployment::Deployment], rows: &[Row]) -> io::Result<()> {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/policy");
+    fs::create_dir_all(&root)?;
+    let mut file = fs::File::create(root.join("policy.csv"))?;
+    writeln!(
+        file,
+        "deployment,scenario,strategy,{}",
+        outcome::COLUMNS.join(",")
+    )?;
+    for row in rows {
+        let values: Vec<_> = row
+            .figures
+            .columns()
+            .iter()
+            .map(|value| format!("{value:.5}"))
+            .collect();
+        writeln!(
+            file,
+            "{},{},{},{}",
+            deployments[row.deployment].name,
+            scenario::ALL[row.scenario].name,
+            strategy::ALL[row.strategy].name(),
+            values.join(",")
+        )?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/strategy.rs
@@ -0,0 +1,61 @@
+//! Ways to run the daemons: baselines, the policy, and the policy without one mechanism.
+
+/// A mechanism that can be disabled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Mechanism {
+    /// Deadline plan, degradation and refusal before any cost.
+    Budget,
+    /// Observed speed of each upstream instead of the declared one.
+    Speed,
+    /// Own calls since the report count as load.
+    Correction,
+    /// Best of a random subset when reports are old.
+    Subset,
+}
+
+/// How a run chooses upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Strategy {
+    RoundRobin,
+    Random,
+    LeastOutstanding,
+    TwoChoices,
+    /// The policy with every mechanism.
+    Policy,
+    /// The policy without one mechanism.
+    Without(Mechanism),
+    /// The scored router with the true state of every upstream.
+    Oracle,
+}
+
+/// All strategies in the order of the report.
+pub(crate) const ALL: [Strategy; 10] = [
+    Strategy::RoundRobin,
+    Strategy::Random,
+    Strategy::LeastOutstanding,
+    Strategy::TwoChoices,
+    Strategy::Policy,
+    Strategy::Without(Mechanism::Budget),
+    Strategy::Without(Mechanism::Speed),
+    Strategy::Without(Mechanism::Correction),
+    Strategy::Without(Mechanism::Subset),
+    Strategy::Oracle,
+];
+
+impl Strategy {
+    pub(crate) fn name(self) -> String {
+        match self {
+            Self::Without(mechanism) => format!("-{mechanism:?}").to_lowercase(),
+            other => format!("{other:?}").to_lowercase(),
+        }
+    }
+
+    /// Whether a run uses `mechanism`.
+    pub(crate) fn has(self, mechanism: Mechanism) -> bool {
+        match self {
+            Self::Policy | Self::Oracle => true,
+            Self::Without(disabled) => disabled != mechanism,
+            _ => false,
+        }
+    }
+}
--- a/crates/basilgrade_policy/src/lib.rs
+++ b/crates/basilgrade_policy/src/lib.rs
@@ -1,5 +1,7 @@
 //! Decisions on the path of a request: budgets, choice of upstream, limits, retries.
 
+pub mod budget;
 pub mod candidate;
 pub mod refusal;
 pub mod router;
+pub mod speed;
