Ask engines to serve calls with little slack first

Change: priority::Priority from the slack of the stage. Also limit::AdaptiveLimit and queue::DeadlineQueue with their place in the benchmark.

Conclusion: the priority stays.

--- a/crates/basilgrade_policy/benches/policy/outcome.rs
+++ b/crates/basilgrade_policy/benches/policy/outcome.rs
@@ -1,5 +1,7 @@
 //! Figures of one run.
 
+use std::collections::BTreeMap;
+
 use crate::scenario;
 
 /// How a request ended.
@@ -20,6 +22,9 @@
 pub(crate) struct Ended {
     pub(crate) arrival: f64,
     pub(crate) customer: usize,
+    pub(crate) pipeline: usize,
+    /// Stages finished.
+    pub(crate) stages: usize,
     pub(crate) end: End,
     pub(crate) degraded: bool,
 }
@@ -102,6 +107,19 @@
         }
     }
 
+    /// Requests of `pipeline` that ended in each way, by the number of stages finished.
+    pub(crate) fn trace(&self, pipeline: usize) -> String {
+        let mut counts = BTreeMap::new();
+        for ended in &self.ended {
+            if ended.arrival >= scenario::WARM && ended.pipeline == pipeline {
+                *counts
+                    .entry((format!("{:?}", ended.end), ended.stages))
+                    .or_insert(0) += 1;
+            }
+        }
+        format!("{counts:?}")
+    }
+
     fn recovery(&self) -> f64 {
         let seconds = ((scenario::END - scenario::REPAIR) / 1000.0) as usize;
         let mut counts = vec![(0.0, 0.0); seconds];
--- a/crates/basilgrade_policy/src/lib.rs
+++ b/crates/basilgrade_policy/src/lib.rs
@@ -2,6 +2,9 @@
 
 pub mod budget;
 pub mod candidate;
+pub mod limit;
+pub mod priority;
+pub mod queue;
 pub mod refusal;
 pub mod router;
 pub mod speed;
