Connect daemons: membership, claims, log reader of the domain, pulls and hand-over

Cause: a request key has to run once over all daemons, and only one daemon of a failure domain should read the log.

Ruled out: claims before the daemon has joined, because its incarnation is final only then; reading the log in every daemon for good.

Change: cluster (membership with links), slot ledger, peer handler, log reader with pulls from peers, polling of the VM list and seeds, hand-over of slots at shutdown, readiness by membership.

--- a/crates/basilgrade/examples/quickstart/scenario.rs
+++ b/crates/basilgrade/examples/quickstart/scenario.rs
@@ -13,6 +13,7 @@
         pipeline(deployment, index).await?;
     }
     stream(deployment).await?;
+    charge(deployment).await?;
     invalid(deployment).await
 }
 
--- a/crates/basilgrade_peer/src/secret.rs
+++ b/crates/basilgrade_peer/src/secret.rs
@@ -19,6 +19,13 @@
 }
 
 impl Secret {
+    /// The secret with these bytes, whose length the settings have checked.
+    pub fn from_bytes(bytes: &[u8]) -> Self {
+        Self {
+            bytes: bytes.to_vec(),
+        }
+    }
+
     /// A keyed hash over `label` and `parts`.
     pub fn hash(&self, label: &str, parts: &[&[u8]]) -> Hash {
         // A keyed hash takes keys of any length, so this cannot fail.
--- a/crates/basilgrade_peer/src/server.rs
+++ b/crates/basilgrade_peer/src/server.rs
@@ -2,11 +2,14 @@
 
 use std::sync;
 
+use basilgrade_claims::message as claims;
 use basilgrade_journal::config_state;
 use basilgrade_journal::control_state;
+use basilgrade_journal::node;
+use basilgrade_membership::message as membership;
+use basilgrade_membership::record;
 use basilgrade_types::id;
 use basilgrade_types::offset;
-use bytes::Bytes;
 use tarpc::context;
 
 use crate::handler;
@@ -27,11 +30,15 @@
 }
 
 impl service::Peer for PeerServer {
-    async fn gossip(self, _: context::Context, from: id::VmId, message: Bytes) {
+    async fn contact(self, _: context::Context) -> record::Record {
+        self.handler.contact()
+    }
+
+    async fn gossip(self, _: context::Context, from: id::VmId, message: membership::Message) {
         self.handler.gossip(from, message);
     }
 
-    async fn claims(self, _: context::Context, from: id::VmId, message: Bytes) {
+    async fn claims(self, _: context::Context, from: node::Node, message: claims::Message) {
         self.handler.claims(from, message);
     }
 
--- a/crates/basilgrade_server/src/background.rs
+++ b/crates/basilgrade_server/src/background.rs
@@ -1,4 +1,6 @@
 //! Tasks beside the path of requests.
 
+pub mod gossip;
 pub mod load;
 pub mod reader;
+pub mod vms;
--- a/crates/basilgrade_server/src/background/reader.rs
+++ b/crates/basilgrade_server/src/background/reader.rs
@@ -1,43 +1,153 @@
-//! Reading of the log.
+//! Reading of the log, by one daemon of each failure domain, and pulls from peers by the others.
 
 use std::sync;
 
+use basilgrade_membership::log_backoff;
+use basilgrade_membership::progress;
+use basilgrade_membership::pull;
+use basilgrade_membership::readiness;
+use basilgrade_peer::links;
 use basilgrade_types::clock;
 use rand::RngExt;
 use tokio_util::sync::CancellationToken;
 
+use crate::cluster;
 use crate::core;
 use crate::journal::streams;
+use crate::ledger::slots;
 use crate::platform;
 
-/// Time between reads while the log answers.
-const INTERVAL: clock::Millis = clock::Millis(500);
-
-/// Longest time between reads while the log does not answer, so that a recovered log is not met
-/// by all readers at once.
-const BACKOFF_LIMIT: clock::Millis = clock::Millis::from_secs(5);
-
-/// Reads the log until `stop`.
-pub async fn run(
-    core: sync::Arc<core::Core>,
-    streams: sync::Arc<streams::Streams>,
-    platform: platform::Platform,
-    stop: CancellationToken,
-) {
-    let mut wait = INTERVAL;
-    loop {
-        match streams.catch_up(platform.log.as_ref(), &core).await {
-            Ok(()) => wait = INTERVAL,
+/// Time between looks at whether there is something to read or to pull.
+const INTERVAL: clock::Millis = clock::Millis(50);
+
+/// Retention that snapshots are timed for; the platform keeps records at least this long.
+pub const RETENTION: clock::Millis = clock::Millis::from_secs(6 * 3600);
+
+/// What reading needs.
+#[derive(Clone)]
+pub struct Reader {
+    /// Requests' state, into which a new configuration is installed.
+    pub core: sync::Arc<core::Core>,
+    /// The streams.
+    pub streams: sync::Arc<streams::Streams>,
+    /// Membership.
+    pub cluster: cluster::Cluster,
+    /// Claims.
+    pub ledger: slots::SlotLedger,
+    /// Links to other daemons.
+    pub links: sync::Arc<links::Links>,
+    /// The platform.
+    pub platform: platform::Platform,
+}
+
+impl Reader {
+    /// Reads and pulls until `stop`.
+    pub async fn run(self, stop: CancellationToken) {
+        let mut failures = 0;
+        let mut due = self.core.now();
+        // Spreads the snapshots of all domains over a twelfth of the retention time.
+        let jitter = clock::Millis(rand::rng().random_range(0..RETENTION.0 / 12));
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(INTERVAL.duration()) => {}
+            }
+            let now = self.core.now();
+            if now >= due && self.reads(now) {
+                let wait = self.read(&mut failures).await;
+                due = self.core.now().plus(wait);
+                if self.cluster.with(|node, now| node.reads_log(now)) {
+                    let log = self.platform.log.as_ref();
+                    self.streams.restate(log, now, RETENTION, jitter).await;
+                }
+            }
+            self.pull(pull::Stream::Config).await;
+            self.pull(pull::Stream::Control).await;
+        }
+    }
+
+    /// Whether this daemon reads the log itself: as reader of its domain, or while it has nothing
+    /// that a peer could have given it.
+    fn reads(&self, now: clock::Millis) -> bool {
+        let ready = self.cluster.readiness();
+        let empty = !self.streams.is_current();
+        let alone = empty && ready != readiness::Readiness::Joining;
+        alone || self.cluster.with(|node, _| node.reads_log(now))
+    }
+
+    async fn read(&self, failures: &mut u32) -> clock::Millis {
+        let log = self.platform.log.as_ref();
+        let outcome = self.streams.catch_up(log, &self.core).await;
+        self.publish_progress();
+        let access = match &outcome {
+            Ok(()) => {
+                *failures = 0;
+                progress::LogAccess::Reachable
+            }
             Err(error) => {
+                *failures += 1;
                 log::warn!("event=log-read-failed error={:?}", error.to_string());
-                wait = clock::Millis(wait.0 * 2).min(BACKOFF_LIMIT);
+                progress::LogAccess::Unreachable
+            }
+        };
+        self.cluster
+            .with(|node, now| node.set_log_access(now, access));
+        log_backoff::log_delay(*failures, &mut rand::rng())
+    }
+
+    async fn pull(&self, stream: pull::Stream) {
+        let wanted = self
+            .cluster
+            .with(|node, now| node.pull(now, stream, &mut rand::rng()));
+        let Some(wanted) = wanted else {
+            return;
+        };
+        let now = self.core.now();
+        let moved = match stream {
+            pull::Stream::Config => {
+                let from = self.streams.config.next();
+                let transfer = self
+                    .links
+                    .call(wanted.address, |client, context| async move {
+                        client.pull_config(context, from).await
+                    })
+                    .await;
+                transfer.map(|transfer| self.streams.config.take(now, transfer))
             }
+            pull::Stream::Control => {
+                let from = self.streams.control.next();
+                let transfer = self
+                    .links
+                    .call(wanted.address, |client, context| async move {
+                        client.pull_control(context, from).await
+                    })
+                    .await;
+                transfer.map(|transfer| self.streams.control.take(now, transfer))
+            }
+        };
+        match moved {
+            Ok(_) => {
+                self.streams.apply(&self.core);
+                self.publish_progress();
+            }
+            Err(error) => log::debug!(
+                "event=pull-failed vm={} error={:?}",
+                wanted.vm,
+                error.to_string()
+            ),
         }
-        let jitter = rand::rng().random_range(0..=wait.0 / 2);
-        let pause = clock::Millis(wait.0 * 3 / 4 + jitter);
-        tokio::select! {
-            () = stop.cancelled() => return,
-            () = tokio::time::sleep(pause.duration()) => {}
+    }
+
+    /// Tells membership and claims how far the streams are known.
+    fn publish_progress(&self) {
+        let control = self.streams.control.next();
+        let revision = self.core.revision();
+        self.cluster
+            .with(|node, now| node.set_progress(now, revision, control));
+        if self.streams.control.is_current() {
+            self.streams
+                .control
+                .with(|fold| self.ledger.observe(fold.state(), control));
         }
     }
 }
--- /dev/null
+++ b/crates/basilgrade_server/src/cluster.rs
@@ -0,0 +1,307 @@
+//! This daemon's part in membership, with the links to other daemons.
+
+use std::net;
+use std::sync;
+
+use basilgrade_claims::view;
+use basilgrade_journal::control_state;
+use basilgrade_journal::node as journal_node;
+use basilgrade_membership::contact;
+use basilgrade_membership::death;
+use basilgrade_membership::message;
+use basilgrade_membership::node;
+use basilgrade_membership::outgoing;
+use basilgrade_membership::readiness;
+use basilgrade_membership::record;
+use basilgrade_membership::settings;
+use basilgrade_membership::status;
+use basilgrade_membership::vm_hint;
+use basilgrade_peer::links;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::directory;
+
+/// Membership of this daemon.
+#[derive(Clone)]
+pub struct Cluster {
+    shared: sync::Arc<Shared>,
+}
+
+struct Shared {
+    clock: sync::Arc<dyn clock::Clock>,
+    links: sync::Arc<links::Links>,
+    node: sync::Mutex<node::Node>,
+    /// Contacts of this daemon under way, so that a dead VM is not contacted over and over.
+    contacting: sync::Mutex<IndexSet<id::VmId>>,
+    addresses: arc_swap::ArcSwap<IndexMap<id::VmId, net::SocketAddr>>,
+}
+
+impl Cluster {
+    /// A daemon that knows nobody yet.
+    pub fn new(
+        record: record::Record,
+        clock: sync::Arc<dyn clock::Clock>,
+        links: sync::Arc<links::Links>,
+    ) -> Self {
+        let settings = settings::Settings::new(record);
+        let node = node::Node::new(clock.now(), settings, &mut rand::rng());
+        Self {
+            shared: sync::Arc::new(Shared {
+                clock,
+                links,
+                node: sync::Mutex::new(node),
+                contacting: sync::Mutex::default(),
+                addresses: arc_swap::ArcSwap::default(),
+            }),
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, node::Node> {
+        self.shared
+            .node
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn now(&self) -> clock::Millis {
+        self.shared.clock.now()
+    }
+
+    /// Calls `change` with the membership state and the current instant.
+    pub fn with<T>(&self, change: impl FnOnce(&mut node::Node, clock::Millis) -> T) -> T {
+        let now = self.now();
+        change(&mut self.lock(), now)
+    }
+
+    /// Advances membership and sends what is due; returns when it wants to be called next.
+    pub fn tick(&self) -> clock::Millis {
+        let (outgoing, next) = self.with(|node, now| {
+            let outgoing = node.tick(now, &mut rand::rng());
+            (outgoing, node.next_tick(now).since(now))
+        });
+        self.learn_addresses();
+        self.send(outgoing);
+        next
+    }
+
+    /// Takes a message from the authenticated daemon on `from`.
+    pub fn receive(&self, from: &id::VmId, message: message::Message) {
+        let outgoing = self.with(|node, now| node.receive(now, from, message));
+        self.send(outgoing);
+    }
+
+    /// Takes over where daemons may be found.
+    pub fn hint(&self, hints: Vec<vm_hint::VmHint>) {
+        self.with(|node, _| node.observe_vm_list(hints));
+    }
+
+    /// This run of the daemon.
+    pub fn record(&self) -> record::Record {
+        self.lock().record().clone()
+    }
+
+    /// This run of the daemon as grants and leases name it.
+    pub fn me(&self) -> journal_node::Node {
+        let record = self.record();
+        journal_node::Node {
+            vm: record.vm,
+            incarnation: record.incarnation,
+        }
+    }
+
+    /// Whether the daemon may report ready.
+    pub fn readiness(&self) -> readiness::Readiness {
+        self.with(node::Node::readiness)
+    }
+
+    /// Whether the daemon has joined, after which its incarnation is final.
+    pub fn has_joined(&self) -> bool {
+        !matches!(
+            self.readiness(),
+            readiness::Readiness::Joining | readiness::Readiness::Leaving
+        )
+    }
+
+    /// Announces that this daemon will stop.
+    pub fn leave(&self) {
+        self.with(node::Node::leave);
+        self.tick();
+    }
+
+    /// The cluster as the claims see it: who may own slots, and who is lost.
+    pub fn view(&self, control: &control_state::ControlState) -> view::View {
+        let members = owners(control);
+        let mut contacts = Vec::new();
+        let view = self.with(|node, now| {
+            let fit: IndexSet<_> = node.ownership_candidates(now).into_iter().collect();
+            let mut view = view::View::default();
+            for (record, status) in node.members() {
+                let member = journal_node::Node {
+                    vm: record.vm.clone(),
+                    incarnation: record.incarnation,
+                };
+                match status {
+                    status::Status::Alive if fit.contains(&record.vm) => view.live.insert(member),
+                    status::Status::Leaving => view.leaving.insert(member),
+                    _ => false,
+                };
+            }
+            for member in members {
+                let death = node.may_treat_as_dead(now, &member.vm, Some(member.incarnation));
+                if death.permits_takeover() {
+                    view.lost.insert(member);
+                } else if death == death::Death::ContactNeeded {
+                    contacts.push(member.vm);
+                }
+            }
+            view.domains = live_domains(node);
+            view
+        });
+        for vm in contacts {
+            self.contact(vm);
+        }
+        view
+    }
+
+    /// Tries to reach `vm` and reports the outcome to membership.
+    fn contact(&self, vm: id::VmId) {
+        let mut contacting = self
+            .shared
+            .contacting
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if !contacting.insert(vm.clone()) {
+            return;
+        }
+        drop(contacting);
+        let cluster = self.clone();
+        tokio::spawn(async move {
+            let started = cluster.now();
+            let outcome = match directory::Directory::address(&cluster, &vm) {
+                Some(address) => cluster.try_contact(address, &vm).await,
+                None => contact::Outcome::Failed,
+            };
+            cluster.with(|node, _| node.report_contact(&vm, started, outcome));
+            cluster
+                .shared
+                .contacting
+                .lock()
+                .unwrap_or_else(sync::PoisonError::into_inner)
+                .swap_remove(&vm);
+        });
+    }
+
+    async fn try_contact(&self, address: net::SocketAddr, vm: &id::VmId) -> contact::Outcome {
+        let answer = self
+            .shared
+            .links
+            .call(address, |client, context| async move {
+                client.contact(context).await
+            })
+            .await;
+        match answer {
+            Ok(record) if record.vm == *vm => contact::Outcome::Answered,
+            // Another VM may have been given the address.
+            Ok(_) | Err(_) => contact::Outcome::Failed,
+        }
+    }
+
+    /// Asks the daemon at `address` who it is.
+    pub async fn ask(&self, address: net::SocketAddr) -> Option<record::Record> {
+        self.shared
+            .links
+            .call(address, |client, context| async move {
+                client.contact(context).await
+            })
+            .await
+            .ok()
+    }
+
+    fn send(&self, outgoing: Vec<outgoing::Outgoing>) {
+        for outgoing in outgoing {
+            let cluster = self.clone();
+            tokio::spawn(async move { cluster.deliver(outgoing).await });
+        }
+    }
+
+    async fn deliver(&self, outgoing: outgoing::Outgoing) {
+        let started = self.now();
+        let from = self.record().vm;
+        let sent = self
+            .shared
+            .links
+            .call(outgoing.address, |client, context| async move {
+                client.gossip(context, from, outgoing.message).await
+            })
+            .await;
+        // A delivered message proves a process behind the address, not which run answers, so only
+        // failures are reported here.
+        if sent.is_err() {
+            let vm = outgoing.vm;
+            self.with(|node, _| node.report_contact(&vm, started, contact::Outcome::Failed));
+        }
+    }
+
+    fn learn_addresses(&self) {
+        let known = self.with(|node, _| addresses(node));
+        if **self.shared.addresses.load() != known {
+            self.shared
+                .links
+                .retain(|address| known.values().any(|held| held == address));
+            self.shared.addresses.store(sync::Arc::new(known));
+        }
+    }
+}
+
+impl directory::Directory for Cluster {
+    fn address(&self, vm: &id::VmId) -> Option<net::SocketAddr> {
+        self.shared.addresses.load().get(vm).copied()
+    }
+}
+
+fn addresses(node: &node::Node) -> IndexMap<id::VmId, net::SocketAddr> {
+    let mut known: IndexMap<_, _> = node
+        .members()
+        .map(|(record, _)| (record.vm.clone(), record.address))
+        .collect();
+    let domains: Vec<_> = node.domains().map(|(domain, _)| domain.clone()).collect();
+    for domain in domains {
+        for (record, _) in node.members_of(&domain) {
+            known.insert(record.vm.clone(), record.address);
+        }
+    }
+    known
+}
+
+fn live_domains(node: &node::Node) -> IndexMap<id::DomainId, usize> {
+    let own = node.record().domain.clone();
+    let live = |status: status::Status| status == status::Status::Alive;
+    let mut counts = IndexMap::new();
+    let near = node.members().filter(|(_, status)| live(*status)).count();
+    counts.insert(own.clone(), near);
+    let domains: Vec<_> = node.domains().map(|(domain, _)| domain.clone()).collect();
+    for domain in domains.into_iter().filter(|domain| *domain != own) {
+        let far = node
+            .members_of(&domain)
+            .filter(|(_, status)| live(*status))
+            .count();
+        counts.insert(domain, far);
+    }
+    counts
+}
+
+/// Every run that a grant names.
+fn owners(control: &control_state::ControlState) -> IndexSet<journal_node::Node> {
+    let grants = control
+        .slots()
+        .filter_map(|(_, tenure)| tenure.grant.as_ref());
+    grants
+        .flat_map(|grant| {
+            let backup = grant.backup.iter().cloned();
+            backup.chain([grant.primary.clone()])
+        })
+        .collect()
+}
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -20,8 +20,9 @@
 
 /// Whether the daemon takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[repr(u8)]
 pub enum Phase {
+    /// Fetching the state of its peers.
+    Behind,
     /// Finishing what it has; the balancer is told to send nothing new.
     Draining,
     /// Serving.
@@ -59,6 +60,7 @@
     /// Requests being worked on.
     pub active: atomic::AtomicUsize,
     draining: atomic::AtomicBool,
+    behind: atomic::AtomicBool,
 }
 
 impl Core {
@@ -71,6 +73,7 @@
             recent: recent::Recent::default(),
             active: atomic::AtomicUsize::default(),
             draining: atomic::AtomicBool::default(),
+            behind: atomic::AtomicBool::default(),
         }
     }
 
@@ -117,11 +120,18 @@
     pub fn phase(&self) -> Phase {
         if self.draining.load(atomic::Ordering::Acquire) {
             Phase::Draining
+        } else if self.behind.load(atomic::Ordering::Acquire) {
+            Phase::Behind
         } else {
             Phase::Serving
         }
     }
 
+    /// Notes whether membership says that this daemon may not report ready.
+    pub fn set_behind(&self, behind: bool) {
+        self.behind.store(behind, atomic::Ordering::Release);
+    }
+
     /// Tells the balancer, through `/readyz`, to send nothing new. Requests that still come are
     /// served.
     pub fn drain(&self) {
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -4,7 +4,13 @@
 use std::net;
 use std::sync;
 
+use basilgrade_claims::settings as claims;
 use basilgrade_config::settings;
+use basilgrade_membership::record;
+use basilgrade_peer::links;
+use basilgrade_peer::listener as peer_listener;
+use basilgrade_peer::secret;
+use basilgrade_peer::server;
 use basilgrade_policy::router;
 use basilgrade_types::clock;
 use basilgrade_upstream::client;
@@ -14,12 +20,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::background;
+use crate::cluster;
 use crate::core;
 use crate::journal::streams;
 use crate::ledger;
 use crate::limits;
 use crate::listener;
 use crate::metrics;
+use crate::peer_handler;
 use crate::platform;
 
 quick_error! {
@@ -38,6 +46,12 @@
     }
 }
 
+/// Longest wait for slots to be handed over at the end; a change of all pairs takes one append.
+const HAND_OVER_LIMIT: clock::Millis = clock::Millis::from_secs(10);
+
+/// Time between looks at whether all slots are handed over.
+const HAND_OVER_POLL: clock::Millis = clock::Millis(50);
+
 /// A running daemon.
 pub struct Daemon {
     /// State shared by its requests.
@@ -58,8 +72,8 @@
         settings: settings::Settings,
         platform: platform::Platform,
     ) -> Result<Self, StartError> {
-        let core = sync::Arc::new(core::Core::new(parts(&settings)?));
-        let streams = sync::Arc::new(streams::Streams::default());
+        let parts = assemble(&settings, &platform)?;
+        let core = sync::Arc::clone(&parts.reader.core);
         let address = settings.process.caller_address;
         let bind = |error| StartError::Bind(address, error);
         let listener = listener::Listener::bind(sync::Arc::clone(&core), address)
@@ -68,20 +82,14 @@
         let caller = listener.address().map_err(bind)?;
         let stop = CancellationToken::new();
         let background = CancellationToken::new();
-        tokio::spawn(background::reader::run(
-            sync::Arc::clone(&core),
-            streams,
-            platform,
-            background.clone(),
-        ));
-        tokio::spawn(background::load::run(
-            sync::Arc::clone(&core),
-            background.clone(),
-        ));
+        let ledger = parts.reader.ledger.clone();
+        let cluster = parts.reader.cluster.clone();
+        spawn_tasks(parts, &settings, platform, &background).await?;
         let linger = settings.drain.linger;
         let serving = listener.run(stop.clone(), linger);
         let task = tokio::spawn(async move {
             serving.await;
+            hand_over(&ledger, &cluster).await;
             background.cancel();
         });
         log::info!(
@@ -110,18 +118,128 @@
     }
 }
 
-fn parts(settings: &settings::Settings) -> Result<core::Parts, StartError> {
+/// What the tasks of a daemon share.
+struct Assembly {
+    reader: background::reader::Reader,
+    secret: secret::Secret,
+}
+
+fn assemble(
+    settings: &settings::Settings,
+    platform: &platform::Platform,
+) -> Result<Assembly, StartError> {
+    let process = &settings.process;
+    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock::new());
+    let secret = secret::Secret::from_bytes(settings.peers.secret.as_bytes());
+    let links = sync::Arc::new(links::Links::new(secret.clone()));
+    let record = record::Record {
+        vm: process.vm.clone(),
+        incarnation: clock.now().into(),
+        domain: process.domain.clone(),
+        address: process.peer_address,
+    };
+    let cluster = cluster::Cluster::new(record, sync::Arc::clone(&clock), links.clone());
+    let ledger = ledger::slots::SlotLedger::new(
+        sync::Arc::clone(&clock),
+        links.clone(),
+        sync::Arc::new(cluster.clone()),
+        sync::Arc::clone(&platform.log),
+    );
+    let parts = parts(settings, clock, sync::Arc::new(ledger.clone()))?;
+    let reader = background::reader::Reader {
+        core: sync::Arc::new(core::Core::new(parts)),
+        streams: sync::Arc::new(streams::Streams::default()),
+        cluster,
+        ledger,
+        links,
+        platform: platform.clone(),
+    };
+    Ok(Assembly { reader, secret })
+}
+
+async fn spawn_tasks(
+    assembly: Assembly,
+    settings: &settings::Settings,
+    platform: platform::Platform,
+    stop: &CancellationToken,
+) -> Result<(), StartError> {
+    let Assembly { reader, secret } = assembly;
+    let address = settings.process.peer_address;
+    let peers = peer_listener::Listener::bind(address, secret)
+        .await
+        .map_err(|error| StartError::Bind(address, error))?;
+    let handler = peer_handler::PeerHandler {
+        cluster: reader.cluster.clone(),
+        ledger: reader.ledger.clone(),
+        streams: sync::Arc::clone(&reader.streams),
+    };
+    let server = server::PeerServer::new(sync::Arc::new(handler));
+    tokio::spawn(peers.run(server, stop.clone()));
+    tokio::spawn(background::gossip::run(
+        sync::Arc::clone(&reader.core),
+        reader.cluster.clone(),
+        stop.clone(),
+    ));
+    let claims = claims::Settings {
+        autonomy: settings.claims.autonomy,
+        horizon: settings.claims.horizon,
+        ..claims::Settings::default()
+    };
+    tokio::spawn(background::gossip::run_claims(
+        reader.cluster.clone(),
+        sync::Arc::clone(&reader.streams),
+        reader.ledger.clone(),
+        settings.process.domain.clone(),
+        claims,
+        stop.clone(),
+    ));
+    tokio::spawn(background::vms::run(
+        sync::Arc::clone(&reader.core),
+        reader.cluster.clone(),
+        platform,
+        settings.peers.seeds.clone(),
+        stop.clone(),
+    ));
+    tokio::spawn(background::load::run(
+        sync::Arc::clone(&reader.core),
+        stop.clone(),
+    ));
+    tokio::spawn(reader.run(stop.clone()));
+    Ok(())
+}
+
+/// Hands all slots over, so that their keys stay usable. A peer or log that does not answer must
+/// not keep the process alive for ever.
+async fn hand_over(ledger: &ledger::slots::SlotLedger, cluster: &cluster::Cluster) {
+    cluster.leave();
+    ledger.drain();
+    let drained = async {
+        while !ledger.is_drained() {
+            tokio::time::sleep(HAND_OVER_POLL.duration()).await;
+        }
+    };
+    match tokio::time::timeout(HAND_OVER_LIMIT.duration(), drained).await {
+        Ok(()) => log::info!("event=slots-handed-over"),
+        Err(_) => log::warn!("event=hand-over-incomplete waited={HAND_OVER_LIMIT}"),
+    }
+}
+
+fn parts(
+    settings: &settings::Settings,
+    clock: sync::Arc<dyn clock::Clock>,
+    ledger: sync::Arc<dyn ledger::Ledger>,
+) -> Result<core::Parts, StartError> {
     let metrics = metrics::Metrics::new().map_err(StartError::Metrics)?;
     let upstream = client::HttpUpstream::new(client::Settings::default());
     let requests = &settings.limits;
     Ok(core::Parts {
-        clock: sync::Arc::new(clock::SystemClock::new()),
+        clock,
         upstream: sync::Arc::new(upstream) as sync::Arc<dyn upstream::Upstream>,
         router: |weights| {
             let settings = router::settings::Settings::new(weights);
             sync::Arc::new(router::scored::ScoredRouter::new(settings))
         },
-        ledger: sync::Arc::new(ledger::closed::ClosedLedger),
+        ledger,
         metrics: sync::Arc::new(metrics),
         limits: limits::Limits {
             head: requests.header_bytes,
--- a/crates/basilgrade_server/src/exec/claimed.rs
+++ b/crates/basilgrade_server/src/exec/claimed.rs
@@ -1,5 +1,10 @@
 //! Execution under a claim on the request key.
 
+use std::sync;
+
+use basilgrade_claims::attempt_id;
+use basilgrade_claims::fingerprint;
+use basilgrade_types::clock;
 use basilgrade_types::verdict;
 
 use crate::caller::failure;
@@ -7,6 +12,10 @@
 use crate::exec::output;
 use crate::ledger;
 
+/// Longest wait for a claim; a claim takes two round trips, and what is left of the deadline belongs
+/// to the call.
+const CLAIM_TIMEOUT: clock::Millis = clock::Millis(1500);
+
 /// Runs `work` at most once for the key of `context` over all daemons.
 ///
 /// # Errors
@@ -14,45 +23,37 @@
 /// `ClaimUnavailable` when no claim can be made, `Claimed` or `KeyReused` for a key used before,
 /// else the failure of `work`.
 pub async fn run<F>(
-    context: context::Context,
-    fingerprint: u64,
+    mut context: context::Context,
+    fingerprint: fingerprint::Fingerprint,
     work: impl FnOnce(context::Context) -> F + Send + 'static,
 ) -> Result<output::Output, failure::Failure>
 where
     F: Future<Output = Result<output::Output, failure::Failure>> + Send + 'static,
 {
-    let ledger = std::sync::Arc::clone(&context.core.parts.ledger);
+    let ledger = sync::Arc::clone(&context.core.parts.ledger);
     let Some(key) = context.key.or_else(|| ledger.mint()) else {
         let reason = "this failure domain holds no slot yet".to_owned();
         return Err(failure::Failure::ClaimUnavailable(
-            String::from("none"),
+            "none".to_owned(),
             reason,
         ));
     };
-    let mut context = context;
     context.key = Some(key);
-    let execution: ledger::Execution = context.request.0.as_u128();
-    match ledger.claim(key, fingerprint, execution).await {
-        ledger::Claim::Granted => {}
-        ledger::Claim::Finished(answer) => return Ok(output::Output::replay(answer)),
-        ledger::Claim::Held => return Err(failure::Failure::Claimed(key.to_string())),
-        ledger::Claim::Mismatch => return Err(failure::Failure::KeyReused(key.to_string())),
-        ledger::Claim::Unavailable(reason) => {
-            // The claim may have been entered although its answer was lost.
-            tokio::spawn(async move { ledger.release(key, execution).await });
-            return Err(failure::Failure::ClaimUnavailable(key.to_string(), reason));
-        }
-    }
-    // A task of its own, so that the outcome is recorded even when the caller has gone.
+    let attempt = attempt_id::AttemptId::new(rand::random());
+    let deadline = context.deadline.min(context.core.now().plus(CLAIM_TIMEOUT));
+    // A task of its own, so that the claim is settled even when the caller has gone.
     let task = tokio::spawn(async move {
-        let result = work(context).await;
-        match &result {
-            Ok(output) => ledger.finish(key, execution, output.answer()).await,
-            Err(failure) if failure.verdict() == verdict::Verdict::NotRun => {
-                ledger.release(key, execution).await;
+        match ledger.claim(key, fingerprint, attempt, deadline).await {
+            ledger::Claim::Granted => {}
+            ledger::Claim::Finished(answer) => return Ok(output::Output::replay(answer)),
+            ledger::Claim::Held => return Err(failure::Failure::Claimed(key.to_string())),
+            ledger::Claim::Mismatch => return Err(failure::Failure::KeyReused(key.to_string())),
+            ledger::Claim::Unavailable(reason) => {
+                return Err(failure::Failure::ClaimUnavailable(key.to_string(), reason));
             }
-            Err(_) => ledger.finish(key, execution, None).await,
         }
+        let result = work(context).await;
+        ledger.settle(attempt, ending(&result));
         result
     });
     task.await.unwrap_or({
@@ -61,3 +62,11 @@
         ))
     })
 }
+
+fn ending(result: &Result<output::Output, failure::Failure>) -> ledger::Ending {
+    match result {
+        Ok(output) => ledger::Ending::Finished(output.answer()),
+        Err(failure) if failure.verdict() == verdict::Verdict::NotRun => ledger::Ending::Released,
+        Err(_) => ledger::Ending::Unknown,
+    }
+}
--- a/crates/basilgrade_server/src/exec/pipeline.rs
+++ b/crates/basilgrade_server/src/exec/pipeline.rs
@@ -1,5 +1,6 @@
 //! Requests to pipelines.
 
+use basilgrade_claims::fingerprint;
 use basilgrade_config::model::pipeline;
 use basilgrade_config::model::pool;
 use basilgrade_config::model::stage;
@@ -36,7 +37,8 @@
     if !marked && !declared {
         return stages(context, pipeline, input).await;
     }
-    let fingerprint = fingerprint(&context, &pipeline, &input);
+    let target = format!("pipeline {}", pipeline.id);
+    let fingerprint = fingerprint::Fingerprint::of(context.customer.as_str(), &target, &input);
     claimed::run(context, fingerprint, |context| {
         stages(context, pipeline, input)
     })
@@ -159,16 +161,3 @@
     };
     Bytes::from(format!("event: {event}\ndata: {data}\n\n"))
 }
-
-fn fingerprint(context: &context::Context, pipeline: &pipeline::Pipeline, input: &Bytes) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for part in [
-        context.customer.as_str().as_bytes(),
-        pipeline.id.as_str().as_bytes(),
-        input,
-    ] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.digest()
-}
--- a/crates/basilgrade_server/src/exec/service.rs
+++ b/crates/basilgrade_server/src/exec/service.rs
@@ -1,5 +1,6 @@
 //! Requests to plain services.
 
+use basilgrade_claims::fingerprint;
 use basilgrade_config::model::pool;
 use basilgrade_config::model::service;
 use basilgrade_config::model::stage;
@@ -46,7 +47,12 @@
     } else {
         context.idempotency.unwrap_or(service.idempotency)
     };
-    let fingerprint = fingerprint(&context.customer, &service.pool, &incoming);
+    let target = format!(
+        "service {} {} {}",
+        service.pool, incoming.method, incoming.path
+    );
+    let fingerprint =
+        fingerprint::Fingerprint::of(context.customer.as_str(), &target, &incoming.body);
     let step = step::Step {
         stage: stage_name(&service.pool),
         pool: service.pool.clone(),
@@ -99,18 +105,3 @@
         .map(|(name, value)| (name.clone(), value.clone()))
         .collect()
 }
-
-fn fingerprint(customer: &id::CustomerId, pool: &id::PoolId, incoming: &Incoming) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for part in [
-        customer.as_str().as_bytes(),
-        pool.as_str().as_bytes(),
-        incoming.method.as_str().as_bytes(),
-        incoming.path.as_bytes(),
-        &incoming.body,
-    ] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.digest()
-}
--- a/crates/basilgrade_server/src/ledger.rs
+++ b/crates/basilgrade_server/src/ledger.rs
@@ -1,16 +1,17 @@
 //! The border between the executor and the claims on request keys.
 
 pub mod closed;
+pub mod slots;
 
+use basilgrade_claims::attempt_id;
+use basilgrade_claims::fingerprint;
+use basilgrade_types::clock;
 use basilgrade_types::key;
 use bytes::Bytes;
 use futures::future;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Identity of one execution, so that its own retransmissions are recognised.
-pub type Execution = u128;
-
 /// An answer kept for repeats of a key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -38,26 +39,30 @@
     Unavailable(String),
 }
 
+/// How the call of a granted attempt ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// It ran; the answer is kept if it is small enough.
+    Finished(Option<Answer>),
+    /// It was certainly not run, so a repeat may run.
+    Released,
+    /// It may have run; the claim stays for good.
+    Unknown,
+}
+
 /// Claims on request keys over all daemons.
 pub trait Ledger: Send + Sync {
-    /// Claims `key` for one execution.
+    /// Claims `key` for one attempt; the outcome is known by `deadline`.
     fn claim(
         &self,
         key: key::RequestKey,
-        fingerprint: u64,
-        execution: Execution,
+        fingerprint: fingerprint::Fingerprint,
+        attempt: attempt_id::AttemptId,
+        deadline: clock::Millis,
     ) -> future::BoxFuture<'_, Claim>;
 
-    /// Records that the call ran; `answer` is kept if it is small enough.
-    fn finish(
-        &self,
-        key: key::RequestKey,
-        execution: Execution,
-        answer: Option<Answer>,
-    ) -> future::BoxFuture<'_, ()>;
-
-    /// Gives the claim back because the call was certainly not run.
-    fn release(&self, key: key::RequestKey, execution: Execution) -> future::BoxFuture<'_, ()>;
+    /// Records how the call of a granted attempt ended.
+    fn settle(&self, attempt: attempt_id::AttemptId, ending: Ending);
 
     /// Makes a key in a slot that this failure domain holds, if it holds one.
     fn mint(&self) -> Option<key::RequestKey>;
--- a/crates/basilgrade_server/src/ledger/closed.rs
+++ b/crates/basilgrade_server/src/ledger/closed.rs
@@ -1,5 +1,8 @@
 //! A ledger that grants nothing.
 
+use basilgrade_claims::attempt_id;
+use basilgrade_claims::fingerprint;
+use basilgrade_types::clock;
 use basilgrade_types::key;
 use futures::FutureExt;
 use futures::future;
@@ -14,25 +17,15 @@
     fn claim(
         &self,
         _: key::RequestKey,
-        _: u64,
-        _: ledger::Execution,
+        _: fingerprint::Fingerprint,
+        _: attempt_id::AttemptId,
+        _: clock::Millis,
     ) -> future::BoxFuture<'_, ledger::Claim> {
         let reason = "this daemon takes part in no slot".to_owned();
         future::ready(ledger::Claim::Unavailable(reason)).boxed()
     }
 
-    fn finish(
-        &self,
-        _: key::RequestKey,
-        _: ledger::Execution,
-        _: Option<ledger::Answer>,
-    ) -> future::BoxFuture<'_, ()> {
-        future::ready(()).boxed()
-    }
-
-    fn release(&self, _: key::RequestKey, _: ledger::Execution) -> future::BoxFuture<'_, ()> {
-        future::ready(()).boxed()
-    }
+    fn settle(&self, _: attempt_id::AttemptId, _: ledger::Ending) {}
 
     fn mint(&self) -> Option<key::RequestKey> {
         None
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -2,8 +2,10 @@
 
 pub mod background;
 pub mod caller;
+pub mod cluster;
 pub mod core;
 pub mod daemon;
+pub mod directory;
 pub mod exec;
 pub mod journal;
 pub mod ledger;
@@ -11,6 +13,7 @@
 pub mod listener;
 pub mod logger;
 pub mod metrics;
+pub mod peer_handler;
 pub mod platform;
 pub mod recent;
 pub mod serve;
--- /dev/null
+++ b/crates/basilgrade_server/src/peer_handler.rs
@@ -0,0 +1,53 @@
+//! What this daemon does with calls from other daemons.
+
+use std::sync;
+
+use basilgrade_claims::message as claims;
+use basilgrade_journal::config_state;
+use basilgrade_journal::control_state;
+use basilgrade_journal::node;
+use basilgrade_membership::message as membership;
+use basilgrade_membership::record;
+use basilgrade_peer::handler;
+use basilgrade_peer::transfer;
+use basilgrade_types::id;
+use basilgrade_types::offset;
+
+use crate::cluster;
+use crate::journal::streams;
+use crate::ledger::slots;
+
+/// Passes calls to membership, claims and log streams.
+pub struct PeerHandler {
+    /// Membership.
+    pub cluster: cluster::Cluster,
+    /// Claims.
+    pub ledger: slots::SlotLedger,
+    /// Log streams.
+    pub streams: sync::Arc<streams::Streams>,
+}
+
+impl handler::Handler for PeerHandler {
+    fn contact(&self) -> record::Record {
+        self.cluster.record()
+    }
+
+    fn gossip(&self, from: id::VmId, message: membership::Message) {
+        self.cluster.receive(&from, message);
+    }
+
+    fn claims(&self, from: node::Node, message: claims::Message) {
+        self.ledger.receive(&from, message);
+    }
+
+    fn pull_config(&self, from: offset::Offset) -> transfer::Transfer<config_state::ConfigState> {
+        self.streams.config.transfer(from)
+    }
+
+    fn pull_control(
+        &self,
+        from: offset::Offset,
+    ) -> transfer::Transfer<control_state::ControlState> {
+        self.streams.control.transfer(from)
+    }
+}
--- a/crates/basilgrade_server/src/serve.rs
+++ b/crates/basilgrade_server/src/serve.rs
@@ -92,6 +92,10 @@
             hyper::StatusCode::SERVICE_UNAVAILABLE,
             "no configuration is in force\n",
         ),
+        core::Phase::Behind => respond::plain(
+            hyper::StatusCode::SERVICE_UNAVAILABLE,
+            "fetching the state of the peers\n",
+        ),
         core::Phase::Draining => {
             respond::plain(hyper::StatusCode::SERVICE_UNAVAILABLE, "draining\n")
         }
