Add basilctl

Cause: operators need to check, publish and compare configurations and to look after daemons. Change: commands check, publish, show, diff, status, explain, drain and log-level with plain and JSON output, documented exit codes and completion.

--- /dev/null
+++ b/crates/basilctl/src/command.rs
@@ -0,0 +1,14 @@
+//! The commands.
+
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod drain;
+pub(crate) mod explain;
+pub(crate) mod log_level;
+pub(crate) mod publish;
+pub(crate) mod show;
+pub(crate) mod status;
+
+mod daemon;
+mod file;
+mod platform;
--- /dev/null
+++ b/crates/basilctl/src/command/drain.rs
@@ -0,0 +1,22 @@
+//! `basilctl drain`
+
+use serde_json::json;
+
+use crate::code::Code;
+use crate::command::daemon;
+use crate::options::daemon::Daemon;
+use crate::report::Report;
+
+pub(crate) async fn run(options: &Daemon) -> Report {
+    let client = match daemon::connect(options).await {
+        Ok(client) => client,
+        Err(report) => return report,
+    };
+    match client.drain().await {
+        Ok(()) => Report::success(
+            format!("`{}` is draining", options.admin),
+            json!({"draining": true}),
+        ),
+        Err(error) => daemon::failure(&error, Code::Unknown),
+    }
+}
--- /dev/null
+++ b/crates/basilctl/src/command/explain.rs
@@ -0,0 +1,30 @@
+//! `basilctl explain`
+
+use basilgrade_types::request;
+use serde_json::json;
+
+use crate::code::Code;
+use crate::command::daemon;
+use crate::options::daemon::Daemon;
+use crate::report::Report;
+
+pub(crate) async fn run(options: &Daemon, request: request::RequestId) -> Report {
+    let client = match daemon::connect(options).await {
+        Ok(client) => client,
+        Err(report) => return report,
+    };
+    match client.explain(request).await {
+        Ok(Some(lines)) => Report::success(
+            lines.join("\n"),
+            json!({"request": request, "lines": lines}),
+        ),
+        Ok(None) => Report::failure(
+            Code::Problem,
+            format!(
+                "`{}` keeps no decisions of request `{request}`; ask the daemon that answered it",
+                options.admin
+            ),
+        ),
+        Err(error) => daemon::failure(&error, Code::Problem),
+    }
+}
--- /dev/null
+++ b/crates/basilctl/src/command/show.rs
@@ -0,0 +1,44 @@
+//! `basilctl show`
+
+use basilgrade_types::revision;
+use serde_json::json;
+
+use crate::code::Code;
+use crate::command::daemon;
+use crate::command::platform;
+use crate::options::daemon::Daemon;
+use crate::options::platform::Platform;
+use crate::report::Report;
+
+pub(crate) async fn from_log(options: &Platform) -> Report {
+    match platform::read(options).await {
+        Ok(stream) => show(stream.revision(), stream.text()),
+        Err(report) => report,
+    }
+}
+
+pub(crate) async fn from_daemon(options: &Daemon) -> Report {
+    let client = match daemon::connect(options).await {
+        Ok(client) => client,
+        Err(report) => return report,
+    };
+    match client.configuration().await {
+        Ok(Some(found)) => show(found.revision, &found.text),
+        Ok(None) => show(revision::Revision::default(), ""),
+        Err(error) => daemon::failure(&error, Code::Problem),
+    }
+}
+
+fn show(revision: revision::Revision, text: &str) -> Report {
+    if revision == revision::Revision::default() {
+        return Report::failure(
+            Code::Problem,
+            "no configuration is in force; publish one with `basilctl publish`",
+        );
+    }
+    // The first line is a comment, so that the output is a configuration again.
+    Report::success(
+        format!("# revision {revision}\n{text}"),
+        json!({"revision": revision, "text": text}),
+    )
+}
--- /dev/null
+++ b/crates/basilctl/src/lib.rs
@@ -0,0 +1,12 @@
+//! The operators' command line of basilgrade.
+
+pub mod code;
+pub mod publish;
+pub mod stream;
+
+mod command;
+mod options;
+mod report;
+mod run;
+
+pub use run::main;
--- a/crates/basilctl/src/main.rs
+++ b/crates/basilctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The operators' command line of basilgrade.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    basilctl::main()
+}
--- /dev/null
+++ b/crates/basilctl/src/options/format.rs
@@ -0,0 +1,18 @@
+//! The form of the output.
+
+use bpaf::Parser;
+
+/// The form of the output.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Format {
+    /// One JSON object.
+    Json,
+    /// Text for people.
+    Plain,
+}
+
+pub(super) fn format() -> impl Parser<Format> {
+    bpaf::long("json")
+        .help("Print one JSON object")
+        .flag(Format::Json, Format::Plain)
+}
--- /dev/null
+++ b/crates/basilctl/src/stream.rs
@@ -0,0 +1,94 @@
+//! Stream `config` as an operator's tool reads it.
+
+mod config_merge;
+pub mod error;
+
+use std::sync::Arc;
+
+use basilgrade_journal::chunk;
+use basilgrade_journal::config_state;
+use basilgrade_journal::entry;
+use basilgrade_journal::fold;
+use basilgrade_journal::merge;
+use basilgrade_journal::publication;
+use basilgrade_journal::stream;
+use basilgrade_platform::error::ReadError;
+use basilgrade_platform::log_service;
+use basilgrade_types::clock;
+use basilgrade_types::clock::Clock;
+use basilgrade_types::offset;
+use basilgrade_types::revision;
+
+use crate::stream::error::StreamError;
+
+/// Records asked for in one read.
+const BATCH: usize = 256;
+
+/// The configuration in force, as far as the stream has been read.
+pub struct Stream {
+    fold: fold::Fold<config_state::ConfigState>,
+    clock: clock::SystemClock,
+}
+
+impl Default for Stream {
+    fn default() -> Self {
+        let merge: Arc<dyn merge::Merge> = Arc::new(config_merge::ConfigMerge);
+        Self {
+            fold: fold::Fold::new(merge),
+            clock: clock::SystemClock::new(),
+        }
+    }
+}
+
+impl Stream {
+    /// Reads the stream up to its end.
+    ///
+    /// # Errors
+    ///
+    /// If the log cannot be read, or retention has removed what is needed.
+    pub async fn catch_up(&mut self, log: &dyn log_service::LogService) -> Result<(), StreamError> {
+        loop {
+            let from = self.fold.wanted();
+            let batch = match log.read(stream::CONFIG, from, BATCH).await {
+                Err(ReadError::Expired(first)) => log.read(stream::CONFIG, first, BATCH).await?,
+                answer => answer?,
+            };
+            let done = batch.records.is_empty();
+            self.fold.feed(self.clock.now(), &to_chunk(from, batch));
+            if done && self.fold.is_current() {
+                return Ok(());
+            }
+            if done {
+                return Err(StreamError::Incomplete);
+            }
+        }
+    }
+
+    /// The revision in force; 0 if there is none.
+    pub const fn revision(&self) -> revision::Revision {
+        self.fold.state().revision()
+    }
+
+    /// The text in force.
+    pub fn text(&self) -> &str {
+        self.fold.state().text()
+    }
+
+    /// What became of a publication, as far as the stream has been read.
+    pub fn outcome(&self, publication: &publication::Publication) -> publication::Outcome {
+        publication.outcome(self.fold.state(), self.fold.next())
+    }
+}
+
+fn to_chunk(from: offset::Offset, batch: log_service::Batch) -> chunk::Chunk {
+    let entries = batch.records.into_iter().map(|record| entry::Entry {
+        offset: record.offset,
+        body: record.body,
+    });
+    chunk::Chunk {
+        from: from.max(batch.first),
+        first: batch.first,
+        next: batch.next,
+        entries: entries.collect(),
+    }
+}
--- a/crates/basilgrade_server/benches/hot_path/load.rs
+++ b/crates/basilgrade_server/benches/hot_path/load.rs
@@ -22,10 +22,13 @@
 }
 
 /// A request that can be built again and again.
-pub(crate) type Build = sync::Arc<dyn Fn() -> hyper::Request<http_body_util::Full<Bytes>> + Send + Sync>;
+pub(crate) type Build =
+    sync::Arc<dyn Fn() -> hyper::Request<http_body_util::Full<Bytes>> + Send + Sync>;
 
 /// Opens a connection.
-pub(crate) async fn connect(address: net::SocketAddr) -> http1::SendRequest<http_body_util::Full<Bytes>> {
+pub(crate) async fn connect(
+    address: net::SocketAddr,
+) -> http1::SendRequest<http_body_util::Full<Bytes>> {
     let stream = tokio::net::TcpStream::connect(address)
         .await
         .expect("the stand-in listens");
