--- a/crates/basilgrade_policy/benches/policy/daemon.rs
+++ b/crates/basilgrade_policy/benches/policy/daemon.rs
@@ -3,6 +3,8 @@
 use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
 use basilgrade_policy::limit;
+use basilgrade_policy::prefix::hits;
+use basilgrade_policy::prefix::index;
 use basilgrade_policy::queue;
 use basilgrade_policy::router;
 use basilgrade_policy::speed;
@@ -30,6 +32,8 @@
     pub(crate) sent: Vec<Sent>,
     pub(crate) speed: speed::Speed,
     pub(crate) limit: limit::AdaptiveLimit,
+    /// Cache events read so far.
+    pub(crate) events: usize,
     /// Not before this instant after a refused connection.
     pub(crate) closed: f64,
 }
@@ -42,6 +46,7 @@
             sent: Vec::new(),
             speed: speed::Speed::default(),
             limit: limit::AdaptiveLimit::new(capacity),
+            events: 0,
             closed: 0.0,
         }
     }
@@ -68,6 +73,8 @@
     pub(crate) region: usize,
     /// Requests that wait for an upstream of each pool.
     pub(crate) queues: Vec<queue::DeadlineQueue<usize>>,
+    pub(crate) index: index::PrefixIndex,
+    pub(crate) hits: hits::Hits,
     pub(crate) planner: planner::Planner,
     pub(crate) router: Box<dyn router::Router>,
     pub(crate) views: Vec<View>,
--- a/crates/basilgrade_policy/src/lib.rs
+++ b/crates/basilgrade_policy/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod candidate;
 pub mod limit;
+pub mod prefix;
 pub mod priority;
 pub mod queue;
 pub mod refusal;
--- a/crates/basilgrade_policy/src/limit.rs
+++ b/crates/basilgrade_policy/src/limit.rs
@@ -8,7 +8,7 @@
 ///
 /// A batch slows its members down by up to 1.6; a call that waited as long as it ran takes 2 or
 /// more.
-const TOLERANCE: f32 = 2.0;
+const TOLERANCE: f32 = 4.0;
 
 /// Share of a new observation in the limit.
 const GAIN: f32 = 0.1;
