Expect the whole prefix on the upstream that all daemons prefer

Cause: with half a prefix expected there, evidence of a copy in the own region wins, so each region caches every prefix again.

Change: the preferred upstream counts as having the whole prefix.

--- a/crates/basilgrade_policy/benches/policy/world.rs
+++ b/crates/basilgrade_policy/benches/policy/world.rs
@@ -55,9 +55,6 @@
 /// Bytes of a daemon's prefix index.
 const INDEX: usize = 256 << 10;
 
-/// Share of a prefix that is expected at the upstream that all daemons prefer for it.
-const PRIOR: f64 = 0.5;
-
 /// Factor from the time of a call alone to its time in a busy batch.
 const BUSY: f64 = 1.4;
 
@@ -583,8 +580,8 @@
                 .iter_mut()
                 .find(|found| Some(found.index) == preferred);
             if let Some(found) = found {
-                let prior = (PRIOR * chain.len() as f64 * cache::BLOCK) as u32;
-                found.cached = found.cached.max(prior);
+                let whole = (chain.len() as f64 * cache::BLOCK) as u32;
+                found.cached = whole;
             }
         }
     }
