--- /dev/null
+++ b/crates/basilgrade_membership/src/domain_delta.rs
@@ -0,0 +1,19 @@
+//! Newer items of a domain summary.
+
+use basilgrade_types::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ledger_delta;
+use crate::term;
+
+/// Newer items of the summary of one domain.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DomainDelta {
+    /// The domain.
+    pub domain: id::DomainId,
+    /// Who wrote them.
+    pub term: term::Term,
+    /// The items.
+    pub delta: ledger_delta::LedgerDelta,
+}
--- /dev/null
+++ b/crates/basilgrade_membership/src/item.rs
@@ -0,0 +1,100 @@
+//! Items of disseminated state.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::health;
+use crate::item_key;
+use crate::load_total;
+use crate::prefix_hint;
+use crate::progress;
+use crate::record;
+use crate::status;
+use crate::tag;
+
+/// One item of state of a daemon or of a domain.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Item {
+    /// The owner's record; the first item of every daemon.
+    Record(record::Record),
+    /// Revision in force and control offset.
+    Progress(progress::Progress),
+    /// Health of an upstream.
+    Health {
+        /// Tag of the upstream's name.
+        upstream: tag::Tag,
+        /// Its health.
+        health: health::Health,
+    },
+    /// Load total of a pool in the domain.
+    Load {
+        /// Tag of the pool's name.
+        pool: tag::Tag,
+        /// Its load.
+        total: load_total::LoadTotal,
+    },
+    /// Demand of a customer, in tenths of a request per second.
+    Demand {
+        /// Tag of the customer's name.
+        customer: tag::Tag,
+        /// Requests per ten seconds; 0 withdraws the item.
+        rate: u32,
+    },
+    /// A prefix hint.
+    Prefix(prefix_hint::PrefixHint),
+    /// A member of the domain, in the summary of the domain.
+    Member {
+        /// Its record.
+        record: record::Record,
+        /// Its state in the view of the domain.
+        status: status::Status,
+    },
+}
+
+impl Item {
+    /// The identity of the item inside its ledger.
+    pub fn key(&self) -> item_key::ItemKey {
+        match self {
+            Self::Record(_) => item_key::ItemKey::Record,
+            Self::Progress(_) => item_key::ItemKey::Progress,
+            Self::Health { upstream, .. } => item_key::ItemKey::Health(*upstream),
+            Self::Load { pool, .. } => item_key::ItemKey::Load(*pool),
+            Self::Demand { customer, .. } => item_key::ItemKey::Demand(*customer),
+            Self::Prefix(hint) => item_key::ItemKey::Prefix(hint.prefix),
+            Self::Member { record, .. } => {
+                item_key::ItemKey::Member(tag::Tag::of(record.vm.as_str()))
+            }
+        }
+    }
+
+    /// Whether the item only withdraws an earlier one.
+    pub fn is_withdrawal(&self) -> bool {
+        match self {
+            Self::Record(_) | Self::Progress(_) => false,
+            Self::Health { health, .. } => *health == health::Health::Healthy,
+            Self::Load { total, .. } => *total == load_total::LoadTotal::default(),
+            Self::Demand { rate, .. } => *rate == 0,
+            Self::Prefix(hint) => hint.tokens == 0,
+            Self::Member { status, .. } => *status == status::Status::Dead,
+        }
+    }
+
+    /// Whether a change of the item is passed on at once instead of in the next round.
+    pub const fn is_urgent(&self) -> bool {
+        matches!(self, Self::Health { .. })
+    }
+
+    /// Upper bound of the encoded size with its version, in bytes.
+    pub fn weight(&self) -> usize {
+        match self {
+            Self::Record(record) | Self::Member { record, .. } => {
+                40 + record.vm.as_str().len() + record.domain.as_str().len()
+            }
+            Self::Progress(_) => 26,
+            Self::Health { .. } => 13,
+            Self::Load { .. } => 27,
+            Self::Demand { .. } => 17,
+            Self::Prefix(_) => 23,
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/src/node.rs
@@ -0,0 +1,289 @@
+//! A daemon's part in membership and dissemination.
+
+mod domains;
+mod exchange;
+mod joining;
+mod judge;
+mod members;
+mod memory;
+mod ownership;
+mod publish;
+mod query;
+mod reader;
+mod rounds;
+
+use std::collections;
+
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::incarnation;
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::RngExt;
+
+use crate::body;
+use crate::contact;
+use crate::item;
+use crate::load_total;
+use crate::member;
+use crate::message;
+use crate::outgoing;
+use crate::pause;
+use crate::phase;
+use crate::prefix_hint;
+use crate::progress;
+use crate::pull;
+use crate::settings;
+use crate::status;
+use crate::summary;
+use crate::tag;
+use crate::timing;
+use crate::vm_hint;
+
+/// A daemon's membership state, without input or output of its own.
+///
+/// The daemon calls [`Node::tick`] every [`timing::TICK`] and [`Node::receive`] for each message,
+/// and sends what they return.
+#[derive(Clone, Debug)]
+pub struct Node {
+    settings: settings::Settings,
+    tag: tag::Tag,
+    pause: pause::PauseDetector,
+    phase: phase::Phase,
+    /// It was ready once and has not been paused for long since.
+    ready: bool,
+    /// It has been a member once.
+    joined: bool,
+    /// A newer run of the same VM exists.
+    superseded: bool,
+    /// Members of the own domain, with this daemon.
+    members: IndexMap<tag::Tag, member::Member>,
+    /// The newest incarnation known of each VM.
+    newest: IndexMap<id::VmId, incarnation::Incarnation>,
+    /// Summaries of all domains, by the tag of the name.
+    domains: IndexMap<tag::Tag, summary::Summary>,
+    hints: IndexMap<id::VmId, vm_hint::VmHint>,
+    contacts: IndexMap<id::VmId, contact::Contact>,
+    next_round: clock::Millis,
+    rounds: u64,
+    /// When an urgent change is passed on.
+    urgent: Option<clock::Millis>,
+    /// Since when this daemon has been the choice as log reader.
+    chosen: Option<clock::Millis>,
+    log_failed: Option<clock::Millis>,
+    pulls: IndexMap<pull::Stream, (u64, clock::Millis)>,
+    demand: IndexMap<tag::Tag, u32>,
+    loads: IndexMap<tag::Tag, load_total::LoadTotal>,
+    hints_pending: collections::VecDeque<prefix_hint::PrefixHint>,
+    soft_tokens: usize,
+    fleet_tokens: usize,
+}
+
+impl Node {
+    /// A node that starts at `now` and knows nobody.
+    pub fn new(now: clock::Millis, settings: settings::Settings, rng: &mut dyn Rng) -> Self {
+        let mut node = Self {
+            tag: settings.record.tag(),
+            pause: pause::PauseDetector::new(now),
+            phase: phase::Phase::fetching(now),
+            ready: false,
+            joined: false,
+            superseded: false,
+            members: IndexMap::new(),
+            newest: IndexMap::new(),
+            domains: IndexMap::new(),
+            hints: IndexMap::new(),
+            contacts: IndexMap::new(),
+            next_round: now.plus(clock::Millis(rng.random_range(0..timing::ROUND.0))),
+            rounds: 0,
+            urgent: None,
+            chosen: None,
+            log_failed: None,
+            pulls: IndexMap::new(),
+            demand: IndexMap::new(),
+            loads: IndexMap::new(),
+            hints_pending: collections::VecDeque::new(),
+            soft_tokens: 0,
+            fleet_tokens: 0,
+            settings,
+        };
+        node.install_self(now);
+        node
+    }
+
+    /// Adds this daemon to its own member table, under its present incarnation.
+    fn install_self(&mut self, now: clock::Millis) {
+        self.tag = self.settings.record.tag();
+        let record = self.settings.record.clone();
+        self.newest.insert(record.vm.clone(), record.incarnation);
+        let mut own = member::Member::new(record.clone(), now);
+        own.version = 1;
+        own.ledger.set(now, item::Item::Record(record));
+        self.members.insert(self.tag, own);
+    }
+
+    /// Advances time; to be called every [`timing::TICK`].
+    pub fn tick(&mut self, now: clock::Millis, rng: &mut dyn Rng) -> Vec<outgoing::Outgoing> {
+        self.observe_time(now);
+        let mut out = Vec::new();
+        if self.superseded {
+            return out;
+        }
+        self.judge(now);
+        self.probe(now, &mut out);
+        self.advance_join(now, rng, &mut out);
+        self.update_reader(now);
+        if now >= self.next_round {
+            let jitter = rng.random_range(0..=timing::TICK.0);
+            self.next_round = now.plus(clock::Millis(
+                timing::ROUND.0 - timing::TICK.0 / 2 + jitter - timing::TICK.0 / 2,
+            ));
+            self.rounds += 1;
+            self.publish(now);
+            self.enforce_memory();
+            self.gossip_round(now, rng, &mut out);
+            self.urgent = None;
+        } else if self.urgent.is_some_and(|at| now >= at) {
+            self.urgent = None;
+            self.gossip_members(now, rng, false, &mut out);
+        }
+        out
+    }
+
+    /// When [`Node::tick`] should be called next, at the latest.
+    pub fn next_tick(&self, now: clock::Millis) -> clock::Millis {
+        let regular = now.plus(timing::TICK);
+        self.urgent.map_or(regular, |at| at.max(now).min(regular))
+    }
+
+    /// Handles a message that the authenticated daemon on `from` sent.
+    pub fn receive(
+        &mut self,
+        now: clock::Millis,
+        from: &id::VmId,
+        message: message::Message,
+    ) -> Vec<outgoing::Outgoing> {
+        self.observe_time(now);
+        let mut out = Vec::new();
+        if self.superseded || *from == self.settings.record.vm && !self.is_newer_self(&message) {
+            return out;
+        }
+        if self
+            .newest
+            .get(from)
+            .is_some_and(|newest| message.incarnation < *newest)
+        {
+            self.answer_old_run(now, from, &message, &mut out);
+            return out;
+        }
+        match message.body {
+            body::Body::Digest(digest) => self.on_digest(now, from, digest, &mut out),
+            body::Body::Answer(answer) => self.on_answer(now, from, answer, &mut out),
+            body::Body::News(news) => {
+                self.apply_news(now, news);
+            }
+            body::Body::Probe(record) => self.on_probe(now, from, &record, &mut out),
+            body::Body::Reply(heartbeat) => {
+                self.apply_heartbeat(now, heartbeat);
+            }
+            body::Body::Join(digest) => self.on_join(now, from, &digest, &mut out),
+            body::Body::Chunk(chunk) => self.on_chunk(now, from, chunk, &mut out),
+        }
+        out
+    }
+
+    /// Takes over the VM list. It tells whom to contact, and changes the state of nobody.
+    pub fn observe_vm_list(&mut self, entries: impl IntoIterator<Item = vm_hint::VmHint>) {
+        self.hints = entries
+            .into_iter()
+            .filter(|hint| hint.vm != self.settings.record.vm)
+            .take(crate::limits::NAME_LIMIT)
+            .map(|hint| (hint.vm.clone(), hint))
+            .collect();
+    }
+
+    /// Announces that this daemon will stop.
+    pub fn leave(&mut self, now: clock::Millis) {
+        let own = self.own_mut();
+        own.version += 1;
+        own.set_status(now, status::Status::Leaving);
+        self.schedule_urgent(now);
+    }
+
+    /// Reports how far this daemon has read the log streams; lower numbers than before are ignored.
+    pub fn set_progress(
+        &mut self,
+        now: clock::Millis,
+        revision: basilgrade_types::revision::Revision,
+        control: basilgrade_types::offset::Offset,
+    ) {
+        let held = self.own().progress();
+        let progress = progress::Progress {
+            revision: revision.max(held.revision),
+            control: control.max(held.control),
+            log: held.log,
+        };
+        self.put_progress(now, progress);
+    }
+
+    fn put_progress(&mut self, now: clock::Millis, progress: progress::Progress) {
+        if self.own().progress() == progress {
+            return;
+        }
+        let before = self.domain_progress();
+        self.own_mut()
+            .ledger
+            .set(now, item::Item::Progress(progress));
+        // Only the first of the domain to hold a number has news for the others.
+        if self.domain_progress() != before {
+            self.schedule_urgent(now);
+        }
+    }
+
+    fn own(&self) -> &member::Member {
+        &self.members[&self.tag]
+    }
+
+    fn own_mut(&mut self) -> &mut member::Member {
+        &mut self.members[&self.tag]
+    }
+
+    fn schedule_urgent(&mut self, now: clock::Millis) {
+        self.urgent.get_or_insert(now.plus(timing::URGENT_DELAY));
+    }
+
+    /// Notices a pause of this process and withdraws trust in its own view after one.
+    fn observe_time(&mut self, now: clock::Millis) {
+        let Some(gap) = self.pause.observe(now) else {
+            return;
+        };
+        for contact in self.contacts.values_mut() {
+            contact.failed = clock::Millis::ZERO;
+            contact.probe = None;
+        }
+        self.chosen = None;
+        // The others have taken this daemon for dead, and its revision may be old.
+        if gap >= timing::DEAD_AFTER {
+            self.ready = false;
+            self.phase = phase::Phase::fetching(now);
+        }
+    }
+
+    fn message(&self, body: body::Body) -> message::Message {
+        message::Message {
+            incarnation: self.settings.record.incarnation,
+            body,
+        }
+    }
+
+    fn send(&self, vm: &id::VmId, body: body::Body, out: &mut Vec<outgoing::Outgoing>) {
+        let Some(address) = self.address(vm) else {
+            return;
+        };
+        out.push(outgoing::Outgoing {
+            vm: vm.clone(),
+            address,
+            message: self.message(body),
+        });
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/src/node/members.rs
@@ -0,0 +1,267 @@
+//! The member table of the own domain.
+
+use std::net;
+
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::incarnation;
+
+use crate::body;
+use crate::heartbeat;
+use crate::ledger;
+use crate::limits;
+use crate::member;
+use crate::member_delta;
+use crate::message;
+use crate::news;
+use crate::node;
+use crate::outgoing;
+use crate::record;
+use crate::status;
+use crate::tag;
+use crate::timing;
+use crate::want;
+
+/// Least time between two raises of the own version.
+const BEAT_INTERVAL: clock::Millis = clock::Millis(200);
+
+impl node::Node {
+    pub(super) fn address(&self, vm: &id::VmId) -> Option<net::SocketAddr> {
+        self.member_of(vm)
+            .map(|member| member.record.address)
+            .or_else(|| self.remote_record(vm).map(|(record, _)| record.address))
+            .or_else(|| self.hints.get(vm).map(|hint| hint.address))
+    }
+
+    /// The newest known run of a VM of the own domain.
+    pub(super) fn member_of(&self, vm: &id::VmId) -> Option<&member::Member> {
+        let incarnation = self.newest.get(vm)?;
+        self.members.get(&tag::Tag::daemon(vm, *incarnation))
+    }
+
+    /// The members other than this daemon.
+    pub(super) fn others(&self) -> impl Iterator<Item = (tag::Tag, &member::Member)> {
+        self.members
+            .iter()
+            .filter(|(tag, _)| **tag != self.tag)
+            .map(|(tag, member)| (*tag, member))
+    }
+
+    /// Adds a run of a daemon, unless a newer one is known; returns whether it is a member.
+    pub(super) fn learn(&mut self, now: clock::Millis, record: &record::Record) -> bool {
+        if record.vm == self.settings.record.vm {
+            return self.learn_self(now, record);
+        }
+        let known = self.newest.get(&record.vm).copied();
+        if known.is_some_and(|known| record.incarnation < known) {
+            return false;
+        }
+        self.note_incarnation(&record.vm, record.incarnation);
+        if record.domain != self.settings.record.domain {
+            return false;
+        }
+        let tag = record.tag();
+        if self.members.contains_key(&tag) {
+            return true;
+        }
+        if let Some(known) = known {
+            self.members
+                .shift_remove(&tag::Tag::daemon(&record.vm, known));
+        }
+        if self.members.len() >= limits::MEMBER_LIMIT {
+            return false;
+        }
+        self.contacts.shift_remove(&record.vm);
+        self.members
+            .insert(tag, member::Member::new(record.clone(), now));
+        true
+    }
+
+    /// Handles a record that bears the name of this daemon's VM.
+    ///
+    /// A daemon whose clock is behind that of its former run would be taken for the old one. While
+    /// it joins, it takes a later incarnation instead; once it has joined, a later run of its VM
+    /// means that it is itself the old one.
+    fn learn_self(&mut self, now: clock::Millis, record: &record::Record) -> bool {
+        let own = self.settings.record.incarnation;
+        if record.incarnation <= own {
+            return record.incarnation == own;
+        }
+        if self.joined {
+            self.superseded = true;
+            return false;
+        }
+        let old = self.tag;
+        let progress = self.own().progress();
+        self.settings.record.incarnation = incarnation::Incarnation(record.incarnation.0 + 1);
+        self.members.shift_remove(&old);
+        self.install_self(now);
+        self.put_progress(now, progress);
+        false
+    }
+
+    fn note_incarnation(&mut self, vm: &id::VmId, incarnation: incarnation::Incarnation) {
+        if self.newest.len() >= limits::NAME_LIMIT && !self.newest.contains_key(vm) {
+            self.newest.shift_remove_index(0);
+        }
+        let newest = self.newest.entry(vm.clone()).or_insert(incarnation);
+        *newest = incarnation.max(*newest);
+    }
+
+    /// Whether `message` speaks for a newer run of this daemon's own VM.
+    pub(super) fn is_newer_self(&self, message: &message::Message) -> bool {
+        message.incarnation > self.settings.record.incarnation
+    }
+
+    /// Tells a daemon that a newer run of its VM is known; nothing of its message is applied.
+    pub(super) fn answer_old_run(
+        &self,
+        now: clock::Millis,
+        from: &id::VmId,
+        message: &message::Message,
+        out: &mut Vec<outgoing::Outgoing>,
+    ) {
+        let asks = matches!(
+            message.body,
+            body::Body::Digest(_) | body::Body::Join(_) | body::Body::Probe(_)
+        );
+        let Some(member) = self.member_of(from).filter(|_| asks) else {
+            return;
+        };
+        let tag = member.record.tag();
+        let news = news::News {
+            heartbeats: self.heartbeat(now, tag).into_iter().collect(),
+            members: member
+                .ledger
+                .delta(0)
+                .map(|delta| member_delta::MemberDelta { tag, delta })
+                .into_iter()
+                .collect(),
+            domains: Vec::new(),
+        };
+        self.send(from, body::Body::News(news), out);
+    }
+
+    /// Raises the own version, as a sign of life.
+    pub(super) fn beat(&mut self, now: clock::Millis) {
+        let own = self.own_mut();
+        if now.since(own.alive) >= BEAT_INTERVAL {
+            own.version += 1;
+            own.alive = now;
+        }
+    }
+
+    /// The heartbeat of a member as this daemon passes it on.
+    pub(super) fn heartbeat(
+        &self,
+        now: clock::Millis,
+        tag: tag::Tag,
+    ) -> Option<heartbeat::Heartbeat> {
+        let member = self.members.get(&tag)?;
+        Some(heartbeat::Heartbeat {
+            tag,
+            version: member.version,
+            items: member.ledger.version(),
+            status: member.status,
+            age: u16::try_from(now.since(member.alive).0 / 10).unwrap_or(u16::MAX),
+        })
+    }
+
+    /// Whether digests still mention a member.
+    pub(super) fn is_mentioned(now: clock::Millis, member: &member::Member) -> bool {
+        member.status != status::Status::Dead
+            || now.since(member.since) < timing::DEAD_MENTIONED_FOR
+    }
+
+    /// Takes over a heartbeat; returns what to ask its sender for.
+    pub(super) fn apply_heartbeat(
+        &mut self,
+        now: clock::Millis,
+        heartbeat: heartbeat::Heartbeat,
+    ) -> Option<want::Want> {
+        if heartbeat.tag == self.tag {
+            self.refute(now, heartbeat);
+            return None;
+        }
+        let age = clock::Millis(u64::from(heartbeat.age) * 10);
+        let resumed = self.pause.resumed();
+        let Some(member) = self.members.get_mut(&heartbeat.tag) else {
+            let stale = heartbeat.status == status::Status::Dead || age >= timing::DEAD_AFTER;
+            return (!stale).then_some(want::Want {
+                tag: heartbeat.tag,
+                from: 0,
+            });
+        };
+        let mut urgent = false;
+        let silence = now.since(member.alive.max(resumed));
+        if heartbeat.version > member.version {
+            member.version = heartbeat.version;
+            member.alive = member.alive.max(now.since(age));
+            let silence = now.since(member.alive);
+            if heartbeat.status.is_live() && silence < timing::SUSPECT_AFTER {
+                // A daemon does not return from leaving in the same run.
+                let status = heartbeat.status.max(match member.status {
+                    status::Status::Leaving => status::Status::Leaving,
+                    _ => status::Status::Alive,
+                });
+                urgent = status != member.status;
+                member.set_status(now, status);
+            }
+        } else if heartbeat.version == member.version
+            && !heartbeat.status.is_live()
+            && member.status.is_live()
+            && silence >= timing::PROBE_AFTER
+        {
+            member.set_status(now, status::Status::Suspect);
+        }
+        let want = (heartbeat.items > member.ledger.version()).then(|| want::Want {
+            tag: heartbeat.tag,
+            from: member.ledger.version(),
+        });
+        if urgent {
+            self.schedule_urgent(now);
+        }
+        want
+    }
+
+    /// Answers a suspicion of this daemon by raising its version above the suspected one.
+    fn refute(&mut self, now: clock::Millis, heartbeat: heartbeat::Heartbeat) {
+        let own = self.own_mut();
+        if heartbeat.version < own.version || heartbeat.status.is_live() {
+            return;
+        }
+        own.version = heartbeat.version + 1;
+        own.alive = now;
+        self.schedule_urgent(now);
+    }
+
+    /// Takes over items of a member.
+    pub(super) fn apply_member(
+        &mut self,
+        now: clock::Millis,
+        delta: member_delta::MemberDelta,
+    ) -> ledger::Applied {
+        if delta.tag == self.tag {
+            return ledger::Applied::default();
+        }
+        if !self.members.contains_key(&delta.tag) {
+            let record = delta
+                .delta
+                .items
+                .iter()
+                .find_map(|entry| match &entry.item {
+                    crate::item::Item::Record(record) if record.tag() == delta.tag => {
+                        Some(record.clone())
+                    }
+                    _ => None,
+                });
+            if !record.is_some_and(|record| self.learn(now, &record)) {
+                return ledger::Applied::default();
+            }
+        }
+        match self.members.get_mut(&delta.tag) {
+            Some(member) => member.ledger.apply(now, delta.delta),
+            None => ledger::Applied::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/src/node/reader.rs
@@ -0,0 +1,172 @@
+//! The log reader of the domain, and whom to pull from.
+
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::member;
+use crate::node;
+use crate::phase;
+use crate::progress;
+use crate::pull;
+use crate::record;
+use crate::status;
+use crate::summary;
+use crate::tag;
+use crate::timing;
+
+impl node::Node {
+    /// The member that reads the log for the domain: the one that has run longest, among those
+    /// that are alive and can reach the log.
+    ///
+    /// The longest-running member changes only when it goes, and never because another joins.
+    pub fn domain_reader(&self, now: clock::Millis) -> Option<&id::VmId> {
+        self.reader_tag(now)
+            .and_then(|tag| self.members.get(&tag))
+            .map(|member| &member.record.vm)
+    }
+
+    fn reader_tag(&self, now: clock::Millis) -> Option<tag::Tag> {
+        let own_fit = matches!(self.phase, phase::Phase::Joined) && !self.pause.is_recent(now);
+        self.members
+            .iter()
+            .filter(|(tag, member)| {
+                member.status == status::Status::Alive && (**tag != self.tag || own_fit)
+            })
+            .min_by_key(|(tag, member)| {
+                let access = member.progress().log;
+                (
+                    access == progress::LogAccess::Unreachable,
+                    member.record.incarnation,
+                    **tag,
+                )
+            })
+            .map(|(tag, _)| *tag)
+    }
+
+    /// Whether this daemon reads the log for its domain, and writes the domain's summary.
+    pub fn reads_log(&self, now: clock::Millis) -> bool {
+        self.chosen
+            .is_some_and(|since| now.since(since) >= timing::READER_DELAY)
+            && self.reader_tag(now) == Some(self.tag)
+    }
+
+    pub(super) fn update_reader(&mut self, now: clock::Millis) {
+        if self.reader_tag(now) == Some(self.tag) {
+            self.chosen.get_or_insert(now);
+        } else {
+            self.chosen = None;
+        }
+        if self
+            .log_failed
+            .is_some_and(|at| now.since(at) >= timing::LOG_STAND_BACK)
+        {
+            self.set_log_access(now, progress::LogAccess::Reachable);
+        }
+    }
+
+    /// Reports whether the log can be reached from here. After a report that it cannot, another
+    /// member becomes reader, if there is one that has not reported the same.
+    pub fn set_log_access(&mut self, now: clock::Millis, log: progress::LogAccess) {
+        self.log_failed = match log {
+            progress::LogAccess::Reachable => None,
+            progress::LogAccess::Unreachable => Some(self.log_failed.unwrap_or(now)),
+        };
+        let progress = progress::Progress {
+            log,
+            ..self.own().progress()
+        };
+        self.put_progress(now, progress);
+    }
+
+    /// The newest numbers among the reachable peers and this daemon.
+    pub fn newest_progress(&self, now: clock::Millis) -> progress::Progress {
+        self.heard_summaries(now)
+            .map(summary::Summary::progress)
+            .fold(self.domain_progress(), progress::Progress::newest)
+    }
+
+    /// The newest numbers among the members of the own domain that are not dead.
+    pub(super) fn domain_progress(&self) -> progress::Progress {
+        self.members
+            .values()
+            .filter(|member| member.status != status::Status::Dead)
+            .map(member::Member::progress)
+            .fold(progress::Progress::default(), progress::Progress::newest)
+    }
+
+    fn heard_summaries(&self, now: clock::Millis) -> impl Iterator<Item = &summary::Summary> {
+        self.remote_summaries()
+            .filter(move |summary| now.since(summary.heard) < timing::DOMAIN_SILENCE)
+    }
+
+    /// Whom to pull records of `stream` from, if a reachable peer has some that this daemon lacks
+    /// and no earlier pull is under way.
+    ///
+    /// Members pull inside their domain. The reader and a daemon that is not ready also pull from
+    /// other domains, so each record crosses into a domain about once.
+    pub fn pull(
+        &mut self,
+        now: clock::Millis,
+        stream: pull::Stream,
+        rng: &mut dyn Rng,
+    ) -> Option<pull::Pull> {
+        let number = |progress: progress::Progress| match stream {
+            pull::Stream::Config => progress.revision.0,
+            pull::Stream::Control => progress.control.0,
+        };
+        let held = number(self.own().progress());
+        if self
+            .pulls
+            .get(&stream)
+            .is_some_and(|(from, at)| *from == held && now.since(*at) < timing::PULL_TIMEOUT)
+        {
+            return None;
+        }
+        let near: Vec<(&record::Record, u64)> = self
+            .others()
+            .filter(|(_, member)| member.status.is_live())
+            .map(|(_, member)| (&member.record, number(member.progress())))
+            .filter(|(_, target)| *target > held)
+            .collect();
+        let far = || {
+            self.heard_summaries(now)
+                .map(|summary| (summary, number(summary.progress())))
+                .filter(|(_, target)| *target > held)
+                .filter_map(|(summary, target)| Some((holder(summary)?, target)))
+                .collect::<Vec<_>>()
+        };
+        let candidates = if !near.is_empty() {
+            near
+        } else if self.reads_log(now) || !self.ready {
+            far()
+        } else {
+            return None;
+        };
+        let newest = candidates.iter().map(|(_, target)| *target).max()?;
+        let holders: Vec<_> = candidates
+            .into_iter()
+            .filter(|(_, target)| *target == newest)
+            .collect();
+        let (record, target) = holders.choose(rng).copied()?;
+        let pull = pull::Pull {
+            stream,
+            vm: record.vm.clone(),
+            address: record.address,
+            held,
+            target,
+        };
+        self.pulls.insert(stream, (held, now));
+        Some(pull)
+    }
+}
+
+/// The member of another domain that is most likely to hold what its summary states.
+fn holder(summary: &summary::Summary) -> Option<&record::Record> {
+    summary
+        .members()
+        .filter(|(_, status)| status.is_live())
+        .map(|(record, _)| record)
+        .max_by_key(|record| record.tag() == summary.term.writer)
+}
--- /dev/null
+++ b/crates/basilgrade_membership/tests/detection.rs
@@ -0,0 +1,174 @@
+//! Detection of deaths and pauses.
+
+mod support;
+
+use basilgrade_membership::contact;
+use basilgrade_membership::death;
+use basilgrade_membership::status;
+use support::Cluster;
+use support::Process;
+use support::vm;
+
+/// Guards against daemons that stay members for longer than the target of 3 s (and one tick) after
+/// their death, and against survivors that then lack the evidence for a change of ownership.
+#[test]
+fn a_killed_daemon_is_dead_for_everyone_within_three_seconds() {
+    for seed in 0..5 {
+        let mut cluster = Cluster::settled(seed, 1, 19);
+        let victim = vm(0, 7);
+        cluster.set(&victim, Process::Killed);
+
+        let took = cluster.run_until(10_000, |cluster| {
+            cluster
+                .nodes
+                .keys()
+                .filter(|observer| **observer != victim)
+                .all(|observer| cluster.status(observer, &victim) == Some(status::Status::Dead))
+        });
+
+        assert!(took <= 3100, "seed {seed}: death was known after {took} ms");
+        for (observer, node) in cluster.nodes.iter().filter(|(vm, _)| **vm != victim) {
+            assert_eq!(
+                node.may_treat_as_dead(cluster.now, &victim, None),
+                death::Death::Confirmed,
+                "seed {seed}: {observer}"
+            );
+        }
+    }
+}
+
+/// Guards against false deaths: over ten minutes without faults nobody is even suspected.
+#[test]
+fn nobody_is_suspected_without_faults() {
+    let mut cluster = Cluster::settled(11, 1, 19);
+
+    let took = cluster.run_until(600_000, |cluster| {
+        cluster.now.0.is_multiple_of(100)
+            && cluster
+                .nodes
+                .values()
+                .any(|node| node.members().any(|(_, status)| !status.is_live()))
+    });
+
+    assert_eq!(took, 600_000, "suspicion after {took} ms");
+}
+
+/// Guards against new ownership for a daemon that cannot use it.
+#[test]
+fn a_paused_daemon_is_not_given_new_ownership() {
+    let mut cluster = Cluster::settled(1, 1, 5);
+    let (paused, observer) = (vm(0, 2), vm(0, 0));
+    for node in cluster.nodes.values_mut() {
+        node.set_progress(
+            cluster.now,
+            basilgrade_types::revision::Revision(1),
+            basilgrade_types::offset::Offset(0),
+        );
+        node.readiness(cluster.now);
+    }
+    let candidates = cluster.nodes[&observer].ownership_candidates(cluster.now);
+    assert!(candidates.contains(&paused));
+
+    cluster.set(&paused, Process::Paused);
+    cluster.run(2300);
+
+    let now = cluster.now;
+    let candidates = cluster.nodes[&observer].ownership_candidates(now);
+    assert!(!candidates.contains(&paused));
+    assert!(candidates.contains(&observer));
+    // The process itself, asked in the moment in which it resumes, gives ownership to nobody.
+    assert!(cluster.nodes[&paused].ownership_candidates(now).is_empty());
+}
+
+/// Guards against a resumed daemon that takes its peers for dead because it heard nothing while it
+/// was paused.
+#[test]
+fn a_resumed_daemon_judges_nobody_by_its_own_pause() {
+    let mut cluster = Cluster::settled(2, 1, 5);
+    let paused = vm(0, 2);
+    cluster.set(&paused, Process::Paused);
+    cluster.run(30_000);
+
+    cluster.set(&paused, Process::Running);
+    let now = cluster.now;
+    let out = cluster.nodes[&paused].tick(now, &mut cluster.rng);
+    let suspects: Vec<_> = cluster.nodes[&paused]
+        .members()
+        .filter(|(_, status)| !status.is_live())
+        .map(|(record, _)| record.vm.clone())
+        .collect();
+    let death = cluster.nodes[&paused].may_treat_as_dead(now, &vm(0, 1), None);
+    cluster.send(&paused, out);
+    cluster.run(5000);
+
+    assert!(suspects.is_empty(), "judged {suspects:?}");
+    assert!(!death.permits_takeover());
+    for observer in cluster.nodes.keys() {
+        assert_eq!(
+            cluster.status(observer, &paused),
+            Some(status::Status::Alive),
+            "{observer} did not accept the refutation"
+        );
+    }
+}
+
+/// Guards against takeovers on the word of others: without an own failed contact since the last
+/// sign of life, death is not confirmed; an answered contact withdraws the confirmation.
+#[test]
+fn a_takeover_needs_an_own_failed_contact() {
+    let mut cluster = Cluster::settled(3, 2, 3);
+    let (victim, observer) = (vm(1, 1), vm(0, 0));
+    let asked =
+        |cluster: &Cluster| cluster.nodes[&observer].may_treat_as_dead(cluster.now, &victim, None);
+    assert_eq!(
+        asked(&cluster),
+        death::Death::NotDead(status::Status::Alive)
+    );
+    cluster.set(&victim, Process::Killed);
+    cluster.run(15_000);
+    assert_eq!(asked(&cluster), death::Death::ContactNeeded);
+
+    let now = cluster.now;
+    let node = cluster.node(&observer);
+    node.report_contact(&victim, now, contact::Outcome::Failed);
+    assert_eq!(asked(&cluster), death::Death::Confirmed);
+
+    let later = basilgrade_types::clock::Millis(now.0 + 1);
+    let node = cluster.node(&observer);
+    node.report_contact(&victim, later, contact::Outcome::Answered);
+    assert_eq!(asked(&cluster), death::Death::ContactNeeded);
+}
+
+/// Guards against a domain that takes over the slots of a domain it only cannot reach.
+#[test]
+fn a_silent_domain_is_not_dead() {
+    let mut cluster = Cluster::settled(4, 2, 3);
+    let (other, observer) = (vm(1, 1), vm(0, 0));
+    cluster.cut(0, 1);
+    cluster.run(60_000);
+
+    let now = cluster.now;
+    let node = cluster.node(&observer);
+    node.report_contact(&other, now, contact::Outcome::Failed);
+
+    let death = cluster.nodes[&observer].may_treat_as_dead(now, &other, None);
+    assert_eq!(death, death::Death::DomainSilent);
+}
+
+/// Guards against a leaving daemon that is given work or taken for dead.
+#[test]
+fn a_leaving_daemon_is_known_within_a_second() {
+    let mut cluster = Cluster::settled(5, 1, 19);
+    let leaver = vm(0, 4);
+    let now = cluster.now;
+    cluster.node(&leaver).leave(now);
+
+    cluster.run(1000);
+
+    for observer in cluster.nodes.keys() {
+        assert_eq!(
+            cluster.status(observer, &leaver),
+            Some(status::Status::Leaving)
+        );
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/tests/join.rs
@@ -0,0 +1,147 @@
+//! Joining daemons.
+
+mod support;
+
+use basilgrade_membership::limits;
+use basilgrade_membership::prefix_hint;
+use basilgrade_membership::pull;
+use basilgrade_membership::readiness;
+use basilgrade_membership::tag;
+use basilgrade_types::offset;
+use basilgrade_types::revision;
+use rand::SeedableRng;
+use rand::rngs;
+use support::Cluster;
+use support::Process;
+use support::vm;
+
+/// Guards against a joiner that serves an old revision. Only one peer has the newest one, and the
+/// joiner may well fetch its state from another; the joiner's own log gives an old revision.
+#[test]
+fn a_joiner_is_not_ready_with_an_older_revision_than_its_reachable_peers() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::settled(seed, 1, 6);
+        let now = cluster.now;
+        for node in cluster.nodes.values_mut() {
+            node.set_progress(now, revision::Revision(4), offset::Offset(1));
+        }
+        cluster.run(3000);
+        let joiner = cluster.start(0, 8);
+        let now = cluster.now;
+        let node = cluster.node(&joiner);
+        node.set_progress(now, revision::Revision(3), offset::Offset(0));
+        let publisher = cluster.node(&vm(0, 3));
+        publisher.set_progress(now, revision::Revision(5), offset::Offset(1));
+
+        let mut states = Vec::new();
+        for _ in 0..4000 {
+            cluster.run(1);
+            let now = cluster.now;
+            states.push(cluster.node(&joiner).readiness(now));
+        }
+
+        assert!(
+            !states.contains(&readiness::Readiness::Ready),
+            "seed {seed}: ready with revision 3"
+        );
+        let behind = readiness::Readiness::Behind(revision::Revision(5));
+        assert_eq!(states.last(), Some(&behind));
+
+        let now = cluster.now;
+        let mut rng = rngs::StdRng::seed_from_u64(seed);
+        let node = cluster.node(&joiner);
+        let pull = node.pull(now, pull::Stream::Config, &mut rng).unwrap();
+        assert_eq!((pull.vm, pull.held, pull.target), (vm(0, 3), 3, 5));
+        node.set_progress(now, revision::Revision(5), offset::Offset(1));
+        assert_eq!(node.readiness(now), readiness::Readiness::Ready);
+    }
+}
+
+/// Guards against join answers above 32 KiB, and against a joiner that lacks a part of the state
+/// after 3 s.
+#[test]
+fn a_joiner_gets_the_whole_state_in_bounded_chunks() {
+    let mut cluster = Cluster::settled(7, 1, 19);
+    for index in 0..19 * 200_u32 {
+        let hint = prefix_hint::PrefixHint {
+            prefix: tag::Tag::of(&format!("prefix-{index}")),
+            upstream: tag::Tag::of("engine"),
+            tokens: 100,
+        };
+        cluster
+            .node(&vm(0, index as usize % 19))
+            .add_prefix_hint(hint);
+    }
+    cluster.run(90_000);
+    let weight = cluster.nodes[&vm(0, 0)].weight();
+    cluster.largest = 0;
+    let joiner = cluster.start(0, 30);
+
+    cluster.run(3000);
+
+    assert!(weight > limits::JOIN_CHUNK, "state of {weight} bytes");
+    assert!(cluster.largest <= limits::JOIN_CHUNK + 4096);
+    let fetched = cluster.nodes[&joiner].weight();
+    assert!(
+        fetched * 20 > weight * 19,
+        "{fetched} bytes of {weight} fetched"
+    );
+    let now = cluster.now;
+    assert_eq!(
+        cluster.node(&joiner).readiness(now),
+        readiness::Readiness::NoRevision
+    );
+}
+
+/// Guards against a daemon that never starts because no listed peer answers.
+#[test]
+fn a_daemon_without_reachable_peers_starts_alone() {
+    let mut cluster = Cluster::started(8, 1, 4);
+    for number in 1..4 {
+        cluster.set(&vm(0, number), Process::Killed);
+    }
+    let now = cluster.now;
+    let node = cluster.node(&vm(0, 0));
+    node.set_progress(now, revision::Revision(2), offset::Offset(1));
+
+    cluster.run(5000);
+
+    let now = cluster.now;
+    let node = cluster.node(&vm(0, 0));
+    assert_eq!(node.readiness(now), readiness::Readiness::Ready);
+}
+
+/// Guards against a daemon that serves an old revision after a long pause.
+#[test]
+fn a_daemon_that_was_paused_catches_up_before_it_is_ready_again() {
+    let mut cluster = Cluster::settled(9, 1, 5);
+    let paused = vm(0, 2);
+    let now = cluster.now;
+    for node in cluster.nodes.values_mut() {
+        node.set_progress(now, revision::Revision(4), offset::Offset(1));
+        node.readiness(now);
+    }
+    cluster.run(3000);
+    cluster.set(&paused, Process::Paused);
+    cluster.run(10_000);
+    let now = cluster.now;
+    for (vm, node) in &mut cluster.nodes {
+        if *vm != paused {
+            node.set_progress(now, revision::Revision(5), offset::Offset(1));
+        }
+    }
+
+    cluster.set(&paused, Process::Running);
+    let mut states = Vec::new();
+    for _ in 0..4000 {
+        cluster.run(1);
+        let now = cluster.now;
+        // The daemon asks after its tick, which notices the pause.
+        if cluster.now.0.is_multiple_of(20) {
+            states.push(cluster.node(&paused).readiness(now));
+        }
+    }
+
+    let behind = readiness::Readiness::Behind(revision::Revision(5));
+    assert_eq!(states.last(), Some(&behind));
+}
--- /dev/null
+++ b/crates/basilgrade_membership/tests/memory.rs
@@ -0,0 +1,89 @@
+//! The memory limit.
+
+mod support;
+
+use basilgrade_membership::load_total;
+use basilgrade_membership::prefix_hint;
+use basilgrade_membership::tag;
+use basilgrade_types::id;
+use basilgrade_types::rate;
+use basilgrade_types::size;
+use support::Cluster;
+use support::domain;
+use support::vm;
+
+const CUSTOMERS: usize = 60;
+
+fn customer(number: usize) -> id::CustomerId {
+    format!("customer-{number}").parse().unwrap()
+}
+
+fn pool() -> id::PoolId {
+    "rerankers".parse().unwrap()
+}
+
+fn prefix(number: usize) -> tag::Tag {
+    tag::Tag::of(&format!("prefix-{number}"))
+}
+
+/// A domain whose node 1 has published hints and demand, beside a domain that reports a load.
+fn loaded() -> Cluster {
+    let mut cluster = Cluster::settled(1, 2, 3);
+    let publisher = cluster.node(&vm(0, 1));
+    for number in 0..100 {
+        publisher.add_prefix_hint(prefix_hint::PrefixHint {
+            prefix: prefix(number),
+            upstream: tag::Tag::of("engine"),
+            tokens: 100,
+        });
+    }
+    for number in 0..CUSTOMERS {
+        publisher.set_demand(&customer(number), rate::RequestRate(5.0));
+    }
+    let total = load_total::LoadTotal {
+        running: 4,
+        queued: 1,
+        capacity: 8,
+    };
+    cluster.node(&vm(1, 0)).set_load(&pool(), total);
+    cluster.run(30_000);
+    cluster
+}
+
+/// Counts of hints, demands and loads that node 0 still holds under a limit.
+fn held_under(limit: u64) -> (usize, usize, usize, usize) {
+    let mut cluster = loaded();
+    let node = cluster.node(&vm(0, 0));
+    node.set_memory_limit(size::ByteCount(limit));
+    cluster.run(2000);
+    let node = &cluster.nodes[&vm(0, 0)];
+    let hints = (0..100).filter(|number| !node.prefix_hints(prefix(*number)).is_empty());
+    let demands = (0..CUSTOMERS).filter(|number| node.demand(&customer(*number)).domain.0 > 0.0);
+    (
+        hints.count(),
+        demands.count(),
+        usize::from(node.load(&domain(1), &pool()).is_some()),
+        node.weight(),
+    )
+}
+
+/// Guards against growth above the limit, and against the loss of load or demand while prefix
+/// hints remain.
+#[test]
+fn prefix_hints_go_first_then_demand_then_load() {
+    let (hints, demands, loads, full) = held_under(1 << 20);
+    assert_eq!((hints, demands, loads), (100, CUSTOMERS, 1));
+
+    let limit = full - 500;
+    let (hints, demands, loads, weight) = held_under(limit as u64);
+    assert!(hints < 100 && weight <= limit);
+    assert_eq!((demands, loads), (CUSTOMERS, 1));
+
+    let limit = full - 100 * 23 - 200;
+    let (hints, demands, loads, weight) = held_under(limit as u64);
+    assert_eq!((hints, loads), (0, 1));
+    assert!(demands < CUSTOMERS && weight <= limit);
+
+    let (hints, demands, loads, _) = held_under(100);
+    assert_eq!((hints, demands, loads), (0, 0, 0));
+}
--- /dev/null
+++ b/crates/basilgrade_membership/tests/partition.rs
@@ -0,0 +1,73 @@
+//! Partitions between domains.
+
+mod support;
+
+use basilgrade_membership::status;
+use basilgrade_types::offset;
+use basilgrade_types::revision;
+use support::Cluster;
+use support::Process;
+use support::view;
+use support::vm;
+
+/// Guards against views that stay apart after a partition in which both sides changed.
+#[test]
+fn a_healed_pair_of_domains_converges_to_the_same_view() {
+    for seed in 0..5 {
+        let mut cluster = Cluster::settled(seed, 2, 5);
+        cluster.cut(0, 1);
+        cluster.run(20_000);
+        cluster.set(&vm(0, 1), Process::Killed);
+        cluster.set(&vm(1, 0), Process::Killed);
+        cluster.run(5000);
+        cluster.start(1, 0);
+        let now = cluster.now;
+        for number in [0, 2, 3, 4] {
+            let node = cluster.node(&vm(0, number));
+            node.set_progress(now, revision::Revision(7), offset::Offset(3));
+        }
+        for number in 0..5 {
+            let node = cluster.node(&vm(1, number));
+            node.set_progress(now, revision::Revision(6), offset::Offset(9));
+        }
+        cluster.run(20_000);
+        let apart = view(&cluster.nodes[&vm(0, 0)], 2) != view(&cluster.nodes[&vm(1, 2)], 2);
+
+        cluster.heal();
+        cluster.run(20_000);
+
+        assert!(apart, "seed {seed}: the partition had no effect");
+        let expected = view(&cluster.nodes[&vm(0, 0)], 2);
+        assert!(expected.iter().any(|line| line.contains("Revision(7)")));
+        assert!(expected.iter().any(|line| line.contains("Offset(9)")));
+        for (observer, node) in &cluster.nodes {
+            if cluster.processes[observer] == Process::Running {
+                assert_eq!(view(node, 2), expected, "seed {seed}: {observer}");
+            }
+        }
+        assert_ne!(
+            cluster.status(&vm(1, 2), &vm(0, 1)),
+            Some(status::Status::Alive)
+        );
+    }
+}
+
+/// Guards against members of one domain that lost sight of one another for good.
+#[test]
+fn a_domain_that_was_paused_in_halves_reunites() {
+    let mut cluster = Cluster::settled(9, 1, 6);
+    for number in 0..3 {
+        cluster.set(&vm(0, number), Process::Paused);
+    }
+    cluster.run(120_000);
+    for number in 0..3 {
+        cluster.set(&vm(0, number), Process::Running);
+    }
+
+    cluster.run(10_000);
+
+    for node in cluster.nodes.values() {
+        let live = node.members().filter(|(_, status)| status.is_live());
+        assert_eq!(live.count(), 6);
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/tests/support/mod.rs
@@ -0,0 +1,259 @@
+//! A cluster of nodes in virtual time, connected by the real codec.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::net;
+
+use basilgrade_membership::codec;
+use basilgrade_membership::node;
+use basilgrade_membership::outgoing;
+use basilgrade_membership::record;
+use basilgrade_membership::settings;
+use basilgrade_membership::status;
+use basilgrade_membership::vm_hint;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::incarnation;
+use indexmap::IndexMap;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs;
+
+const START: u64 = 1_000_000;
+
+/// What a process does at present.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Process {
+    Running,
+    Paused,
+    Killed,
+}
+
+/// How the network treats messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Network {
+    pub(crate) loss: f64,
+    pub(crate) duplication: f64,
+}
+
+pub(crate) struct Cluster {
+    pub(crate) now: clock::Millis,
+    pub(crate) rng: rngs::StdRng,
+    pub(crate) nodes: IndexMap<id::VmId, node::Node>,
+    pub(crate) processes: IndexMap<id::VmId, Process>,
+    pub(crate) network: Network,
+    pub(crate) largest: usize,
+    hints: Vec<vm_hint::VmHint>,
+    cuts: Vec<(id::DomainId, id::DomainId)>,
+    queue: BTreeMap<(u64, u64), (id::VmId, id::VmId, Vec<u8>)>,
+    /// Messages that wait for a paused process to resume.
+    parked: Vec<(id::VmId, id::VmId, Vec<u8>)>,
+    sent: u64,
+}
+
+pub(crate) fn vm(domain: usize, number: usize) -> id::VmId {
+    format!("domain-{domain}-vm-{number}").parse().unwrap()
+}
+
+pub(crate) fn domain(number: usize) -> id::DomainId {
+    format!("domain-{number}").parse().unwrap()
+}
+
+pub(crate) fn record(domain_number: usize, number: usize, start: u64) -> record::Record {
+    record::Record {
+        vm: vm(domain_number, number),
+        incarnation: incarnation::Incarnation(start),
+        domain: domain(domain_number),
+        address: net::SocketAddr::from(([127, 0, domain_number as u8, number as u8], 7000)),
+    }
+}
+
+pub(crate) fn hint(record: &record::Record) -> vm_hint::VmHint {
+    vm_hint::VmHint {
+        vm: record.vm.clone(),
+        domain: record.domain.clone(),
+        address: record.address,
+    }
+}
+
+impl Cluster {
+    /// A cluster of `domains` domains of `size` daemons that have found one another.
+    pub(crate) fn settled(seed: u64, domains: usize, size: usize) -> Self {
+        let mut cluster = Self::started(seed, domains, size);
+        cluster.run(20_000);
+        cluster
+    }
+
+    pub(crate) fn started(seed: u64, domains: usize, size: usize) -> Self {
+        let mut cluster = Self {
+            now: clock::Millis(START),
+            rng: rngs::StdRng::seed_from_u64(seed),
+            nodes: IndexMap::new(),
+            processes: IndexMap::new(),
+            network: Network::default(),
+            largest: 0,
+            hints: Vec::new(),
+            cuts: Vec::new(),
+            queue: BTreeMap::new(),
+            parked: Vec::new(),
+            sent: 0,
+        };
+        for domain in 0..domains {
+            for number in 0..size {
+                cluster.hints.push(hint(&record(domain, number, 0)));
+            }
+        }
+        for domain in 0..domains {
+            for number in 0..size {
+                cluster.start(domain, number);
+            }
+        }
+        cluster
+    }
+
+    /// Starts or restarts a daemon.
+    pub(crate) fn start(&mut self, domain: usize, number: usize) -> id::VmId {
+        let start = self.now.0 + number as u64;
+        self.start_as(record(domain, number, start))
+    }
+
+    pub(crate) fn start_as(&mut self, record: record::Record) -> id::VmId {
+        let vm = record.vm.clone();
+        let settings = settings::Settings::new(record);
+        let mut node = node::Node::new(self.now, settings, &mut self.rng);
+        node.observe_vm_list(self.hints.clone());
+        self.nodes.insert(vm.clone(), node);
+        self.processes.insert(vm.clone(), Process::Running);
+        vm
+    }
+
+    pub(crate) fn node(&mut self, vm: &id::VmId) -> &mut node::Node {
+        &mut self.nodes[vm]
+    }
+
+    pub(crate) fn set(&mut self, vm: &id::VmId, process: Process) {
+        self.processes[vm] = process;
+        if process != Process::Running {
+            return;
+        }
+        for parked in std::mem::take(&mut self.parked) {
+            self.sent += 1;
+            self.queue.insert((self.now.0 + 1, self.sent), parked);
+        }
+    }
+
+    pub(crate) fn cut(&mut self, first: usize, second: usize) {
+        self.cuts.push((domain(first), domain(second)));
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub(crate) fn status(&self, observer: &id::VmId, vm: &id::VmId) -> Option<status::Status> {
+        self.nodes[observer].status(vm)
+    }
+
+    /// Lets `span` milliseconds pass.
+    pub(crate) fn run(&mut self, span: u64) {
+        self.run_until(span, |_| false);
+    }
+
+    /// Lets up to `span` milliseconds pass, until `done`; returns the time it took.
+    pub(crate) fn run_until(&mut self, span: u64, mut done: impl FnMut(&mut Self) -> bool) -> u64 {
+        for passed in 0..span {
+            if done(self) {
+                return passed;
+            }
+            self.step();
+        }
+        span
+    }
+
+    fn step(&mut self) {
+        self.now.0 += 1;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now.0 {
+                break;
+            }
+            let (from, to, bytes) = entry.remove();
+            self.deliver(&from, &to, &bytes);
+        }
+        for index in 0..self.nodes.len() {
+            let (vm, node) = self.nodes.get_index_mut(index).unwrap();
+            let due = (self.now.0 + index as u64).is_multiple_of(20);
+            if due && self.processes[vm] == Process::Running {
+                let vm = vm.clone();
+                let out = node.tick(self.now, &mut self.rng);
+                self.send(&vm, out);
+            }
+        }
+    }
+
+    /// Hands over a message; a paused process finds it when it resumes.
+    pub(crate) fn deliver(&mut self, from: &id::VmId, to: &id::VmId, bytes: &[u8]) {
+        match self.processes.get(to) {
+            Some(Process::Running) => {
+                let message = codec::decode(bytes).unwrap();
+                let out = self.nodes[to].receive(self.now, from, message);
+                self.send(to, out);
+            }
+            Some(Process::Paused) => {
+                self.parked.push((from.clone(), to.clone(), bytes.to_vec()));
+            }
+            Some(Process::Killed) | None => {}
+        }
+    }
+
+    pub(crate) fn send(&mut self, from: &id::VmId, out: Vec<outgoing::Outgoing>) {
+        for outgoing in out {
+            let bytes = codec::encode(&outgoing.message).unwrap();
+            self.largest = self.largest.max(bytes.len());
+            let to = outgoing.vm;
+            if !self.nodes.contains_key(&to) || self.is_cut(from, &to) {
+                continue;
+            }
+            if self.rng.random_bool(self.network.loss) {
+                continue;
+            }
+            let copies = 1 + u64::from(self.rng.random_bool(self.network.duplication));
+            let latency = if self.domain_of(from) == self.domain_of(&to) {
+                1
+            } else {
+                10
+            };
+            for copy in 0..copies {
+                self.sent += 1;
+                // A copy may arrive much later than the message.
+                let at = self.now.0 + latency + copy * 700;
+                self.queue
+                    .insert((at, self.sent), (from.clone(), to.clone(), bytes.clone()));
+            }
+        }
+    }
+
+    fn domain_of(&self, vm: &id::VmId) -> id::DomainId {
+        self.nodes[vm].record().domain.clone()
+    }
+
+    fn is_cut(&self, from: &id::VmId, to: &id::VmId) -> bool {
+        let (from, to) = (self.domain_of(from), self.domain_of(to));
+        self.cuts
+            .iter()
+            .any(|(a, b)| (a, b) == (&from, &to) || (a, b) == (&to, &from))
+    }
+}
+
+/// Everything a node says of members and progress, in a form that can be compared.
+pub(crate) fn view(node: &node::Node, domains: usize) -> Vec<String> {
+    let mut lines: Vec<String> = (0..domains)
+        .flat_map(|number| node.members_of(&domain(number)).collect::<Vec<_>>())
+        .map(|(record, status)| format!("{} {} {status}", record.vm, record.incarnation))
+        .chain(
+            node.domains()
+                .map(|(domain, progress)| format!("{domain} {progress:?}")),
+        )
+        .collect();
+    lines.sort();
+    lines
+}
--- /dev/null
+++ b/crates/basilgrade_membership/tests/vm_list.rs
@@ -0,0 +1,81 @@
+//! The VM list as a hint.
+
+mod support;
+
+use basilgrade_membership::health;
+use basilgrade_membership::status;
+use basilgrade_types::id;
+use support::Cluster;
+use support::Process;
+use support::hint;
+use support::record;
+use support::vm;
+
+fn upstream() -> id::UpstreamId {
+    "engine-1".parse().unwrap()
+}
+
+/// Guards against a stale list that omits a live daemon or upstream: neither may be ejected.
+#[test]
+fn a_list_without_a_live_vm_ejects_nobody() {
+    let mut cluster = Cluster::settled(1, 1, 5);
+    for node in cluster.nodes.values_mut() {
+        node.observe_vm_list([]);
+    }
+
+    cluster.run(10_000);
+
+    let now = cluster.now;
+    for node in cluster.nodes.values() {
+        assert!(node.members().all(|(_, status)| status.is_live()));
+        assert_eq!(node.members().count(), 5);
+        assert_eq!(node.health(now, &upstream()), health::Health::Healthy);
+    }
+}
+
+/// Guards against a stale list that names a dead daemon: it must not come back, nor be given work.
+#[test]
+fn a_list_with_a_dead_vm_brings_nobody_back() {
+    let mut cluster = Cluster::settled(2, 1, 5);
+    let (victim, observer) = (vm(0, 2), vm(0, 0));
+    cluster.set(&victim, Process::Killed);
+    cluster.run(4000);
+
+    for _ in 0..10 {
+        for node in cluster.nodes.values_mut() {
+            node.observe_vm_list((0..5).map(|number| hint(&record(0, number, 0))));
+        }
+        cluster.run(1000);
+        assert_eq!(
+            cluster.status(&observer, &victim),
+            Some(status::Status::Dead)
+        );
+    }
+    let now = cluster.now;
+    let candidates = cluster.nodes[&observer].ownership_candidates(now);
+    assert!(!candidates.contains(&victim));
+    // A VM that is only listed and has never answered is suspect, and nothing better.
+    let listed = record(0, 9, 0);
+    cluster.node(&observer).observe_vm_list([hint(&listed)]);
+    cluster.run(5000);
+    assert_eq!(
+        cluster.status(&observer, &listed.vm),
+        Some(status::Status::Suspect)
+    );
+}
+
+/// Guards against a daemon that stays unknown because the list does not name it yet.
+#[test]
+fn an_unlisted_vm_that_answers_is_alive() {
+    let mut cluster = Cluster::settled(3, 1, 3);
+    let joiner = cluster.start(0, 8);
+
+    cluster.run(3000);
+
+    for observer in cluster.nodes.keys() {
+        assert_eq!(
+            cluster.status(observer, &joiner),
+            Some(status::Status::Alive)
+        );
+    }
+}
