Let a leaving daemon read the log itself

Cause: with all daemons of a domain leaving, no member was alive, so nobody read the log and each waited the full 10 s for its slots to be handed over.

Ruled out: a shorter limit; the hand-over would be cut off instead.

Change: a leaving daemon reads the log until its hand-over is seen.

--- a/crates/basilgrade_server/src/background/reader.rs
+++ b/crates/basilgrade_server/src/background/reader.rs
@@ -66,13 +66,16 @@
         }
     }
 
-    /// Whether this daemon reads the log itself: as reader of its domain, or while it has nothing
-    /// that a peer could have given it.
+    /// Whether this daemon reads the log itself: as reader of its domain, while it has nothing that
+    /// a peer could have given it, or while it leaves and has to see its slots handed over, as all
+    /// others of the domain may be leaving, too.
     fn reads(&self, now: clock::Millis) -> bool {
-        let ready = self.cluster.readiness();
-        let empty = !self.streams.is_current();
-        let alone = empty && ready != readiness::Readiness::Joining;
-        alone || self.cluster.with(|node, _| node.reads_log(now))
+        match self.cluster.readiness() {
+            readiness::Readiness::Leaving => true,
+            readiness::Readiness::Joining => false,
+            _ if !self.streams.is_current() => true,
+            _ => self.cluster.with(|node, _| node.reads_log(now)),
+        }
     }
 
     async fn read(&self, failures: &mut u32) -> clock::Millis {
