--- a/crates/basilgrade_platform/src/http/settings.rs
+++ b/crates/basilgrade_platform/src/http/settings.rs
@@ -21,7 +21,9 @@
         Self {
             body: size::ByteCount(8 << 20),
             record: size::ByteCount(1 << 20),
-            connect: clock::Millis(1000),
+            // The kernel repeats a lost connection attempt after 1 s; a limit above that lets one
+            // lost packet pass.
+            connect: clock::Millis(1500),
             call: clock::Millis(5000),
         }
     }
--- a/crates/basilgrade_standins/src/server.rs
+++ b/crates/basilgrade_standins/src/server.rs
@@ -11,6 +11,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::io::BufStream;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task;
@@ -21,6 +22,10 @@
 use crate::http_request;
 use crate::http_response;
 
+/// Connections that wait to be accepted. With the usual 128, a burst of 256 streams loses
+/// connection attempts, and each of them waits a second for the kernel to repeat it.
+const BACKLOG: u32 = 1024;
+
 /// What a stand-in does with calls.
 pub(crate) trait Application: Send + Sync + 'static {
     /// Faults for this call; `None` for calls that only [`fault::Fault::Dead`] and
@@ -79,12 +84,16 @@
 }
 
 /// Starts a stand-in on a free loopback port.
+#[expect(
+    clippy::unused_async,
+    reason = "starting needs a runtime, which an async function makes sure of"
+)]
 pub(crate) async fn start<A: Application>(
     application: sync::Arc<A>,
     faults: fault_switch::FaultSwitch,
     executions: execution::Executions,
 ) -> io::Result<Server> {
-    let listener = TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+    let listener = listen((net::Ipv4Addr::LOCALHOST, 0).into())?;
     let address = listener.local_addr()?;
     let (dead, watched) = watch::channel(false);
     let (report, closed) = watch::channel(false);
@@ -99,6 +108,13 @@
     })
 }
 
+fn listen(address: net::SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 async fn accept<A: Application>(
     mut listener: TcpListener,
     address: net::SocketAddr,
@@ -147,7 +163,7 @@
 async fn reopen(address: net::SocketAddr) -> Option<TcpListener> {
     // An outgoing connection of another process may hold the port for a moment.
     for _ in 0..100 {
-        if let Ok(listener) = TcpListener::bind(address).await {
+        if let Ok(listener) = listen(address) {
             return Some(listener);
         }
         tokio::time::sleep(time::Duration::from_millis(20)).await;
--- a/crates/basilgrade_upstream/src/client/settings.rs
+++ b/crates/basilgrade_upstream/src/client/settings.rs
@@ -27,7 +27,9 @@
         Self {
             body: size::ByteCount(8 << 20),
             kv: size::ByteCount(256 << 20),
-            connect: clock::Millis(1000),
+            // The kernel repeats a lost connection attempt after 1 s; a limit above that lets one
+            // lost packet pass.
+            connect: clock::Millis(1500),
             control: clock::Millis(2000),
             // Common servers close idle connections after 5 s; a shorter time here makes it
             // unlikely that a call meets a closing connection.
