Cancel only generations that were sent; bound control transfers

Cause: a stream that was dropped before it was read, or while it connected, made a cancellation call for nothing. KV transfers had the 2 s of load reports. Ruled out: leaving out the cancellation after an error, as an engine may go on generating after its connection broke. Change: the guard is armed right before the first byte; settings.transfer; CONNECT is not sent and a 1xx answer is malformed; tests of bounded heads and bodies.

--- a/crates/basilgrade_upstream/src/client/cancel.rs
+++ b/crates/basilgrade_upstream/src/client/cancel.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,9 +17,10 @@
 use crate::client::shared;
 use crate::client::whole;
 
-/// Cancels a generation at its engine when dropped before the end of the answer.
+/// Cancels a generation at its engine when dropped between the sending of the call and the end of
+/// its answer.
 pub(super) struct Guard {
-    armed: bool,
+    sent: sync::Arc<atomic::AtomicBool>,
     address: net::SocketAddr,
     identity: identity::Identity,
     handle: runtime::Handle,
@@ -29,7 +31,7 @@
     /// Must be created inside the runtime, as dropping may happen outside of it.
     pub(super) fn new(shared: &sync::Arc<shared::Shared>, call: &call::Call) -> Self {
         Self {
-            armed: true,
+            sent: sync::Arc::default(),
             address: call.address,
             identity: identity::Identity::of(call),
             handle: runtime::Handle::current(),
@@ -37,15 +39,20 @@
         }
     }
 
+    /// To be set while the engine may be working on the call.
+    pub(super) fn sent(&self) -> sync::Arc<atomic::AtomicBool> {
+        sync::Arc::clone(&self.sent)
+    }
+
     /// The engine has nothing left to cancel.
-    pub(super) fn disarm(&mut self) {
-        self.armed = false;
+    pub(super) fn disarm(&self) {
+        self.sent.store(false, atomic::Ordering::Relaxed);
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if !self.armed {
+        if !self.sent.load(atomic::Ordering::Relaxed) {
             return;
         }
         let permits = sync::Arc::clone(&self.shared.cancels);
@@ -90,6 +97,7 @@
         identity,
         reuse: exchange::Reuse::Pooled,
         deadline,
+        sent: sync::Arc::default(),
     };
     let answer = exchange::send(shared, outgoing).await?;
     let status = answer.response.status();
--- a/crates/basilgrade_upstream/src/client/exchange.rs
+++ b/crates/basilgrade_upstream/src/client/exchange.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -32,6 +33,8 @@
     pub(super) identity: identity::Identity,
     pub(super) reuse: Reuse,
     pub(super) deadline: time::Instant,
+    /// Set before the first byte is sent.
+    pub(super) sent: sync::Arc<atomic::AtomicBool>,
 }
 
 /// The head of an answer that belongs to its call.
@@ -77,6 +80,7 @@
         identity,
         reuse,
         deadline,
+        sent,
     } = outgoing;
     if time::Instant::now() >= deadline {
         return Err(call_error::CallError::Unsent(
@@ -87,7 +91,7 @@
     while reuse == Reuse::Pooled
         && let Some(mut connection) = shared.pool.take(address)
     {
-        match try_send(shared, &mut connection, request, deadline).await? {
+        match try_send(shared, &mut connection, request, deadline, &sent).await? {
             Sent::Answered(response) => {
                 counters::increment(&shared.counting.reused);
                 return accept(shared, connection, response, &identity);
@@ -96,7 +100,7 @@
         }
     }
     let mut connection = connection::open(shared, address, deadline).await?;
-    match try_send(shared, &mut connection, request, deadline).await? {
+    match try_send(shared, &mut connection, request, deadline, &sent).await? {
         Sent::Answered(response) => accept(shared, connection, response, &identity),
         Sent::Untouched(_) => Err(call_error::CallError::Connect(
             address,
@@ -110,6 +114,7 @@
     connection: &mut connection::Connection,
     mut request: hyper::Request<Full<Bytes>>,
     deadline: time::Instant,
+    sent: &atomic::AtomicBool,
 ) -> Result<Sent, call_error::CallError> {
     let address = connection.address;
     // Waiting until the connection asks for a call makes `hyper` look for a close and for
@@ -128,6 +133,7 @@
     request
         .headers_mut()
         .insert(identity::TIME_LEFT, (left.as_millis() as u64).into());
+    sent.store(true, atomic::Ordering::Relaxed);
     let sending = connection.sender.try_send_request(request);
     match time::timeout_at(deadline, sending).await {
         Ok(Ok(response)) => Ok(Sent::Answered(response)),
@@ -137,6 +143,7 @@
                 if let Some(cause) = cause.and_then(|cause| cause.downcast_ref()) {
                     connection::note_unexpected(shared, address, cause);
                 }
+                sent.store(false, atomic::Ordering::Relaxed);
                 Ok(Sent::Untouched(request))
             }
             None => Err(classify(address, error.error())),
@@ -173,6 +180,10 @@
             );
         })?;
     let status = response.status();
+    if status.is_informational() {
+        let reason = format!("status {status} is not a final answer");
+        return Err(call_error::CallError::Malformed(address, reason));
+    }
     if !status.is_server_error() {
         return Ok(Answer {
             connection,
--- a/crates/basilgrade_upstream/src/client/http_upstream.rs
+++ b/crates/basilgrade_upstream/src/client/http_upstream.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use basilgrade_types::request;
 use basilgrade_types::size;
@@ -49,6 +50,13 @@
     received: &'a [String],
 }
 
+/// Limits of a control call.
+#[derive(Clone, Copy)]
+struct Bounds {
+    body: size::ByteCount,
+    time: basilgrade_types::clock::Millis,
+}
+
 /// Calls upstreams over HTTP/1.1 and sends each call at most once.
 ///
 /// Clones share connections and counters. Calls have to be made inside a tokio runtime.
@@ -81,9 +89,10 @@
     }
 
     async fn send(&self, call: call::Call) -> Result<reply::Reply, call_error::CallError> {
-        let mut guard = is_generation(&call).then(|| cancel::Guard::new(&self.shared, &call));
-        let result = self.exchange(call).await;
-        if let Some(guard) = &mut guard
+        let guard = is_generation(&call).then(|| cancel::Guard::new(&self.shared, &call));
+        let sent = guard.as_ref().map(cancel::Guard::sent).unwrap_or_default();
+        let result = self.exchange(call, sent).await;
+        if let Some(guard) = &guard
             && match &result {
                 Ok(_) => true,
                 Err(error) => error.verdict() == basilgrade_types::verdict::Verdict::NotRun,
@@ -94,22 +103,40 @@
         result
     }
 
-    async fn exchange(&self, call: call::Call) -> Result<reply::Reply, call_error::CallError> {
+    async fn exchange(
+        &self,
+        call: call::Call,
+        sent: sync::Arc<atomic::AtomicBool>,
+    ) -> Result<reply::Reply, call_error::CallError> {
         let deadline = deadline(call.left);
-        let outgoing = outgoing(call, deadline)?;
+        let outgoing = outgoing(call, deadline, sent)?;
         let answer = exchange::send(&self.shared, outgoing).await?;
         whole::read(&self.shared, answer, self.shared.settings.body, deadline).await
     }
 
+    fn control_bounds(&self) -> Bounds {
+        Bounds {
+            body: self.shared.settings.body,
+            time: self.shared.settings.control,
+        }
+    }
+
+    fn transfer_bounds(&self) -> Bounds {
+        Bounds {
+            body: self.shared.settings.kv,
+            time: self.shared.settings.transfer,
+        }
+    }
+
     async fn control(
         &self,
         address: net::SocketAddr,
         method: hyper::Method,
         path: String,
         body: Bytes,
-        limit: size::ByteCount,
+        bounds: Bounds,
     ) -> Result<Bytes, call_error::CallError> {
-        let deadline = deadline(self.shared.settings.control);
+        let deadline = deadline(bounds.time);
         let identity = identity::Identity::control();
         let mut request = build(address, method, &path, body)?;
         exchange::prepare(&mut request, address, &identity);
@@ -119,9 +146,10 @@
             identity,
             reuse: exchange::Reuse::Pooled,
             deadline,
+            sent: sync::Arc::default(),
         };
         let answer = exchange::send(&self.shared, outgoing).await?;
-        let reply = whole::read(&self.shared, answer, limit, deadline).await?;
+        let reply = whole::read(&self.shared, answer, bounds.body, deadline).await?;
         if reply.status.is_success() {
             return Ok(reply.body);
         }
@@ -136,9 +164,9 @@
         address: net::SocketAddr,
         path: String,
     ) -> Result<T, call_error::CallError> {
-        let limit = self.shared.settings.body;
+        let bounds = self.control_bounds();
         let body = self
-            .control(address, hyper::Method::GET, path, Bytes::new(), limit)
+            .control(address, hyper::Method::GET, path, Bytes::new(), bounds)
             .await?;
         serde_json::from_slice(&body)
             .map_err(|error| call_error::CallError::Malformed(address, error.to_string()))
@@ -165,16 +193,14 @@
     ) -> stream::BoxStream<'static, Result<token::Token, call_error::CallError>> {
         let deadline = deadline(generation.call.left);
         let decoder = sse::Decoder::new(generation.offset.0, generation.tokens.0);
-        let mut guard = cancel::Guard::new(&self.shared, &generation.call);
-        match completion(generation).and_then(|call| outgoing(call, deadline)) {
+        let guard = cancel::Guard::new(&self.shared, &generation.call);
+        let sent = guard.sent();
+        match completion(generation).and_then(|call| outgoing(call, deadline, sent)) {
             Ok(outgoing) => {
                 let shared = sync::Arc::clone(&self.shared);
                 token_stream::TokenStream::new(shared, outgoing, guard, decoder).boxed()
             }
-            Err(error) => {
-                guard.disarm();
-                stream::iter([Err(error)]).boxed()
-            }
+            Err(error) => stream::iter([Err(error)]).boxed(),
         }
     }
 
@@ -213,16 +239,11 @@
     ) -> future::BoxFuture<'_, Result<(), call_error::CallError>> {
         async move {
             let body = encode(address, &order)?;
-            let limit = self.shared.settings.body;
-            self.control(
-                address,
-                hyper::Method::POST,
-                "/orders".to_owned(),
-                body,
-                limit,
-            )
-            .await
-            .map(drop)
+            let path = "/orders".to_owned();
+            let bounds = self.control_bounds();
+            self.control(address, hyper::Method::POST, path, body, bounds)
+                .await
+                .map(drop)
         }
         .boxed()
     }
@@ -233,8 +254,8 @@
         prefix: u64,
     ) -> future::BoxFuture<'_, Result<Bytes, call_error::CallError>> {
         let path = format!("/kv/{prefix}");
-        let limit = self.shared.settings.kv;
-        self.control(address, hyper::Method::GET, path, Bytes::new(), limit)
+        let bounds = self.transfer_bounds();
+        self.control(address, hyper::Method::GET, path, Bytes::new(), bounds)
             .boxed()
     }
 
@@ -245,8 +266,8 @@
         cache: Bytes,
     ) -> future::BoxFuture<'_, Result<(), call_error::CallError>> {
         let path = format!("/kv/{prefix}");
-        let limit = self.shared.settings.body;
-        self.control(address, hyper::Method::PUT, path, cache, limit)
+        let bounds = self.transfer_bounds();
+        self.control(address, hyper::Method::PUT, path, cache, bounds)
             .map(|result| result.map(drop))
             .boxed()
     }
@@ -279,6 +300,7 @@
 fn outgoing(
     call: call::Call,
     deadline: time::Instant,
+    sent: sync::Arc<atomic::AtomicBool>,
 ) -> Result<exchange::Outgoing, call_error::CallError> {
     let reuse = reuse(&call);
     let identity = identity::Identity::of(&call);
@@ -295,6 +317,7 @@
         identity,
         reuse,
         deadline,
+        sent,
     })
 }
 
@@ -345,6 +368,10 @@
     let unsent = |reason: &str| {
         call_error::CallError::Unsent(address, format!("path `{path}` is not valid: {reason}"))
     };
+    if method == hyper::Method::CONNECT {
+        let reason = "method `CONNECT` opens a tunnel; use another method".to_owned();
+        return Err(call_error::CallError::Unsent(address, reason));
+    }
     // A target that does not start with a slash could name another host.
     if !path.starts_with('/') {
         return Err(unsent("it does not start with `/`"));
--- a/crates/basilgrade_upstream/src/client/settings.rs
+++ b/crates/basilgrade_upstream/src/client/settings.rs
@@ -14,6 +14,8 @@
     pub connect: clock::Millis,
     /// Time allowed to load reports, cache events, orders and cancellations.
     pub control: clock::Millis,
+    /// Time allowed to an export or import of KV cache.
+    pub transfer: clock::Millis,
     /// Idle connections are not used after this time.
     pub idle: clock::Millis,
     /// Idle connections kept for each upstream.
@@ -31,6 +33,7 @@
             // lost packet pass.
             connect: clock::Millis(1500),
             control: clock::Millis(2000),
+            transfer: clock::Millis(10_000),
             // Common servers close idle connections after 5 s; a shorter time here makes it
             // unlikely that a call meets a closing connection.
             idle: clock::Millis(4000),
--- a/crates/basilgrade_upstream/tests/common/mod.rs
+++ b/crates/basilgrade_upstream/tests/common/mod.rs
@@ -25,6 +25,7 @@
     client::HttpUpstream::new(client::Settings {
         connect: LONG,
         control: LONG,
+        transfer: LONG,
         idle: LONG,
         ..client::Settings::default()
     })
--- a/crates/basilgrade_upstream/tests/streams.rs
+++ b/crates/basilgrade_upstream/tests/streams.rs
@@ -249,6 +249,17 @@
     assert_eq!(client.counters().cancels, 0);
 }
 
+/// Guards against a cancellation for a call that was never sent.
+#[tokio::test]
+async fn a_stream_dropped_before_it_was_read_is_not_cancelled() {
+    let engine = engine().await;
+    let client = common::client();
+
+    drop(client.generate(common::generation(engine.server.address, 4)));
+
+    assert_eq!(client.counters(), client::Counters::default());
+}
+
 /// Guards against a stream that outlives the time left of its call.
 #[tokio::test]
 async fn the_time_left_bounds_a_stream() {
--- a/crates/basilgrade_upstream/tests/verdicts.rs
+++ b/crates/basilgrade_upstream/tests/verdicts.rs
@@ -165,6 +165,66 @@
     }
 }
 
+/// Guards against unbounded memory for heads and bodies, and against a wrong end of a body.
+#[tokio::test]
+async fn heads_and_bodies_are_bounded() {
+    let long = "x".repeat(1 << 20);
+    let chunk = format!("{:x}\r\n{long}\r\n", long.len());
+    let ok = "HTTP/1.1 200 OK\r\n";
+    let chunked = format!("{ok}transfer-encoding: chunked\r\n\r\n");
+    let table = [
+        (format!("{ok}a: {long}\r\n\r\n"), "malformed"),
+        (format!("{ok}{}\r\n", "a: b\r\n".repeat(5000)), "malformed"),
+        (
+            chunked.clone() + &chunk.repeat(9) + "0\r\n\r\n",
+            "too large",
+        ),
+        (chunked.clone() + &chunk.repeat(7) + "0\r\n\r\n", "ok"),
+        (chunked.clone() + &chunk, "malformed"),
+        (chunked + "zz\r\n", "malformed"),
+        (format!("{ok}content-length: 8388609\r\n\r\n"), "too large"),
+        (format!("{ok}content-length: 2\r\n\r\n{long}"), "ok"),
+        (format!("{ok}content-length: -1\r\n\r\n"), "malformed"),
+        (
+            "HTTP/1.1 101 Switching Protocols\r\n\r\n".to_owned(),
+            "malformed",
+        ),
+        ("HTTP/1.1 204 No Content\r\n\r\n".to_owned(), "ok"),
+        (long, "malformed"),
+    ];
+    for (number, (answer, expected)) in table.into_iter().enumerate() {
+        let service = service::start(service::Echo::Unknown, service::Keys::Ignored)
+            .await
+            .expect("free port");
+        let client = common::client();
+        service.faults.push(raw(&answer));
+
+        let result = client.call(lookup(service.address)).await;
+
+        let result = result.map(|reply| reply.body.len());
+        assert_eq!(name(&result), expected, "{number}: {result:?}");
+    }
+}
+
+/// Guards against waiting for the body that an answer to `HEAD` declares and does not have.
+#[tokio::test]
+async fn an_answer_to_head_has_no_body() {
+    let service = service::start(service::Echo::Unknown, service::Keys::Ignored)
+        .await
+        .expect("free port");
+    let client = common::client();
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+    service.faults.push(raw(answer));
+    let call = call::Call {
+        method: hyper::Method::HEAD,
+        ..lookup(service.address)
+    };
+
+    let reply = client.call(call).await.expect("answer");
+
+    assert!(reply.body.is_empty());
+}
+
 /// Guards against a call that is reported as possibly run although its connection was refused.
 #[tokio::test]
 async fn a_refused_connection_is_not_run_and_recovers() {
@@ -222,8 +282,12 @@
         path: path.to_owned(),
         ..common::call(member.address)
     });
+    let tunnel = call::Call {
+        method: hyper::Method::CONNECT,
+        ..common::call(member.address)
+    };
 
-    for call in invalid.into_iter().chain([late]) {
+    for call in invalid.into_iter().chain([late, tunnel]) {
         let result = client.call(call).await;
 
         assert_eq!(name(&result), "unsent", "{result:?}");
