--- a/crates/basilgrade_upstream/src/client/settings.rs
+++ b/crates/basilgrade_upstream/src/client/settings.rs
@@ -14,6 +14,8 @@
     pub connect: clock::Millis,
     /// Time allowed to load reports, cache events, orders and cancellations.
     pub control: clock::Millis,
+    /// Time allowed to an export or import of KV cache.
+    pub transfer: clock::Millis,
     /// Idle connections are not used after this time.
     pub idle: clock::Millis,
     /// Idle connections kept for each upstream.
@@ -27,8 +29,11 @@
         Self {
             body: size::ByteCount(8 << 20),
             kv: size::ByteCount(256 << 20),
-            connect: clock::Millis(1000),
+            // The kernel repeats a lost connection attempt after 1 s; a limit above that lets one
+            // lost packet pass.
+            connect: clock::Millis(1500),
             control: clock::Millis(2000),
+            transfer: clock::Millis(10_000),
             // Common servers close idle connections after 5 s; a shorter time here makes it
             // unlikely that a call meets a closing connection.
             idle: clock::Millis(4000),
