Offer status, explain, drain, log level and configuration to operators

Cause: operators have to see what each daemon has in force and why a request went where.

Ruled out: HTTP for operators; the capnp interface has a schema that can grow.

Change: the daemon implements the Admin trait; decisions have one text form for logs and explain; counters are summed over their labels.

Conclusion: basilctl talks to real daemons.

--- a/crates/basilgrade_server/src/cluster.rs
+++ b/crates/basilgrade_server/src/cluster.rs
@@ -131,6 +131,22 @@
         self.tick();
     }
 
+    /// All daemons that this one knows, itself included.
+    pub fn members(&self) -> Vec<(record::Record, status::Status)> {
+        self.with(|node, _| {
+            let own = node.record().domain.clone();
+            let domains: Vec<_> = node.domains().map(|(domain, _)| domain.clone()).collect();
+            let far = domains
+                .iter()
+                .filter(|domain| **domain != own)
+                .flat_map(|domain| node.members_of(domain));
+            node.members()
+                .chain(far)
+                .map(|(record, status)| (record.clone(), status))
+                .collect()
+        })
+    }
+
     /// The cluster as the claims see it: who may own slots, and who is lost.
     pub fn view(&self, control: &control_state::ControlState) -> view::View {
         let members = owners(control);
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -82,6 +82,11 @@
         self.parts.clock.now()
     }
 
+    /// Upstreams that get no calls because they are slower or fail more often than their peers.
+    pub fn ejected(&self) -> Vec<id::UpstreamId> {
+        Vec::new()
+    }
+
     /// The revision in force; 0 when there is none.
     pub fn revision(&self) -> revision::Revision {
         self.current
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -27,6 +27,7 @@
 use crate::limits;
 use crate::listener;
 use crate::metrics;
+use crate::operator;
 use crate::peer_handler;
 use crate::platform;
 
@@ -84,6 +85,7 @@
         let background = CancellationToken::new();
         let ledger = parts.reader.ledger.clone();
         let cluster = parts.reader.cluster.clone();
+        let admin = start_admin(&parts.reader, &settings, &stop)?;
         spawn_tasks(parts, &settings, platform, &background).await?;
         let linger = settings.drain.linger;
         let serving = listener.run(stop.clone(), linger);
@@ -91,6 +93,7 @@
             serving.await;
             hand_over(&ledger, &cluster).await;
             background.cancel();
+            drop(admin);
         });
         log::info!(
             "event=started vm={} domain={} caller={caller}",
@@ -157,6 +160,24 @@
     Ok(Assembly { reader, secret })
 }
 
+fn start_admin(
+    reader: &background::reader::Reader,
+    settings: &settings::Settings,
+    stop: &CancellationToken,
+) -> Result<basilgrade_admin::Server, StartError> {
+    let operator = operator::Operator {
+        core: sync::Arc::clone(&reader.core),
+        cluster: reader.cluster.clone(),
+        ledger: reader.ledger.clone(),
+        streams: sync::Arc::clone(&reader.streams),
+        stop: stop.clone(),
+    };
+    let address = settings.process.admin_address;
+    let secret = settings.peers.secret.clone();
+    basilgrade_admin::Server::start(address, secret, sync::Arc::new(operator))
+        .map_err(|error| StartError::Bind(address, error))
+}
+
 async fn spawn_tasks(
     assembly: Assembly,
     settings: &settings::Settings,
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod listener;
 pub mod logger;
 pub mod metrics;
+pub mod operator;
 pub mod peer_handler;
 pub mod platform;
 pub mod recent;
--- a/crates/basilgrade_server/src/metrics.rs
+++ b/crates/basilgrade_server/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use basilgrade_types::id;
 use basilgrade_types::verdict;
+use compact_str::CompactString;
+use indexmap::IndexMap;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics;
 use opentelemetry::metrics::MeterProvider;
@@ -132,6 +134,21 @@
         self.revision.record(revision.0, &[]);
     }
 
+    /// Counters by name, summed over their labels.
+    pub fn counters(&self) -> IndexMap<CompactString, u64> {
+        let families = self.registry.gather();
+        let counters = families
+            .iter()
+            .filter(|family| family.get_field_type() == prometheus::proto::MetricType::COUNTER);
+        counters
+            .map(|family| {
+                let values = family.get_metric().iter();
+                let sum: f64 = values.map(|metric| metric.get_counter().get_value()).sum();
+                (CompactString::new(family.name()), sum as u64)
+            })
+            .collect()
+    }
+
     /// The current values as text.
     pub fn render(&self, active: usize) -> Vec<u8> {
         self.active.record(active as u64, &[]);
--- /dev/null
+++ b/crates/basilgrade_server/src/operator.rs
@@ -0,0 +1,167 @@
+//! What this daemon offers its operators.
+
+use std::sync;
+
+use basilgrade_admin::admin;
+use basilgrade_admin::configuration;
+use basilgrade_admin::status;
+use basilgrade_admin::status::member;
+use basilgrade_admin::status::phase;
+use basilgrade_admin::status::slot as held_slot;
+use basilgrade_config::settings::log::level;
+use basilgrade_journal::node;
+use basilgrade_journal::tenure;
+use basilgrade_membership::status as membership;
+use basilgrade_types::id;
+use basilgrade_types::request;
+use basilgrade_types::slot;
+use futures::FutureExt;
+use futures::future;
+use tokio_util::sync::CancellationToken;
+
+use crate::cluster;
+use crate::core;
+use crate::journal::streams;
+use crate::ledger::slots;
+use crate::logger;
+
+/// Answers operators from the state of the daemon.
+pub struct Operator {
+    /// State shared by requests.
+    pub core: sync::Arc<core::Core>,
+    /// Membership.
+    pub cluster: cluster::Cluster,
+    /// Claims.
+    pub ledger: slots::SlotLedger,
+    /// Log streams.
+    pub streams: sync::Arc<streams::Streams>,
+    /// Starts the shutdown.
+    pub stop: CancellationToken,
+}
+
+impl Operator {
+    fn report(&self) -> status::Status {
+        let record = self.cluster.record();
+        let me = self.cluster.me();
+        status::Status {
+            vm: record.vm,
+            domain: record.domain,
+            incarnation: record.incarnation,
+            revision: self.core.revision(),
+            offset: self.streams.control.next(),
+            phase: self.phase(),
+            members: self.members(),
+            leaving: self.leaving(),
+            ejected: self.core.ejected(),
+            slots: self.slots(&me),
+            counters: self.core.parts.metrics.counters(),
+        }
+    }
+
+    fn phase(&self) -> phase::Phase {
+        match self.core.phase() {
+            core::Phase::Draining => phase::Phase::Draining,
+            core::Phase::Serving if self.core.current.load().is_some() => phase::Phase::Ready,
+            core::Phase::Behind | core::Phase::Serving => phase::Phase::Starting,
+        }
+    }
+
+    fn members(&self) -> Vec<member::Member> {
+        let members = self.cluster.members();
+        members
+            .into_iter()
+            .map(|(record, seen)| member::Member {
+                vm: record.vm,
+                domain: record.domain,
+                incarnation: record.incarnation,
+                state: state(seen),
+            })
+            .collect()
+    }
+
+    fn leaving(&self) -> Vec<id::UpstreamId> {
+        let Some(view) = self.core.current.load_full() else {
+            return Vec::new();
+        };
+        let now = self.core.now();
+        view.entries
+            .iter()
+            .filter(|entry| entry.stats.is_leaving(now))
+            .map(|entry| entry.id.clone())
+            .collect()
+    }
+
+    fn slots(&self, me: &node::Node) -> Vec<held_slot::HeldSlot> {
+        self.streams.control.with(|fold| {
+            fold.state()
+                .slots()
+                .filter_map(|(slot, tenure)| held(slot, tenure, me))
+                .collect()
+        })
+    }
+}
+
+fn state(seen: membership::Status) -> member::State {
+    match seen {
+        membership::Status::Alive => member::State::Alive,
+        membership::Status::Leaving => member::State::Leaving,
+        membership::Status::Suspect => member::State::Suspect,
+        membership::Status::Dead => member::State::Dead,
+    }
+}
+
+fn held(slot: slot::Slot, tenure: &tenure::Tenure, me: &node::Node) -> Option<held_slot::HeldSlot> {
+    let grant = tenure.grant.as_ref()?;
+    let role = if grant.primary == *me {
+        held_slot::Role::Primary
+    } else if grant.backup.as_ref() == Some(me) {
+        held_slot::Role::Backup
+    } else {
+        return None;
+    };
+    Some(held_slot::HeldSlot {
+        slot,
+        role,
+        epoch: tenure.epoch,
+    })
+}
+
+impl admin::Admin for Operator {
+    fn status(&self) -> future::BoxFuture<'_, status::Status> {
+        future::ready(self.report()).boxed()
+    }
+
+    fn explain(&self, request: request::RequestId) -> future::BoxFuture<'_, Option<Vec<String>>> {
+        let lines: Vec<_> = self
+            .core
+            .recent
+            .of(request)
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        future::ready((!lines.is_empty()).then_some(lines)).boxed()
+    }
+
+    fn drain(&self) -> future::BoxFuture<'_, ()> {
+        self.stop.cancel();
+        future::ready(()).boxed()
+    }
+
+    fn set_level(&self, level: level::Level) -> future::BoxFuture<'_, ()> {
+        logger::set_level(level);
+        log::info!("event=log-level level={level}");
+        future::ready(()).boxed()
+    }
+
+    fn configuration(&self) -> future::BoxFuture<'_, Option<configuration::Configuration>> {
+        let revision = self.core.revision();
+        let held = self.streams.config.with(|fold| {
+            let state = fold.state();
+            (state.revision() == revision && revision.0 > 0).then(|| configuration::Configuration {
+                revision,
+                text: state.text().to_owned(),
+            })
+        });
+        future::ready(held).boxed()
+    }
+}
--- a/crates/basilgrade_server/src/recent.rs
+++ b/crates/basilgrade_server/src/recent.rs
@@ -1,6 +1,7 @@
 //! The latest decisions, kept for `basilctl explain`.
 
 use std::collections;
+use std::fmt;
 use std::sync;
 
 use basilgrade_types::attempt;
@@ -49,6 +50,31 @@
     pub verdict: verdict::Verdict,
 }
 
+impl fmt::Display for Decision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "request={} stage={} attempt={} candidates={} choice={} reason={} finish_ms={:.1} cost={:.2}",
+            self.request,
+            self.stage,
+            self.attempt,
+            self.candidates,
+            self.choice.as_ref().map_or("none", id::UpstreamId::as_str),
+            self.reason,
+            self.finish,
+            self.cost,
+        )?;
+        if let Some(outcome) = &self.outcome {
+            write!(
+                f,
+                " verdict={} left={} billed_bytes={}",
+                outcome.verdict, outcome.left, outcome.billed
+            )?;
+        }
+        Ok(())
+    }
+}
+
 /// A bounded record of decisions.
 #[derive(Debug, Default)]
 pub struct Recent {
@@ -58,20 +84,7 @@
 impl Recent {
     /// Logs a decision and keeps it; the oldest goes when the record is full.
     pub fn record(&self, decision: Decision) {
-        log::info!(
-            "event=route request={} stage={} attempt={} candidates={} choice={} reason={} finish_ms={:.1} cost={:.2}",
-            decision.request,
-            decision.stage,
-            decision.attempt,
-            decision.candidates,
-            decision
-                .choice
-                .as_ref()
-                .map_or("none", id::UpstreamId::as_str),
-            decision.reason,
-            decision.finish,
-            decision.cost,
-        );
+        log::info!("event=route {decision}");
         let mut kept = self.lock();
         if kept.len() == KEPT {
             kept.pop_front();
