Split the deadline over stages in the executor

Cause: one slow stage could use up the time of those that follow.

Ruled out: a fixed share for each stage; stage times differ by orders of magnitude.

Change: before each stage the planner splits what is left; a stage is given up when what follows needs the rest at its median; declared degradation is used when the budget demands it or when a skippable stage fails. Stage times outlive changes that concern only customers.

--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -99,12 +99,14 @@
     pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
         self.registry
             .retain(|upstream| deployment.upstreams.contains_key(upstream));
+        let before = self.current.load_full();
         let built = sync::Arc::new(snapshot::Snapshot::build(
             revision,
             deployment.clone(),
             &self.parts.domain,
             &self.registry,
             (self.parts.router)(deployment.weights),
+            before.as_deref(),
         ));
         let newer =
             |old: &Option<snapshot::Loaded>| old.as_ref().is_none_or(|old| old.revision < revision);
--- a/crates/basilgrade_server/src/exec.rs
+++ b/crates/basilgrade_server/src/exec.rs
@@ -1,6 +1,7 @@
 //! Execution of requests: stages, services, attempts and claims.
 
 pub mod attempts;
+pub mod budget;
 pub mod claimed;
 pub mod context;
 pub mod generation;
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -52,7 +52,7 @@
     /// A refusal of the router or a passed deadline, with the verdict of the attempts made.
     pub fn choose(&mut self) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
         let now = self.context.core.now();
-        if self.context.deadline <= now {
+        if self.step.limit <= now {
             return Err(failure::Failure::DeadlinePassed(self.verdict()));
         }
         let view = &self.context.view;
@@ -160,7 +160,7 @@
             stage: self.step.stage.clone(),
             attempt,
             key: self.context.key,
-            left: self.context.left(),
+            left: self.step.limit.since(self.context.core.now()),
             echo,
         }
     }
@@ -184,7 +184,7 @@
             latency: view.latency.get(home).cloned().unwrap_or_default(),
             prompt,
             output: self.step.tokens.0 as u32,
-            deadline: self.context.deadline,
+            deadline: self.step.due,
             excluded: self.tried.clone(),
         }
     }
--- a/crates/basilgrade_server/src/exec/pipeline.rs
+++ b/crates/basilgrade_server/src/exec/pipeline.rs
@@ -4,6 +4,8 @@
 use basilgrade_config::model::pipeline;
 use basilgrade_config::model::pool;
 use basilgrade_config::model::stage;
+use basilgrade_policy::budget::plan;
+use basilgrade_types::clock;
 use basilgrade_types::verdict;
 use basilgrade_upstream::token;
 use bytes::Bytes;
@@ -13,6 +15,7 @@
 use crate::caller::head;
 use crate::caller::respond;
 use crate::exec::attempts;
+use crate::exec::budget;
 use crate::exec::claimed;
 use crate::exec::context;
 use crate::exec::generation;
@@ -50,27 +53,64 @@
     pipeline: pipeline::Pipeline,
     input: Bytes,
 ) -> Result<output::Output, failure::Failure> {
-    let marked = context.idempotency == Some(stage::Idempotency::NonIdempotent);
     let last = pipeline.stages.len() - 1;
+    let budget = budget::Budget::new(&context, &pipeline.id);
     let mut data = input;
     let mut ran = None;
     for (position, stage) in pipeline.stages.iter().enumerate() {
-        let step = prepare(&context, stage, marked, data)?;
+        let part = budget
+            .part(position)
+            .map_err(|refusal| after(ran, failure::Failure::Refused(refusal)))?;
+        if part.action == plan::Action::Skip {
+            log::info!(
+                "event=degrade request={} stage={} action=skip reason=budget",
+                context.request,
+                stage.id
+            );
+            continue;
+        }
+        let step = prepare(&context, stage, &part, data.clone())?;
         let generates = step.kind == pool::Kind::Engine;
         if generates && position == last && context.delivery == head::Delivery::Stream {
             return Ok(output::Output::Stream(relay(context, step)));
         }
+        let started = context.core.now();
         let result = if generates {
             generation::whole(&context, &step).await.map(Bytes::from)
         } else {
             attempts::run(&context, &step).await.map(|reply| reply.body)
         };
-        data = result.map_err(|failure| after(ran, failure))?;
+        budget.observe(position, part.action, started);
+        match result {
+            Ok(output) => data = output,
+            Err(failure) if skippable(stage, &step, &failure, &context) => {
+                log::info!(
+                    "event=degrade request={} stage={} action=skip reason={}",
+                    context.request,
+                    stage.id,
+                    failure.label()
+                );
+            }
+            Err(failure) => return Err(after(ran, failure)),
+        }
         ran = Some(verdict::Verdict::Ran);
     }
     Ok(output::Output::ok("application/octet-stream", data))
 }
 
+/// Whether a stage that failed may be left out: the operator allows it, running it again later does
+/// no harm, and there is time for what follows.
+fn skippable(
+    stage: &stage::Stage,
+    step: &step::Step,
+    failure: &failure::Failure,
+    context: &context::Context,
+) -> bool {
+    let harmless = step.idempotency == stage::Idempotency::Idempotent
+        || failure.verdict() == verdict::Verdict::NotRun;
+    stage.degrade == stage::Degrade::Skip && harmless && context.left() > clock::Millis::ZERO
+}
+
 /// A request whose later stage was not run may have run as a whole.
 fn after(ran: Option<verdict::Verdict>, failure: failure::Failure) -> failure::Failure {
     if ran.is_none() || failure.verdict() != verdict::Verdict::NotRun {
@@ -87,14 +127,31 @@
 fn prepare(
     context: &context::Context,
     stage: &stage::Stage,
-    marked: bool,
+    part: &budget::Part,
     input: Bytes,
 ) -> Result<step::Step, failure::Failure> {
+    let marked = context.idempotency == Some(stage::Idempotency::NonIdempotent);
+    let name = match (&stage.degrade, part.action) {
+        (stage::Degrade::Substitute(pool), plan::Action::Substitute) => pool,
+        _ => &stage.pool,
+    };
+    let tokens = match part.action {
+        plan::Action::Shorten(tokens) => tokens,
+        _ => stage.tokens,
+    };
+    if part.action != plan::Action::Run {
+        log::info!(
+            "event=degrade request={} stage={} action={:?} reason=budget",
+            context.request,
+            stage.id,
+            part.action
+        );
+    }
     let pool = context
         .view
         .deployment
         .pools
-        .get(&stage.pool)
+        .get(name)
         .ok_or(failure::Failure::NotReady)?;
     let idempotency = if marked {
         stage::Idempotency::NonIdempotent
@@ -103,16 +160,18 @@
     };
     Ok(step::Step {
         stage: stage.id.clone(),
-        pool: stage.pool.clone(),
+        pool: name.clone(),
         kind: pool.kind,
         keys: pool.keys,
         model: stage.model.clone(),
-        tokens: stage.tokens,
+        tokens,
         idempotency,
         method: hyper::Method::POST,
         path: "/run".to_owned(),
         headers: hyper::HeaderMap::new(),
         input,
+        due: part.due,
+        limit: part.limit,
     })
 }
 
--- a/crates/basilgrade_server/src/exec/service.rs
+++ b/crates/basilgrade_server/src/exec/service.rs
@@ -65,6 +65,8 @@
         path: incoming.path,
         headers: forwarded(&incoming.headers),
         input: incoming.body,
+        due: context.deadline,
+        limit: context.deadline,
     };
     match idempotency {
         stage::Idempotency::Idempotent => call(context, step).await,
--- a/crates/basilgrade_server/src/exec/step.rs
+++ b/crates/basilgrade_server/src/exec/step.rs
@@ -2,6 +2,7 @@
 
 use basilgrade_config::model::pool;
 use basilgrade_config::model::stage;
+use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::size;
 use bytes::Bytes;
@@ -31,4 +32,8 @@
     pub headers: hyper::HeaderMap,
     /// Input.
     pub input: Bytes,
+    /// Instant by which the step should be done; upstreams are chosen by it.
+    pub due: clock::Millis,
+    /// Instant at which the step is given up, because what follows needs the rest of the time.
+    pub limit: clock::Millis,
 }
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use basilgrade_config::model::deployment;
+use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
 use basilgrade_policy::router;
 use basilgrade_types::clock;
@@ -34,6 +35,8 @@
     pub latency: Vec<Vec<f32>>,
     /// Choice of upstream for what this deployment values.
     pub router: sync::Arc<dyn router::Router>,
+    /// Stage times and the plans that follow from them.
+    pub planner: sync::Arc<planner::Planner>,
 }
 
 impl Snapshot {
@@ -44,6 +47,7 @@
         domain: &id::DomainId,
         registry: &registry::Registry,
         router: sync::Arc<dyn router::Router>,
+        before: Option<&Self>,
     ) -> Self {
         let regions: IndexSet<_> = deployment
             .domains
@@ -98,6 +102,15 @@
                 .filter(|_| from != to)
                 .map_or(0.0, |link| link.latency.as_f64() as f32)
         });
+        // Most changes concern customers; the stage times observed so far stay valid then.
+        let kept = before.filter(|before| {
+            before.deployment.pipelines == deployment.pipelines
+                && before.deployment.services == deployment.services
+        });
+        let planner = kept.map_or_else(
+            || sync::Arc::new(planner::Planner::new(&deployment)),
+            |before| sync::Arc::clone(&before.planner),
+        );
         Self {
             revision,
             deployment,
@@ -108,6 +121,7 @@
             prices,
             latency,
             router,
+            planner,
         }
     }
 
