--- a/crates/basilgrade_policy/benches/policy/scenario.rs
+++ b/crates/basilgrade_policy/benches/policy/scenario.rs
@@ -70,6 +70,11 @@
 ];
 
 impl Scenario {
+    /// Whether the scenario is also run at the size of a fleet, which takes much longer.
+    pub(crate) fn large(&self) -> bool {
+        self.name == "steady-0.9" || matches!(self.kind, Kind::SlowEngine | Kind::OldReports)
+    }
+
     /// Requests of each customer at `now`, as a share of the capacity.
     pub(crate) fn rates(&self, now: f64, customers: &[f64]) -> Vec<f64> {
         let factor = if self.kind == Kind::Burst && (FAULT..FAULT + 20_000.0).contains(&now) {
--- a/crates/basilgrade_policy/src/router/score.rs
+++ b/crates/basilgrade_policy/src/router/score.rs
@@ -39,7 +39,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Scale<'a> {
     call: &'a router::CallShape,
+    now: u64,
     echo: f32,
+    daemons: f32,
+    /// Share of its weight that a report loses with each millisecond of its age.
+    distrust: f32,
     /// Value of one unit of price.
     cost: f32,
     attainment: f32,
@@ -59,7 +63,10 @@
     ) -> Self {
         Self {
             call,
+            now: now.0,
             echo: settings.echo,
+            daemons: settings.daemons,
+            distrust: 0.5 / (settings.trust.0.max(1) as f32),
             cost: settings.cost,
             attainment: settings.attainment,
             urgency: 1.0 / (call.deadline - now).0.max(1) as f32,
@@ -78,7 +85,11 @@
 
         let reported = (candidate.running + candidate.queued) as f32;
         let sent = candidate.sent as f32 * self.echo;
-        let load = larger(reported + sent, candidate.inflight as f32);
+        let own = candidate.inflight as f32;
+        let age = self.now.saturating_sub(candidate.reported.0) as i64 as f32;
+        let trust = larger(1.0 - age * self.distrust, 0.0);
+        let load = trust * (reported + sent) + (1.0 - trust) * own * self.daemons;
+        let load = larger(load, own);
         let share = 1.0 / candidate.capacity.max(1) as f32;
 
         let fresh = larger(self.prompt - candidate.cached as f32, 0.0);
--- a/crates/basilgrade_policy/src/router/scored.rs
+++ b/crates/basilgrade_policy/src/router/scored.rs
@@ -11,16 +11,7 @@
 use crate::router::score;
 use crate::router::settings;
 
-/// Age of a report, in multiples of [`settings::Settings::stale`], from which the subset stops
-/// shrinking.
-///
-/// Below an eighth, a pool of a dozen upstreams is often left without a near one.
-const AGE_LIMIT: u64 = 8;
-
-/// Chooses the upstream with the lowest [`score::Score`].
-///
-/// When load reports are old, only a random subset is compared, so that many daemons with the same
-/// reports do not all send to the same upstream.
+/// Chooses the upstream with the lowest [`score::Score`]; equal ones share evenly.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ScoredRouter {
     settings: settings::Settings,
@@ -31,95 +22,62 @@
     pub const fn new(settings: settings::Settings) -> Self {
         Self { settings }
     }
+}
 
-    /// Whether a candidate takes part in the choice.
-    ///
-    /// It does with the chance `weight * stale / age`. The comparison is a product of integers,
-    /// because a division for each candidate would be a third of the decision time.
-    fn takes_part(
-        &self,
-        now: clock::Millis,
-        candidate: &candidate::Candidate,
-        random: &mut Random,
-    ) -> bool {
-        let age = (now - candidate.reported).0;
-        let stale = self.settings.stale.0;
-        // A cached prefix saves more than a less loaded upstream can offer.
-        if age > stale && candidate.cached == 0 {
-            let age = age.min(stale.saturating_mul(AGE_LIMIT));
-            if u64::from(random.bits()) * age >= stale << 32 {
-                return false;
-            }
-        }
-        candidate.weight >= 1.0 || random.fraction() < candidate.weight
-    }
-
-    /// The best of the open candidates, or of a subset of them drawn with `subset`.
-    ///
-    /// The scan starts at `start`, so that equal candidates are chosen evenly.
-    fn best(
+impl router::Router for ScoredRouter {
+    fn choose(
         &self,
         now: clock::Millis,
         call: &router::CallShape,
         candidates: &[candidate::Candidate],
-        start: usize,
-        mut subset: Option<&mut Random>,
-    ) -> Option<router::Choice> {
-        let reason = if subset.is_some() {
-            "score"
-        } else {
-            "score-rest"
-        };
+        rng: &mut dyn Rng,
+    ) -> Result<router::Choice, refusal::Refusal> {
+        if now >= call.deadline {
+            return Err(refusal::Refusal::Deadline);
+        }
         let scale = score::Scale::new(&self.settings, now, call);
+        let mut random = Random::new(rng);
+        // The scan starts anywhere, so that equal candidates are chosen evenly.
+        let start = baseline::position(u64::from(random.bits()) << 32, candidates.len());
         let (head, tail) = candidates.split_at(start);
         let mut best = None;
+        let mut rest = None;
         let mut lowest = f32::INFINITY;
         for candidate in [tail, head].into_iter().flatten() {
-            let usable = candidate.weight > 0.0 && candidate.inflight < candidate.limit;
-            if !usable {
-                continue;
-            }
-            if let Some(random) = &mut subset
-                && !self.takes_part(now, candidate, random)
-            {
+            if candidate.weight <= 0.0 || candidate.inflight >= candidate.limit {
                 continue;
             }
             let scored = scale.score(candidate);
             // The exclusions are searched last, because few candidates come this far.
-            if scored.total < lowest && !call.excluded.contains(&candidate.index) {
-                lowest = scored.total;
-                best = Some(router::Choice {
-                    index: candidate.index,
-                    finish: scored.finish,
-                    cost: scored.cost,
-                    reason,
-                });
+            if scored.total >= lowest || call.excluded.contains(&candidate.index) {
+                continue;
+            }
+            // An upstream of reduced weight gets that share of the calls it would have got.
+            if candidate.weight < 1.0 && random.fraction() >= candidate.weight {
+                rest = Some((candidate, scored));
+                continue;
             }
+            lowest = scored.total;
+            best = Some((candidate, scored));
+        }
+        match (best, rest) {
+            (Some(found), _) => Ok(choice(found, "score")),
+            // An upstream of reduced weight is better than a refusal.
+            (None, Some(found)) => Ok(choice(found, "score-reduced")),
+            (None, None) => Err(eligible::refuse(candidates, call)),
         }
-        best
     }
 }
 
-impl router::Router for ScoredRouter {
-    fn choose(
-        &self,
-        now: clock::Millis,
-        call: &router::CallShape,
-        candidates: &[candidate::Candidate],
-        rng: &mut dyn Rng,
-    ) -> Result<router::Choice, refusal::Refusal> {
-        if now >= call.deadline {
-            return Err(refusal::Refusal::Deadline);
-        }
-        let mut random = Random::new(rng);
-        let start = baseline::position(u64::from(random.bits()) << 32, candidates.len());
-        let drawn = self.best(now, call, candidates, start, Some(&mut random));
-        if let Some(choice) = drawn {
-            return Ok(choice);
-        }
-        // With an empty subset, the best of the rest is better than a refusal.
-        self.best(now, call, candidates, start, None)
-            .ok_or_else(|| eligible::refuse(candidates, call))
+fn choice(
+    (candidate, scored): (&candidate::Candidate, score::Score),
+    reason: &'static str,
+) -> router::Choice {
+    router::Choice {
+        index: candidate.index,
+        finish: scored.finish,
+        cost: scored.cost,
+        reason,
     }
 }
 
--- a/crates/basilgrade_policy/src/router/settings.rs
+++ b/crates/basilgrade_policy/src/router/settings.rs
@@ -13,9 +13,12 @@
     /// Calls assumed to have been sent by all daemons for each own call since the report; 0 ignores
     /// own calls.
     pub echo: f32,
-    /// Age of a load report above which the best of a random subset is taken;
-    /// [`clock::Millis::MAX`] always takes the best of all.
-    pub stale: clock::Millis,
+    /// Daemons that send to the same upstreams, this one included.
+    ///
+    /// Own calls in flight times this number stand in for the load when its report is old.
+    pub daemons: f32,
+    /// Age of a load report at which it counts half; at twice this age it counts nothing.
+    pub trust: clock::Millis,
 }
 
 impl Default for Settings {
@@ -31,7 +34,8 @@
             attainment: weights.attainment as f32,
             cost: weights.cost as f32,
             echo: 1.0,
-            stale: clock::Millis(500),
+            daemons: 1.0,
+            trust: clock::Millis(2000),
         }
     }
 }
