--- a/crates/basilgrade/examples/quickstart/main.rs
+++ b/crates/basilgrade/examples/quickstart/main.rs
@@ -3,7 +3,6 @@
 //! The platform and the upstreams are stand-ins on loopback. Three daemons stand in two failure
 //! domains of two regions. The exit code is not 0 if any answer is wrong.
 
-mod caller;
 mod deployment;
 mod scenario;
 
--- a/crates/basilgrade/examples/quickstart/scenario.rs
+++ b/crates/basilgrade/examples/quickstart/scenario.rs
@@ -3,13 +3,16 @@
 use std::net;
 use std::time;
 
+use basilgrade_standins::caller;
 use basilgrade_standins::engine;
 use basilgrade_standins::pool;
 use basilgrade_standins::service;
 
-use crate::caller;
 use crate::deployment;
 
+/// Names the customer of all requests.
+const CUSTOMER: (&str, &str) = ("basilgrade-customer", "graduacion-sur");
+
 /// Sends all requests and checks their answers.
 pub(crate) async fn run(deployment: &deployment::Deployment) -> Result<(), String> {
     for index in 0..6 {
@@ -39,7 +42,7 @@
     let daemon = &deployment.daemons[index % deployment.daemons.len()];
     let question = format!("Where does family {index} sit?");
     let path = "/v1/pipelines/seating";
-    let response = caller::post(daemon.caller, path, &[], &question).await?;
+    let response = caller::post(daemon.caller, path, &[CUSTOMER], &question).await?;
     println!(
         "pipeline seating via entry-{}: status={} verdict={}",
         index % 3,
@@ -75,7 +78,7 @@
 async fn stream(deployment: &deployment::Deployment) -> Result<(), String> {
     let daemon = &deployment.daemons[0];
     let question = "What is the dress code?";
-    let headers = [("accept", "text/event-stream")];
+    let headers = [CUSTOMER, ("accept", "text/event-stream")];
     let path = "/v1/pipelines/seating";
     let response = caller::post(daemon.caller, path, &headers, question).await?;
     let body = String::from_utf8_lossy(&response.body).into_owned();
@@ -123,6 +126,7 @@
 async fn charge(deployment: &deployment::Deployment) -> Result<(), String> {
     let key = uuid::Uuid::now_v7().to_string();
     let headers = [
+        CUSTOMER,
         ("idempotency-key", key.as_str()),
         ("basilgrade-idempotent", "false"),
     ];
@@ -155,7 +159,7 @@
 
 async fn invalid(deployment: &deployment::Deployment) -> Result<(), String> {
     let daemon = &deployment.daemons[2];
-    let response = caller::post(daemon.caller, "/v1/pipelines/unknown", &[], "").await?;
+    let response = caller::post(daemon.caller, "/v1/pipelines/unknown", &[CUSTOMER], "").await?;
     println!(
         "unknown pipeline via entry-2: status={} verdict={}",
         response.status, response.verdict
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -4,6 +4,7 @@
 
 use basilgrade_config::model::pool;
 use basilgrade_config::model::stage;
+use basilgrade_policy::candidate;
 use basilgrade_policy::refusal;
 use basilgrade_policy::router;
 use basilgrade_types::attempt;
@@ -57,16 +58,18 @@
         }
         let view = &self.context.view;
         let candidates = view.candidates(&self.step.pool, now);
-        let shape = self.shape();
-        let choice = view
-            .router
-            .choose(now, &shape, &candidates, &mut rand::rng())
-            .and_then(|choice| {
-                let entry = view.entries.get(choice.index as usize);
-                entry
-                    .map(|entry| (entry, choice))
-                    .ok_or(refusal::Refusal::Unserved)
-            });
+        let mut choice = self.ask_router(now, &candidates);
+        if choice.is_err() && !self.tried.is_empty() {
+            // Every other upstream is out of the question, so those tried before get another chance.
+            self.tried.clear();
+            choice = self.ask_router(now, &candidates);
+        }
+        let choice = choice.and_then(|choice| {
+            let entry = view.entries.get(choice.index as usize);
+            entry
+                .map(|entry| (entry, choice))
+                .ok_or(refusal::Refusal::Unserved)
+        });
         let attempt = self.next;
         self.record(now, candidates.len(), choice.as_ref().ok());
         match choice {
@@ -80,6 +83,15 @@
         }
     }
 
+    fn ask_router(
+        &self,
+        now: clock::Millis,
+        candidates: &[candidate::Candidate],
+    ) -> Result<router::Choice, refusal::Refusal> {
+        let router = &self.context.view.router;
+        router.choose(now, &self.shape(), candidates, &mut rand::rng())
+    }
+
     /// Notes what an attempt cost; `received` counts the bytes of its answer.
     pub fn finished(
         &self,
--- a/crates/basilgrade_standins/src/lib.rs
+++ b/crates/basilgrade_standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! written on plain sockets, because faults such as a short body or two answers to one request
 //! cannot be produced with an HTTP library.
 
+pub mod caller;
 pub mod engine;
 pub mod execution;
 pub mod fault;
