Eject, retry and hedge

An engine that fails every call at once draws calls, because it looks idle.

Change: health::connection (growing times without calls, reduced weight until the first answer), health::outliers (steps of a quarter, a third of a pool at most), retry::{budget,backoff,permission,hedge}; scenario failing-engine.

--- a/crates/basilgrade_policy/benches/policy/daemon.rs
+++ b/crates/basilgrade_policy/benches/policy/daemon.rs
@@ -2,10 +2,13 @@
 
 use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
+use basilgrade_policy::health::connection;
+use basilgrade_policy::health::outliers;
 use basilgrade_policy::limit;
 use basilgrade_policy::prefix::hits;
 use basilgrade_policy::prefix::index;
 use basilgrade_policy::queue;
+use basilgrade_policy::retry::budget;
 use basilgrade_policy::router;
 use basilgrade_policy::speed;
 use basilgrade_types::clock;
@@ -34,6 +37,7 @@
     pub(crate) limit: limit::AdaptiveLimit,
     /// Cache events read so far.
     pub(crate) events: usize,
+    pub(crate) connection: connection::Connection,
     /// Not before this instant after a refused connection.
     pub(crate) closed: f64,
 }
@@ -47,6 +51,7 @@
             speed: speed::Speed::default(),
             limit: limit::AdaptiveLimit::new(capacity),
             events: 0,
+            connection: connection::Connection::default(),
             closed: 0.0,
         }
     }
@@ -61,6 +66,14 @@
             .count() as u32
     }
 
+    /// When a call was sent.
+    pub(crate) fn sent_at(&self, call: usize) -> f64 {
+        self.sent
+            .iter()
+            .find(|sent| sent.call == call)
+            .map_or(f64::MAX, |sent| sent.at)
+    }
+
     /// Removes a call that is no longer in flight.
     pub(crate) fn take(&mut self, call: usize) -> Option<Sent> {
         let position = self.sent.iter().position(|sent| sent.call == call)?;
@@ -73,6 +86,8 @@
     pub(crate) region: usize,
     /// Requests that wait for an upstream of each pool.
     pub(crate) queues: Vec<queue::DeadlineQueue<usize>>,
+    pub(crate) outliers: Vec<outliers::Outliers>,
+    pub(crate) retries: budget::RetryBudget,
     pub(crate) index: index::PrefixIndex,
     pub(crate) hits: hits::Hits,
     pub(crate) planner: planner::Planner,
--- a/crates/basilgrade_policy/benches/policy/event.rs
+++ b/crates/basilgrade_policy/benches/policy/event.rs
@@ -16,6 +16,12 @@
     Reply(usize),
     /// The failure of call `0` reaches its daemon.
     Fail(usize),
+    /// The current stage of request `0` is sent again.
+    Retry(usize),
+    /// The answer to stage `1` of request `0` is late.
+    Hedge(usize, usize),
+    /// Daemon `0` compares the upstreams of each pool.
+    Evaluate(usize),
     /// Request `0` reaches its deadline.
     Expire(usize),
     /// Loads are recorded.
--- a/crates/basilgrade_policy/benches/policy/report.rs
+++ b/crates/basilgrade_policy/benches/policy/report.rs
@@ -186,14 +186,14 @@
 }
 
 fn print(deployments: &[deployment::Deployment], rows: &[Row]) {
-    print!("{:9} {:13} {:17}", "", "", "");
+    print!("{:9} {:14} {:17}", "", "", "");
     for name in outcome::COLUMNS {
         print!(" {name:>9}");
     }
     println!();
     for row in rows {
         print!(
-            "{:9} {:13} {:17}",
+            "{:9} {:14} {:17}",
             deployments[row.deployment].name,
             scenario::ALL[row.scenario].name,
             strategy::ALL[row.strategy].name(),
--- a/crates/basilgrade_policy/benches/policy/scenario.rs
+++ b/crates/basilgrade_policy/benches/policy/scenario.rs
@@ -20,6 +20,8 @@
     Burst,
     /// One engine 10 times slower during the fault.
     SlowEngine,
+    /// One engine fails every call at once during the fault.
+    FailingEngine,
     /// The whole pool of the first plain stage 5 times slower during the fault.
     SlowPool,
     /// The upstreams of one region refuse connections during the fault.
@@ -52,13 +54,14 @@
 }
 
 /// All scenarios in the order of the report.
-pub(crate) const ALL: [Scenario; 14] = [
+pub(crate) const ALL: [Scenario; 15] = [
     scenario("steady-0.5", Kind::Steady, 0.5),
     scenario("steady-0.7", Kind::Steady, 0.7),
     scenario("steady-0.9", Kind::Steady, 0.9),
     scenario("burst", Kind::Burst, 0.5),
     scenario("overload-1.5", Kind::Steady, 1.5),
     scenario("slow-engine", Kind::SlowEngine, 0.9),
+    scenario("failing-engine", Kind::FailingEngine, 0.8),
     scenario("slow-pool", Kind::SlowPool, 0.7),
     scenario("domain-lost", Kind::DomainLost, 0.6),
     scenario("slow-link", Kind::SlowLink, 0.7),
--- a/crates/basilgrade_policy/benches/policy/server.rs
+++ b/crates/basilgrade_policy/benches/policy/server.rs
@@ -12,7 +12,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     call: usize,
-    /// Work left, in milliseconds of an upstream without other calls.
+    /// Work in all and work left, in milliseconds of an upstream without other calls.
+    work: f64,
     left: f64,
 }
 
@@ -42,6 +43,8 @@
     pub(crate) region: usize,
     pub(crate) capacity: u32,
     pub(crate) up: bool,
+    /// Whether every call fails at once.
+    pub(crate) failing: bool,
     /// 1 when healthy.
     pub(crate) speed: f64,
     pub(crate) cache: cache::Cache,
@@ -63,6 +66,7 @@
             region,
             capacity: shape.capacity,
             up: true,
+            failing: false,
             speed: 1.0,
             cache: cache::Cache::new(shape.cache),
             version: 0,
@@ -120,6 +124,7 @@
                 + self.shape.decode * next.output;
             self.running.push(Running {
                 call: next.call,
+                work: work.max(0.1),
                 left: work.max(0.1),
             });
         }
@@ -147,6 +152,14 @@
         self.start();
     }
 
+    /// Share of a call's work that is done; 0 while it waits.
+    pub(crate) fn done(&self, call: usize) -> f64 {
+        self.running
+            .iter()
+            .find(|running| running.call == call)
+            .map_or(0.0, |running| 1.0 - running.left / running.work)
+    }
+
     /// Removes a call whose caller has gone.
     pub(crate) fn cancel(&mut self, call: usize) {
         self.running.retain(|running| running.call != call);
--- a/crates/basilgrade_policy/benches/policy/strategy.rs
+++ b/crates/basilgrade_policy/benches/policy/strategy.rs
@@ -17,6 +17,14 @@
     Events,
     /// A prefix is expected on the upstream that all daemons prefer for it.
     Preferred,
+    /// Upstreams that refuse connections are tried again after growing times.
+    Connection,
+    /// Upstreams that are slower or fail more than their peers lose weight.
+    Outliers,
+    /// Retries, with a budget instead of a fixed number.
+    Retry,
+    /// A second call when the first one takes long.
+    Hedge,
     /// Observed speed of each upstream instead of the declared one.
     Speed,
     /// Own calls since the report count as load.
@@ -46,7 +54,7 @@
 }
 
 /// All strategies in the order of the report.
-pub(crate) const ALL: [Strategy; 16] = [
+pub(crate) const ALL: [Strategy; 20] = [
     Strategy::RoundRobin,
     Strategy::Random,
     Strategy::LeastOutstanding,
@@ -59,6 +67,10 @@
     Strategy::Without(Mechanism::Prefix),
     Strategy::Without(Mechanism::Events),
     Strategy::Without(Mechanism::Preferred),
+    Strategy::Without(Mechanism::Connection),
+    Strategy::Without(Mechanism::Outliers),
+    Strategy::Without(Mechanism::Retry),
+    Strategy::Without(Mechanism::Hedge),
     Strategy::Without(Mechanism::Speed),
     Strategy::Without(Mechanism::Correction),
     Strategy::Without(Mechanism::Trust),
--- a/crates/basilgrade_policy/benches/policy/world.rs
+++ b/crates/basilgrade_policy/benches/policy/world.rs
@@ -5,6 +5,7 @@
 use basilgrade_policy::budget::plan;
 use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
+use basilgrade_policy::health::outliers;
 use basilgrade_policy::prefix::change;
 use basilgrade_policy::prefix::hits;
 use basilgrade_policy::prefix::index;
@@ -12,6 +13,9 @@
 use basilgrade_policy::priority;
 use basilgrade_policy::queue;
 use basilgrade_policy::refusal;
+use basilgrade_policy::retry::backoff;
+use basilgrade_policy::retry::budget;
+use basilgrade_policy::retry::hedge;
 use basilgrade_policy::router;
 use basilgrade_policy::router::least_outstanding;
 use basilgrade_policy::router::random;
@@ -83,6 +87,8 @@
     retries: u32,
     calls: Vec<usize>,
     excluded: Vec<u32>,
+    /// Whether a hedge was sent in the current stage.
+    hedged: bool,
     degraded: bool,
     over: bool,
 }
@@ -97,6 +103,7 @@
             retries: 0,
             calls: Vec::new(),
             excluded: Vec::new(),
+            hedged: false,
             degraded: false,
             over: false,
         }
@@ -196,6 +203,7 @@
         for daemon in 0..self.daemons.len() {
             let phase = POLL * daemon as f64 / self.daemons.len() as f64;
             self.events.push(phase, Event::Poll(daemon));
+            self.events.push(4.0 * phase, Event::Evaluate(daemon));
         }
         self.events.push(scenario::FAULT, Event::Fault);
         self.events.push(scenario::REPAIR, Event::Repair);
@@ -215,7 +223,7 @@
         }
     }
 
-    fn daemon(&self, region: usize) -> daemon::Daemon {
+    fn settings(&self) -> settings::Settings {
         let mut settings = settings::Settings {
             attainment: self.deployment.attainment as f32,
             cost: self.deployment.cost as f32,
@@ -228,6 +236,11 @@
         if !self.strategy.has(Mechanism::Trust) {
             settings.trust = clock::Millis::MAX;
         }
+        settings
+    }
+
+    fn daemon(&self, region: usize) -> daemon::Daemon {
+        let settings = self.settings();
         let router: Box<dyn router::Router> = match self.strategy {
             strategy::Strategy::RoundRobin => Box::new(round_robin::RoundRobinRouter::default()),
             strategy::Strategy::Random => Box::new(random::RandomRouter),
@@ -239,6 +252,13 @@
         };
         daemon::Daemon {
             region,
+            outliers: self
+                .deployment
+                .pools
+                .iter()
+                .map(|pool| outliers::Outliers::new(pool.count))
+                .collect(),
+            retries: budget::RetryBudget::default(),
             index: index::PrefixIndex::new(INDEX, self.servers.len()),
             hits: hits::Hits::default(),
             planner: planner::Planner::new(&self.deployment.model()),
@@ -267,6 +287,9 @@
                 Event::Finish(server, version) => self.finish(server, version),
                 Event::Reply(call) => self.reply(call),
                 Event::Fail(call) => self.fail(call),
+                Event::Retry(request) => self.retry(request),
+                Event::Hedge(request, stage) => self.hedge(request, stage),
+                Event::Evaluate(daemon) => self.evaluate(daemon),
                 Event::Expire(request) => self.expire(request),
                 Event::Sample => self.sample(),
                 Event::Poll(daemon) => self.poll(daemon),
@@ -429,8 +452,8 @@
             + shape.decode * stage.output * self.shortening(request)
     }
 
-    /// Chooses an upstream for the current stage and sends the call.
-    fn choose(&mut self, request: usize) -> Chosen {
+    /// Chooses an upstream for the current stage.
+    fn choice(&mut self, request: usize) -> Result<router::Choice, refusal::Refusal> {
         let home = self.home(request);
         let stage = self.stage(request);
         let call = self.call_shape(request, home, stage);
@@ -441,11 +464,23 @@
             .router
             .choose(now, &call, &candidates, &mut self.rng);
         self.daemons[home].candidates = candidates;
-        match chosen {
+        chosen
+    }
+
+    fn send_choice(&mut self, request: usize, home: usize, choice: router::Choice) {
+        let server = choice.index as usize;
+        let now = daemon::millis(self.now);
+        let factor = self.daemons[home].views[server].speed.factor(now);
+        self.send(request, home, server, choice.finish / factor);
+    }
+
+    /// Chooses an upstream for the current stage and sends the call.
+    fn choose(&mut self, request: usize) -> Chosen {
+        let home = self.home(request);
+        match self.choice(request) {
             Ok(choice) => {
-                let server = choice.index as usize;
-                let factor = self.daemons[home].views[server].speed.factor(now);
-                self.send(request, home, server, choice.finish / factor);
+                self.send_choice(request, home, choice);
+                self.schedule_hedge(request, home);
             }
             Err(refusal::Refusal::Saturated) => return Chosen::Wait,
             Err(refusal::Refusal::Unserved) => self.end(request, outcome::End::Failed),
@@ -454,6 +489,20 @@
         Chosen::Done
     }
 
+    /// Arranges a hedge at the 0.95 quantile of the stage, where a second run has no effect.
+    fn schedule_hedge(&mut self, request: usize, home: usize) {
+        let pipeline = self.requests[request].pipeline;
+        if !self.strategy.has(Mechanism::Hedge) || !self.deployment.pipelines[pipeline].idempotent {
+            return;
+        }
+        let now = daemon::millis(self.now);
+        let stage = self.progress[request].stage;
+        if let Some(summary) = self.daemons[home].planner.summary(now, pipeline, stage) {
+            let at = self.now + f64::from(summary.tail);
+            self.events.push(at, Event::Hedge(request, stage));
+        }
+    }
+
     fn stage(&self, request: usize) -> deployment::Stage {
         let pipeline = &self.deployment.pipelines[self.requests[request].pipeline];
         pipeline.stages[self.progress[request].stage]
@@ -528,11 +577,7 @@
             } else {
                 1.0
             };
-            let open = if oracle {
-                server.up
-            } else {
-                self.now >= view.closed
-            };
+            let weight = self.weight(home, index);
             let cached = if shape.cache == 0 {
                 0
             } else if oracle {
@@ -568,7 +613,7 @@
                 prefill: shape.prefill as f32 * factor,
                 decode: shape.decode as f32 * factor,
                 cached,
-                weight: if open { 1.0 } else { 0.0 },
+                weight,
                 price: shape.price as f32,
             });
         }
@@ -587,6 +632,86 @@
         }
     }
 
+    /// Weight of an upstream in the view of a daemon.
+    fn weight(&self, home: usize, server: usize) -> f32 {
+        if self.strategy == strategy::Strategy::Oracle {
+            return if self.servers[server].up { 1.0 } else { 0.0 };
+        }
+        let view = &self.daemons[home].views[server];
+        let connection = if self.strategy.has(Mechanism::Connection) {
+            view.connection.weight(daemon::millis(self.now))
+        } else if self.now >= view.closed {
+            1.0
+        } else {
+            0.0
+        };
+        if !self.strategy.has(Mechanism::Outliers) {
+            return connection;
+        }
+        let pool = self.servers[server].pool;
+        let member = server - self.pools[pool];
+        connection.min(self.daemons[home].outliers[pool].weight(member))
+    }
+
+    fn evaluate(&mut self, daemon: usize) {
+        let now = daemon::millis(self.now);
+        let found = &self.daemons[daemon];
+        for (pool, outliers) in found.outliers.iter().enumerate() {
+            let views = &found.views[self.pools[pool]..self.pools[pool + 1]];
+            let factors: Vec<_> = views.iter().map(|view| view.speed.factor(now)).collect();
+            outliers.evaluate(now, &factors);
+        }
+        if self.now < scenario::END + 20_000.0 {
+            self.events.push(self.now + 1000.0, Event::Evaluate(daemon));
+        }
+    }
+
+    fn retry(&mut self, request: usize) {
+        if !self.progress[request].over {
+            self.dispatch(request);
+        }
+    }
+
+    /// Sends a second call if the first is still in flight.
+    fn hedge(&mut self, request: usize, stage: usize) {
+        let progress = &self.progress[request];
+        if progress.over || progress.stage != stage || progress.calls.len() != 1 {
+            return;
+        }
+        let home = self.home(request);
+        let call = progress.calls[0];
+        let first = self.calls[call].server;
+        self.progress[request].excluded.push(first as u32);
+        let found = self.choice(request);
+        self.progress[request].excluded.pop();
+        let Ok(choice) = found else {
+            return;
+        };
+        let now = daemon::millis(self.now);
+        let pipeline = self.requests[request].pipeline;
+        let tail = self.daemons[home]
+            .planner
+            .summary(now, pipeline, stage)
+            .map_or(0.0, |summary| summary.tail);
+        let left = daemon::millis(self.deadline(request)) - now;
+        let elapsed = (self.now - self.daemons[home].views[first].sent_at(call)) as f32;
+        self.servers[first].advance(self.now);
+        // Only a stream of tokens shows how far a call is.
+        let streams = self.stage(request).output > 0.0;
+        let done = if streams {
+            self.servers[first].done(call) as f32
+        } else {
+            0.0
+        };
+        let rest = hedge::expected_rest(elapsed, done, tail);
+        if hedge::is_worthwhile(&self.settings(), rest, left, &choice)
+            && self.daemons[home].retries.spend_hedge()
+        {
+            self.progress[request].hedged = true;
+            self.send_choice(request, home, choice);
+        }
+    }
+
     fn send(&mut self, request: usize, home: usize, server: usize, expected: f32) {
         let stage = self.stage(request);
         let travel = self.travel(
@@ -620,10 +745,13 @@
         self.events.push(self.now + travel, Event::Deliver(call));
         if self.measured() {
             self.outcome.calls += 1;
-            if self.progress[request].retries > 0 {
+            if self.progress[request].retries > 0 || self.progress[request].hedged {
                 self.outcome.extra += 1;
             }
         }
+        if self.progress[request].retries == 0 && !self.progress[request].hedged {
+            self.daemons[home].retries.earn();
+        }
     }
 
     fn deliver(&mut self, call: usize) {
@@ -644,6 +772,10 @@
             return;
         }
         self.calls[call].accepted = true;
+        if self.servers[server].failing {
+            self.events.push(self.now + travel, Event::Fail(call));
+            return;
+        }
         let stage = self.stage(request);
         if self.measured() {
             self.outcome.price += self.deployment.pools[stage.pool].price;
@@ -722,11 +854,14 @@
         let inflight = view.sent.len() as u32;
         if let Some(sent) = view.take(call) {
             let time = (self.now - sent.at) as f32;
+            view.connection.answered();
             view.speed.observe(now, sent.expected + extra, time);
             view.limit
                 .observe(now, time / (sent.alone + extra), inflight);
         }
         let pool = self.servers[server].pool;
+        let member = server - self.pools[pool];
+        self.daemons[daemon].outliers[pool].observe(now, member, false);
         if self.measured() {
             self.outcome.stages += 1;
         }
@@ -737,6 +872,7 @@
         progress.stage += 1;
         progress.retries = 0;
         progress.excluded.clear();
+        progress.hedged = false;
         if progress.stage == pipeline.stages.len() {
             self.end(request, outcome::End::Met);
         } else {
@@ -791,16 +927,37 @@
             return;
         }
         self.calls[call].over = true;
+        let now = daemon::millis(self.now);
+        let pool = self.servers[server].pool;
+        let member = server - self.pools[pool];
+        self.daemons[daemon].outliers[pool].observe(now, member, true);
         let view = &mut self.daemons[daemon].views[server];
         view.take(call);
-        view.closed = self.now + CLOSED;
+        if !accepted {
+            view.closed = self.now + CLOSED;
+            view.connection.refused(now, &mut self.rng);
+        }
         let idempotent = self.deployment.pipelines[self.requests[request].pipeline].idempotent;
         let progress = &mut self.progress[request];
         progress.calls.retain(|own| *own != call);
         progress.excluded.push(server as u32);
+        if !progress.calls.is_empty() {
+            // A hedge is still in flight.
+            return;
+        }
         progress.retries += 1;
-        if progress.retries > RETRIES || (accepted && !idempotent) {
+        let retries = progress.retries;
+        let allowed = if self.strategy.has(Mechanism::Retry) {
+            self.daemons[daemon].retries.spend()
+        } else {
+            retries <= RETRIES
+        };
+        if !allowed || (accepted && !idempotent) {
             self.end(request, outcome::End::Failed);
+        } else if self.strategy.has(Mechanism::Retry) {
+            let delay = backoff::delay(retries - 1, &mut self.rng);
+            self.events
+                .push(self.now + delay.as_f64(), Event::Retry(request));
         } else {
             self.dispatch(request);
         }
@@ -905,6 +1062,14 @@
     fn fault(&mut self) {
         match self.scenario.kind {
             scenario::Kind::SlowEngine => self.set_speed(0, 0.1),
+            scenario::Kind::FailingEngine => {
+                self.servers[0].failing = true;
+                for call in self.servers[0].fail() {
+                    self.events
+                        .push(self.now + self.calls[call].travel, Event::Fail(call));
+                }
+                self.servers[0].up = true;
+            }
             scenario::Kind::SlowPool => {
                 for server in self.pools[3]..self.pools[4] {
                     self.set_speed(server, 0.2);
@@ -934,6 +1099,7 @@
         for server in 0..self.servers.len() {
             self.set_speed(server, 1.0);
             self.servers[server].up = true;
+            self.servers[server].failing = false;
         }
         self.slow_link = 1.0;
     }
--- a/crates/basilgrade_policy/src/lib.rs
+++ b/crates/basilgrade_policy/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod budget;
 pub mod candidate;
+pub mod health;
 pub mod limit;
 pub mod prefix;
 pub mod priority;
 pub mod queue;
 pub mod refusal;
+pub mod retry;
 pub mod router;
 pub mod speed;
