Bound time and memory for hostile configurations

Cause: a trial with a text of 5.5 MB, whose 300,000 targets are unknown, took 315 s, because every unknown name was compared with up to 2,048 known ones; 2 million lines took 295 MB. Ruled out: a lower limit on the text alone, because 1 MB would still take a minute. Change: names are compared only until the report is full (200 problems); at most 400,000 lines, which any configuration within the other limits keeps to; short texts are stored inline; regions are looked up by name. Conclusion: reading is bounded; a test compares 30,000 unknown names.

--- a/crates/basilgrade_config/src/diff.rs
+++ b/crates/basilgrade_config/src/diff.rs
@@ -4,6 +4,7 @@
 
 use std::fmt;
 
+use compact_str::CompactString;
 use indexmap::IndexMap;
 use serde::Serialize;
 
@@ -35,7 +36,7 @@
     }
 }
 
-type Sections = IndexMap<String, IndexMap<String, String>>;
+type Sections = IndexMap<CompactString, IndexMap<CompactString, CompactString>>;
 
 /// Compares two configurations section by section.
 pub fn diff(old: &deployment::Deployment, new: &deployment::Deployment) -> Diff {
--- a/crates/basilgrade_config/src/diff/change.rs
+++ b/crates/basilgrade_config/src/diff/change.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use compact_str::CompactString;
 use indexmap::IndexMap;
 use serde::Serialize;
 
@@ -21,18 +22,18 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Key {
     /// The key.
-    pub name: String,
+    pub name: CompactString,
     /// Its value in the old configuration.
-    pub old: Option<String>,
+    pub old: Option<CompactString>,
     /// Its value in the new configuration.
-    pub new: Option<String>,
+    pub new: Option<CompactString>,
 }
 
 /// A section that differs, with the keys that differ.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Change {
     /// The header without brackets.
-    pub section: String,
+    pub section: CompactString,
     /// How it differs.
     pub kind: Kind,
     /// The keys that differ.
@@ -42,10 +43,10 @@
 impl Change {
     /// The change of one section; `None` if it is the same.
     pub(crate) fn between(
-        section: &str,
+        section: &CompactString,
         kind: Kind,
-        old: &IndexMap<String, String>,
-        new: &IndexMap<String, String>,
+        old: &IndexMap<CompactString, CompactString>,
+        new: &IndexMap<CompactString, CompactString>,
     ) -> Option<Self> {
         let added = new.keys().filter(|name| !old.contains_key(*name));
         let keys: Vec<Key> = old
@@ -59,7 +60,7 @@
             })
             .collect();
         (!keys.is_empty()).then(|| Self {
-            section: section.to_owned(),
+            section: section.clone(),
             kind,
             keys,
         })
--- a/crates/basilgrade_config/src/limits.rs
+++ b/crates/basilgrade_config/src/limits.rs
@@ -7,6 +7,9 @@
 pub const TEXT: usize = 8 << 20;
 /// The longest line, in bytes.
 pub const LINE: usize = 4096;
+/// Most lines. The canonical text has at most 360,000 if all other limits are reached; each line
+/// takes about 60 bytes of memory while the text is read.
+pub const LINES: usize = 400_000;
 /// Most problems kept in one report; further ones are only counted.
 pub const PROBLEMS: usize = 200;
 /// Most failure domains.
--- a/crates/basilgrade_config/src/nearest.rs
+++ b/crates/basilgrade_config/src/nearest.rs
@@ -15,15 +15,3 @@
         .take(MOST)
         .min_by_key(|candidate| strsim::damerau_levenshtein(name, candidate))
 }
-
-/// What to write instead of `name`: the nearest known name, or `otherwise` if none is known.
-pub(crate) fn suggest<'a>(
-    name: &str,
-    known: impl IntoIterator<Item = &'a str>,
-    otherwise: &str,
-) -> String {
-    match nearest(name, known) {
-        Some(found) => format!("{otherwise}, the nearest being `{found}`"),
-        None => otherwise.to_owned(),
-    }
-}
--- a/crates/basilgrade_config/src/parse/headers.rs
+++ b/crates/basilgrade_config/src/parse/headers.rs
@@ -5,7 +5,6 @@
 use basilgrade_types::id;
 
 use crate::limits;
-use crate::nearest;
 use crate::section;
 use crate::source;
 
@@ -53,7 +52,7 @@
     for section in std::mem::take(&mut source.sections) {
         let Some(kind) = KINDS.iter().find(|kind| kind.word == section.kind()) else {
             let known = KINDS.iter().map(|kind| kind.word);
-            let expected = nearest::suggest(section.kind(), known, "a known section");
+            let expected = source.suggest(section.kind(), known, "a known section");
             let found = "the section is not known";
             source.report(section.line, &section.header, "", found, expected);
             continue;
--- a/crates/basilgrade_config/src/parse/links.rs
+++ b/crates/basilgrade_config/src/parse/links.rs
@@ -7,7 +7,6 @@
 
 use crate::model::deployment;
 use crate::model::link;
-use crate::nearest;
 use crate::parse::headers;
 use crate::parse::prices;
 use crate::reader;
@@ -93,7 +92,7 @@
         return;
     }
     let known = regions.iter().map(|region| region.as_str());
-    let expected = nearest::suggest(region.as_str(), known, "the region of a failure domain");
+    let expected = source.suggest(region.as_str(), known, "the region of a failure domain");
     let found = format!("no failure domain lies in region `{region}`");
     source.report(section.line, &section.header, "", found, expected);
 }
@@ -107,14 +106,18 @@
     regions: &BTreeSet<&id::RegionId>,
     lines: &HashMap<(id::RegionId, id::RegionId), usize>,
 ) {
+    let mut domains: HashMap<&str, &section::Section> = HashMap::new();
+    for section in headers::of(sections, "domain") {
+        if let Some(region) = section.value("region") {
+            domains.entry(region).or_insert(section);
+        }
+    }
     for (index, from) in regions.iter().enumerate() {
         for to in regions.iter().skip(index + 1) {
             if lines.contains_key(&ordered(from, to)) {
                 continue;
             }
-            let Some(domain) = headers::of(sections, "domain")
-                .find(|section| section.value("region") == Some(to.as_str()))
-            else {
+            let Some(domain) = domains.get(to.as_str()) else {
                 continue;
             };
             let found = format!("no link between `{from}` and `{to}` is declared");
--- a/crates/basilgrade_config/src/parse/pipelines.rs
+++ b/crates/basilgrade_config/src/parse/pipelines.rs
@@ -11,7 +11,6 @@
 use crate::model::pipeline;
 use crate::model::pool;
 use crate::model::stage;
-use crate::nearest;
 use crate::parse::headers;
 use crate::parse::names::Names;
 use crate::parse::stages;
@@ -101,7 +100,7 @@
         return;
     }
     let known = names.pipelines.iter().copied();
-    let expected = nearest::suggest(pipeline, known, "a declared pipeline");
+    let expected = source.suggest(pipeline, known, "a declared pipeline");
     let found = format!("pipeline `{pipeline}` is not declared");
     source.report(section.line, &section.header, "", found, expected);
 }
--- a/crates/basilgrade_config/src/parse/services.rs
+++ b/crates/basilgrade_config/src/parse/services.rs
@@ -5,7 +5,6 @@
 
 use crate::model::pool;
 use crate::model::service;
-use crate::nearest;
 use crate::parse::headers;
 use crate::parse::names::Names;
 use crate::reader;
@@ -58,7 +57,7 @@
 ) {
     if !names.pools.contains(pool.as_str()) {
         let known = names.pools.iter().copied();
-        let expected = nearest::suggest(pool.as_str(), known, "a declared pool");
+        let expected = source.suggest(pool.as_str(), known, "a declared pool");
         let found = format!("pool `{pool}` is not declared");
         source.report(section.line, &section.header, "", found, expected);
     }
--- a/crates/basilgrade_config/src/problem.rs
+++ b/crates/basilgrade_config/src/problem.rs
@@ -53,11 +53,16 @@
         self.items.is_empty()
     }
 
+    /// Whether further faults are only counted.
+    pub(crate) fn is_full(&self) -> bool {
+        self.items.len() >= limits::PROBLEMS
+    }
+
     pub(crate) fn push(&mut self, problem: Problem) {
-        if self.items.len() < limits::PROBLEMS {
-            self.items.push(problem);
-        } else {
+        if self.is_full() {
             self.more += 1;
+        } else {
+            self.items.push(problem);
         }
     }
 
--- a/crates/basilgrade_config/src/reader.rs
+++ b/crates/basilgrade_config/src/reader.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 
-use crate::nearest;
 use crate::section;
 use crate::source;
 use crate::value;
@@ -105,7 +104,9 @@
         name: &str,
         known: impl IntoIterator<Item = &'n str>,
     ) {
-        let expected = nearest::suggest(name, known, &format!("a declared {what}"));
+        let expected = self
+            .source
+            .suggest(name, known, &format!("a declared {what}"));
         let found = format!("{what} `{}` is not declared", source::excerpt(name));
         self.report(key, found, expected);
     }
@@ -131,7 +132,9 @@
             if self.known.contains(&entry.key.as_str()) {
                 continue;
             }
-            let expected = nearest::suggest(&entry.key, self.known.iter().copied(), "a known key");
+            let expected =
+                self.source
+                    .suggest(&entry.key, self.known.iter().copied(), "a known key");
             let header = &self.section.header;
             let found = "the key is not known";
             self.source
--- a/crates/basilgrade_config/src/section.rs
+++ b/crates/basilgrade_config/src/section.rs
@@ -1,10 +1,12 @@
 //! One section of an INI text with positions.
 
+use compact_str::CompactString;
+
 /// A key and its value.
 #[derive(Clone, Debug)]
 pub(crate) struct Entry {
-    pub(crate) key: String,
-    pub(crate) value: String,
+    pub(crate) key: CompactString,
+    pub(crate) value: CompactString,
     pub(crate) line: usize,
 }
 
@@ -12,7 +14,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Section {
     /// The header without brackets, its words separated by one space.
-    pub(crate) header: String,
+    pub(crate) header: CompactString,
     pub(crate) line: usize,
     pub(crate) entries: Vec<Entry>,
 }
--- a/crates/basilgrade_config/src/settings/sections.rs
+++ b/crates/basilgrade_config/src/settings/sections.rs
@@ -1,6 +1,7 @@
 //! Reads the sections of a settings file.
 
-use crate::nearest;
+use compact_str::CompactString;
+
 use crate::reader;
 use crate::section;
 use crate::settings;
@@ -22,7 +23,7 @@
     let sections = std::mem::take(&mut source.sections);
     for section in &sections {
         if !KNOWN.contains(&section.header.as_str()) {
-            let expected = nearest::suggest(&section.header, KNOWN, "a known section");
+            let expected = source.suggest(&section.header, KNOWN, "a known section");
             source.report(
                 section.line,
                 &section.header,
@@ -58,7 +59,7 @@
     read: impl Fn(&mut reader::Reader<'_>) -> T,
 ) -> T {
     let absent = section::Section {
-        header: name.to_owned(),
+        header: CompactString::new(name),
         line: 1,
         entries: Vec::new(),
     };
--- a/crates/basilgrade_config/src/source.rs
+++ b/crates/basilgrade_config/src/source.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 
 use crate::limits;
+use crate::nearest;
 use crate::problem;
 use crate::section;
 
@@ -34,6 +35,12 @@
             source.report(1, "", "", found, format!("at most {}", limits::TEXT));
             return source;
         }
+        let lines = text.lines().count();
+        if lines > limits::LINES {
+            let found = format!("the text has {lines} lines");
+            source.report(1, "", "", found, format!("at most {}", limits::LINES));
+            return source;
+        }
         for (index, line) in text.lines().enumerate() {
             source.take(line.trim(), index + 1);
         }
@@ -60,6 +67,25 @@
         });
     }
 
+    /// What to write instead of `name`: the nearest known name, or `otherwise` if none is known.
+    ///
+    /// Once the report is full, no names are compared: a text of 5 MB with 300,000 unknown names
+    /// took 5 minutes.
+    pub(crate) fn suggest<'a>(
+        &self,
+        name: &str,
+        known: impl IntoIterator<Item = &'a str>,
+        otherwise: &str,
+    ) -> String {
+        if self.problems.is_full() {
+            return otherwise.to_owned();
+        }
+        match nearest::nearest(name, known) {
+            Some(found) => format!("{otherwise}, the nearest being `{found}`"),
+            None => otherwise.to_owned(),
+        }
+    }
+
     fn take(&mut self, line: &str, number: usize) {
         if line.is_empty() || line.starts_with(['#', ';']) {
             return;
@@ -112,7 +138,7 @@
 
     /// Reports sections and keys that occur twice, and keeps the first of each.
     fn report_repeats(&mut self) {
-        let mut sections: HashMap<String, usize> = HashMap::new();
+        let mut sections: HashMap<CompactString, usize> = HashMap::new();
         let mut kept = Vec::with_capacity(self.sections.len());
         for mut section in std::mem::take(&mut self.sections) {
             if let Some(first) = sections.get(&section.header) {
@@ -127,7 +153,7 @@
                 continue;
             }
             sections.insert(section.header.clone(), section.line);
-            let mut keys: HashMap<String, usize> = HashMap::new();
+            let mut keys: HashMap<CompactString, usize> = HashMap::new();
             for entry in std::mem::take(&mut section.entries) {
                 if let Some(first) = keys.get(&entry.key) {
                     let found = format!("the key is already on line {first}");
@@ -150,8 +176,8 @@
 }
 
 enum Line {
-    Entry(String, String),
-    Header(String),
+    Entry(CompactString, CompactString),
+    Header(CompactString),
 }
 
 /// Reads one line that is neither empty nor a comment.
@@ -171,13 +197,16 @@
     }
     let Some(name) = name else {
         let (key, value) = properties.iter().next()?;
-        return Some(Line::Entry(key.to_owned(), value.to_owned()));
+        return Some(Line::Entry(
+            CompactString::new(key),
+            CompactString::new(value),
+        ));
     };
     let words: Vec<&str> = name.split_whitespace().collect();
     if words.is_empty() || !properties.is_empty() || !line.ends_with(']') {
         return None;
     }
-    Some(Line::Header(words.join(" ")))
+    Some(Line::Header(CompactString::new(words.join(" "))))
 }
 
 /// The start of a text, so that an error never repeats a whole file.
--- a/crates/basilgrade_config/tests/parse.rs
+++ b/crates/basilgrade_config/tests/parse.rs
@@ -304,14 +304,44 @@
 fn sizes_are_bounded() {
     let long = "#".repeat(limits::TEXT + 1);
     let line = format!("[{}]", "x".repeat(limits::LINE));
+    let lines = "\n".repeat(limits::LINES + 1);
     let faults = "fault\n".repeat(10_000);
 
     let long = parse(&long, "x.ini").expect_err("the text is too long");
     let line = parse(&line, "x.ini").expect_err("the line is too long");
+    let lines = parse(&lines, "x.ini").expect_err("the text has too many lines");
     let faults = parse(&faults, "x.ini").expect_err("the text is faulty");
 
     assert!(long.to_string().contains("expected at most 8388608"));
     assert!(line.to_string().contains("expected at most 4096"));
+    assert!(lines.to_string().contains("expected at most 400000"));
     assert_eq!(faults.items.len(), limits::PROBLEMS);
     assert!(faults.more >= 10_000 - limits::PROBLEMS);
 }
+
+/// Guards against a comparison of every unknown name with every known one: this text took minutes,
+/// because 30,000 names were compared with 500.
+#[test]
+fn unknown_names_are_compared_only_for_the_report() {
+    let targets: Vec<String> = (0..100)
+        .map(|number| format!("no-target-{number}"))
+        .collect();
+    let targets = targets.join(",");
+    let customers = (0..300).map(|number| {
+        format!("[customer c{number}]\nrate = 4/s\nburst = 8\ntargets = {targets}\n")
+    });
+    let pipelines = (0..500).map(|number| {
+        let name = format!("some-pipeline-name-{number}");
+        format!(
+            "[pipeline {name}]\ndeadline = 1s\nstages = a\n\
+             [stage {name} a]\npool = ticket-sales\nidempotency = idempotent\n"
+        )
+    });
+    let text = common::deployment() + &customers.chain(pipelines).collect::<String>();
+
+    let found = parse(&text, "x.ini").expect_err("the text is faulty");
+
+    assert_eq!(found.items.len(), limits::PROBLEMS);
+    assert!(found.items[0].expected.contains("the nearest being"));
+    assert_eq!(found.items.len() + found.more, 30_000);
+}
