--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/strategy.rs
@@ -0,0 +1,99 @@
+//! Ways to run the daemons: baselines, the policy, and the policy without one mechanism.
+
+/// A mechanism that can be disabled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Mechanism {
+    /// Deadline plan, degradation and refusal before any cost.
+    Budget,
+    /// Adaptive limit per upstream; calls above it wait in the daemon.
+    Limit,
+    /// Waiting calls are served by deadline and shed, instead of in order of arrival.
+    Queue,
+    /// Calls with little slack are served first by the upstream.
+    Priority,
+    /// Index of cached prefixes.
+    Prefix,
+    /// Cache events of upstreams as evidence for the index, besides own calls.
+    Events,
+    /// A prefix is expected on the upstream that all daemons prefer for it.
+    Preferred,
+    /// Observed speed of each upstream instead of the declared one.
+    Speed,
+    /// Own calls since the report count as load.
+    Correction,
+    /// Own calls in flight stand in for the load when its report is old.
+    Trust,
+}
+
+/// Mechanisms that did not pay for themselves and are measured as additions.
+const UNUSED: [Mechanism; 1] = [Mechanism::Limit];
+
+/// How a run chooses upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Strategy {
+    RoundRobin,
+    Random,
+    LeastOutstanding,
+    TwoChoices,
+    /// The policy with every mechanism.
+    Policy,
+    /// The policy without one mechanism.
+    Without(Mechanism),
+    /// The policy with one mechanism that it does not use otherwise.
+    With(Mechanism),
+    /// The scored router with the true state of every upstream.
+    Oracle,
+}
+
+/// All strategies in the order of the report.
+pub(crate) const ALL: [Strategy; 16] = [
+    Strategy::RoundRobin,
+    Strategy::Random,
+    Strategy::LeastOutstanding,
+    Strategy::TwoChoices,
+    Strategy::Policy,
+    Strategy::Without(Mechanism::Budget),
+    Strategy::With(Mechanism::Limit),
+    Strategy::Without(Mechanism::Queue),
+    Strategy::Without(Mechanism::Priority),
+    Strategy::Without(Mechanism::Prefix),
+    Strategy::Without(Mechanism::Events),
+    Strategy::Without(Mechanism::Preferred),
+    Strategy::Without(Mechanism::Speed),
+    Strategy::Without(Mechanism::Correction),
+    Strategy::Without(Mechanism::Trust),
+    Strategy::Oracle,
+];
+
+impl Strategy {
+    pub(crate) fn name(self) -> String {
+        match self {
+            Self::Without(mechanism) => format!("-{mechanism:?}").to_lowercase(),
+            Self::With(mechanism) => format!("+{mechanism:?}").to_lowercase(),
+            other => format!("{other:?}").to_lowercase(),
+        }
+    }
+
+    /// Whether it is also run at the size of a fleet.
+    pub(crate) fn large(self) -> bool {
+        matches!(
+            self,
+            Self::TwoChoices
+                | Self::LeastOutstanding
+                | Self::Policy
+                | Self::Without(Mechanism::Trust | Mechanism::Correction)
+                | Self::Oracle
+        )
+    }
+
+    /// Whether a run uses `mechanism`.
+    pub(crate) fn has(self, mechanism: Mechanism) -> bool {
+        let usual = !UNUSED.contains(&mechanism);
+        match self {
+            Self::Policy | Self::Oracle => usual,
+            Self::Without(disabled) => usual && disabled != mechanism,
+            Self::With(enabled) => usual || enabled == mechanism,
+            _ => false,
+        }
+    }
+}
--- a/crates/basilgrade_policy/src/lib.rs
+++ b/crates/basilgrade_policy/src/lib.rs
@@ -1,5 +1,11 @@
 //! Decisions on the path of a request: budgets, choice of upstream, limits, retries.
 
+pub mod budget;
 pub mod candidate;
+pub mod limit;
+pub mod prefix;
+pub mod priority;
+pub mod queue;
 pub mod refusal;
 pub mod router;
+pub mod speed;
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -20,8 +20,9 @@
 
 /// Whether the daemon takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[repr(u8)]
 pub enum Phase {
+    /// Fetching the state of its peers.
+    Behind,
     /// Finishing what it has; the balancer is told to send nothing new.
     Draining,
     /// Serving.
@@ -59,6 +60,7 @@
     /// Requests being worked on.
     pub active: atomic::AtomicUsize,
     draining: atomic::AtomicBool,
+    behind: atomic::AtomicBool,
 }
 
 impl Core {
@@ -71,6 +73,7 @@
             recent: recent::Recent::default(),
             active: atomic::AtomicUsize::default(),
             draining: atomic::AtomicBool::default(),
+            behind: atomic::AtomicBool::default(),
         }
     }
 
@@ -79,6 +82,11 @@
         self.parts.clock.now()
     }
 
+    /// Upstreams that get no calls because they are slower or fail more often than their peers.
+    pub fn ejected(&self) -> Vec<id::UpstreamId> {
+        Vec::new()
+    }
+
     /// The revision in force; 0 when there is none.
     pub fn revision(&self) -> revision::Revision {
         self.current
@@ -91,12 +99,14 @@
     pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
         self.registry
             .retain(|upstream| deployment.upstreams.contains_key(upstream));
+        let before = self.current.load_full();
         let built = sync::Arc::new(snapshot::Snapshot::build(
             revision,
             deployment.clone(),
             &self.parts.domain,
             &self.registry,
             (self.parts.router)(deployment.weights),
+            before.as_deref(),
         ));
         let newer =
             |old: &Option<snapshot::Loaded>| old.as_ref().is_none_or(|old| old.revision < revision);
@@ -117,11 +127,18 @@
     pub fn phase(&self) -> Phase {
         if self.draining.load(atomic::Ordering::Acquire) {
             Phase::Draining
+        } else if self.behind.load(atomic::Ordering::Acquire) {
+            Phase::Behind
         } else {
             Phase::Serving
         }
     }
 
+    /// Notes whether membership says that this daemon may not report ready.
+    pub fn set_behind(&self, behind: bool) {
+        self.behind.store(behind, atomic::Ordering::Release);
+    }
+
     /// Tells the balancer, through `/readyz`, to send nothing new. Requests that still come are
     /// served.
     pub fn drain(&self) {
