--- a/crates/basilgrade_standins/src/fault.rs
+++ b/crates/basilgrade_standins/src/fault.rs
@@ -14,6 +14,9 @@
     Hang,
     /// Runs the call and answers after this time.
     Late(clock::Millis),
+    /// Runs the call once and sends a whole answer again after this time, when the next call may
+    /// already be on the connection.
+    LateDuplicate(clock::Millis),
     /// Answers `503` as an upstream that is leaving, without running the call.
     Leaving,
     /// Answers without echo headers.
--- a/crates/basilgrade_standins/src/server.rs
+++ b/crates/basilgrade_standins/src/server.rs
@@ -300,7 +300,11 @@
     };
     stream.write_all(head).await?;
     stream.write_all(sent).await?;
-    if *fault == fault::Fault::Twice {
+    if let fault::Fault::LateDuplicate(time) = fault {
+        stream.flush().await?;
+        tokio::time::sleep(time.duration()).await;
+    }
+    if matches!(fault, fault::Fault::LateDuplicate(_) | fault::Fault::Twice) {
         stream.write_all(head).await?;
         stream.write_all(sent).await?;
     }
--- a/crates/basilgrade_upstream/tests/verdicts.rs
+++ b/crates/basilgrade_upstream/tests/verdicts.rs
@@ -299,8 +299,10 @@
 async fn a_duplicate_answer_reaches_no_other_call() {
     let member = pool::start().await.expect("free port");
     let client = common::client();
+    let late = fault::Fault::LateDuplicate(clock::Millis(1));
     for number in 0..50 {
-        member.faults.push(fault::Fault::Twice);
+        let faults = [fault::Fault::Twice, late.clone()];
+        member.faults.push(faults[number % 2].clone());
         let call = call::Call {
             body: number.to_string().into(),
             ..common::call(member.address)
@@ -460,6 +462,7 @@
         fault::Fault::CloseIdle,
         fault::Fault::Dead,
         fault::Fault::Late(soon),
+        fault::Fault::LateDuplicate(soon),
         fault::Fault::Leaving,
         fault::Fault::NoEcho,
         fault::Fault::None,
