--- a/crates/basilgrade/tests/path.rs
+++ b/crates/basilgrade/tests/path.rs
@@ -13,6 +13,9 @@
 const PIPELINE: &str = "/v1/pipelines/seating";
 const CHARGE: &str = "/v1/services/ticket-sales/charge";
 
+/// Path, headers, body and the status expected.
+type Case<'a> = (&'a str, Vec<(&'a str, &'a str)>, &'a str, u16);
+
 fn expected(question: &str) -> Vec<u8> {
     let encoded = pool::transform("encode", question.as_bytes());
     engine::answer(&String::from_utf8_lossy(&encoded), deployment::TOKENS).into_bytes()
@@ -75,7 +78,7 @@
     let mut deployment = deployment::start(&["a"]).await;
     let address = deployment.daemons[0].caller;
     let large = "x".repeat(2 << 20);
-    let cases: [(&str, Vec<(&str, &str)>, &str, u16); 8] = [
+    let cases: [Case; 8] = [
         (PIPELINE, vec![], "", 400),
         (PIPELINE, vec![("basilgrade-customer", "nobody")], "", 403),
         ("/v1/pipelines/none", vec![CUSTOMER], "", 404),
