--- a/crates/basilctl/src/command/check.rs
+++ b/crates/basilctl/src/command/check.rs
@@ -5,14 +5,19 @@
 use serde_json::json;
 
 use crate::command::file;
+use crate::publish;
 use crate::report::Report;
 
 pub(crate) fn run(path: &path::Path) -> Report {
-    match file::read(path) {
-        Ok(deployment) => Report::success(
-            format!("`{}` is valid", path.display()),
-            json!({"name": deployment.name, "problems": []}),
-        ),
-        Err(report) => report,
+    let deployment = match file::read(path) {
+        Ok(deployment) => deployment,
+        Err(report) => return report,
+    };
+    if let Err(error) = publish::canonical(&deployment) {
+        return error.report();
     }
+    Report::success(
+        format!("`{}` is valid", path.display()),
+        json!({"name": deployment.name, "problems": []}),
+    )
 }
--- a/crates/basilctl/src/publish.rs
+++ b/crates/basilctl/src/publish.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use basilgrade_config as config;
+use basilgrade_config::limits;
 use basilgrade_config::model::deployment;
 use basilgrade_journal::config_record;
 use basilgrade_journal::publication;
@@ -70,8 +71,15 @@
 }
 
 /// The text to publish, checked to say the same as the configuration.
-fn canonical(deployment: &deployment::Deployment) -> Result<String, PublishError> {
+///
+/// # Errors
+///
+/// If the text is too long for the log, or does not say the same.
+pub fn canonical(deployment: &deployment::Deployment) -> Result<String, PublishError> {
     let text = config::print(deployment);
+    if text.len() > limits::PUBLISHED {
+        return Err(PublishError::TooLong(text.len()));
+    }
     match config::parse(&text, "canonical text") {
         Ok(again) if again == *deployment => Ok(text),
         _ => Err(PublishError::Print),
--- a/crates/basilctl/src/publish/error.rs
+++ b/crates/basilctl/src/publish/error.rs
@@ -3,6 +3,7 @@
 use std::error;
 use std::fmt;
 
+use basilgrade_config::limits;
 use basilgrade_platform::error::ReadError;
 use basilgrade_types::revision;
 
@@ -25,6 +26,8 @@
     Read(StreamError),
     /// The change does not fit the revision in force.
     Rejected(revision::Revision),
+    /// The canonical text has this many bytes, more than the log can hold in one record.
+    TooLong(usize),
     /// The publication with this id on this base may take effect.
     Unknown(uuid::Uuid, revision::Revision),
 }
@@ -37,7 +40,9 @@
             Self::NotAppended(_) | Self::Read(StreamError::Read(ReadError::Unavailable(_))) => {
                 Code::Unreachable
             }
-            Self::Name(..) | Self::Print | Self::Read(_) | Self::Rejected(_) => Code::Problem,
+            Self::Name(..) | Self::Print | Self::Read(_) | Self::Rejected(_) | Self::TooLong(_) => {
+                Code::Problem
+            }
             Self::Unknown(..) => Code::Unknown,
         }
     }
@@ -69,6 +74,11 @@
                 f,
                 "not published, because the change does not fit revision {revision}; report this fault of basilctl"
             ),
+            Self::TooLong(length) => write!(
+                f,
+                "the canonical text has {length} bytes, more than a snapshot can hold; shorten it to {}",
+                limits::PUBLISHED
+            ),
             Self::Unknown(id, base) => write!(
                 f,
                 "publication `{id}` on revision {base} may take effect; run `basilctl diff` before publishing again"
--- a/crates/basilctl/tests/publish.rs
+++ b/crates/basilctl/tests/publish.rs
@@ -6,8 +6,13 @@
 use basilctl::publish::published::Published;
 use basilctl::stream::Stream;
 use basilgrade_config as config;
+use basilgrade_config::limits;
 use basilgrade_journal::config_record;
+use basilgrade_journal::encode;
 use basilgrade_journal::publication;
+use basilgrade_platform::http;
+use basilgrade_types::clock;
+use basilgrade_types::offset;
 use basilgrade_types::revision;
 
 mod common;
@@ -139,3 +144,44 @@
 
     assert_eq!(error.map_err(|error| error.code()), Err(Code::Unreachable));
 }
+
+/// Guards against a text that is accepted and later fits no snapshot.
+#[tokio::test(start_paused = true)]
+async fn a_text_that_fits_no_snapshot_is_refused() {
+    let log = log_with_example().await;
+    let mut large = common::example("birrete");
+    let customer = large.customers[0].clone();
+    for number in 0..20_000 {
+        let mut more = customer.clone();
+        more.id = format!("organiser-{number}")
+            .parse()
+            .expect("the name is valid");
+        large.customers.insert(more.id.clone(), more);
+    }
+
+    let error = publish(&log, &large, None).await;
+
+    assert!(matches!(error, Err(PublishError::TooLong(_))), "{error:?}");
+    assert_eq!(log.appends(), 1);
+}
+
+/// Guards against a bound on texts whose snapshot is larger than the platform's client sends.
+#[test]
+fn the_longest_text_fits_a_record() {
+    let section = "[customer a]\nrate = 1/s\nburst = 1\n\n";
+    let change = config_record::ConfigRecord::Snapshot {
+        revision: FIRST,
+        through: offset::Offset(u64::MAX),
+        at: clock::Millis::MAX,
+        text: section.repeat(limits::PUBLISHED / section.len()),
+        recent: vec![(FIRST, uuid::Uuid::max()); 64],
+    };
+
+    let record = encode::line(&change);
+
+    assert!(
+        record.len() as u64 <= http::Settings::default().record.0,
+        "{}",
+        record.len()
+    );
+}
--- a/crates/basilgrade_config/src/limits.rs
+++ b/crates/basilgrade_config/src/limits.rs
@@ -5,6 +5,11 @@
 
 /// The longest text, in bytes; 4,200 customers and 1,200 upstreams take less than 1 MiB.
 pub const TEXT: usize = 8 << 20;
+/// The longest canonical text that is published, in bytes.
+///
+/// A snapshot holds the whole text in one record of at most 1 MiB, in which each line break takes
+/// a second byte; without snapshots a new VM cannot start once retention has removed the deltas.
+pub const PUBLISHED: usize = 800 << 10;
 /// The longest line, in bytes.
 pub const LINE: usize = 4096;
 /// Most lines. The canonical text has at most 360,000 if all other limits are reached; each line
