Use standard terms for time limits in admin and basilctl

Cause: names such as `LIFE`, `WAIT` and `PAUSE` do not say what they limit. Ruled out: nothing. Change: names and comments only. Conclusion: no change of behaviour; all tests of the three packages pass.

--- a/crates/basilctl/src/publish.rs
+++ b/crates/basilctl/src/publish.rs
@@ -20,11 +20,11 @@
 use crate::publish::published::Published;
 use crate::stream::Stream;
 
-/// How long the outcome is looked for in the log; longer than the 9 s within which a configuration
+/// How long the outcome is awaited; longer than the 9 s within which a configuration
 /// is in force everywhere.
 pub const OUTCOME_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-/// The pause between two looks.
-const PAUSE: time::Duration = time::Duration::from_millis(500);
+/// The time between two reads.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Publishes a configuration and waits until its outcome is in the log.
 ///
@@ -121,6 +121,6 @@
         if read.is_ok() && outcome != Outcome::Pending {
             return outcome;
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/basilctl/tests/common/mod.rs
+++ b/crates/basilctl/tests/common/mod.rs
@@ -34,7 +34,7 @@
 struct State {
     bodies: Vec<Bytes>,
     faults: VecDeque<Append>,
-    rival: Option<Bytes>,
+    competing: Option<Bytes>,
     appends: usize,
     outage: usize,
 }
@@ -61,8 +61,8 @@
     }
 
     /// The record that is stored first at [`Append::Second`].
-    pub fn set_rival(&self, body: Bytes) {
-        self.lock().rival = Some(body);
+    pub fn set_competing(&self, body: Bytes) {
+        self.lock().competing = Some(body);
     }
 
     /// How many appends were tried.
@@ -84,8 +84,8 @@
             Some(Append::Refused) => return Err(AppendError::NotAppended("refused".to_owned())),
             Some(Append::Lost) => return unknown,
             Some(Append::Second) => {
-                let rival = state.rival.take().expect("a rival is set");
-                state.bodies.push(rival);
+                let competing = state.competing.take().expect("a competing record is set");
+                state.bodies.push(competing);
             }
             Some(Append::BeforeOutage) => state.outage = 5,
             Some(Append::AnswerLost) | None => {}
--- a/crates/basilctl/tests/publish.rs
+++ b/crates/basilctl/tests/publish.rs
@@ -91,16 +91,16 @@
 #[tokio::test(start_paused = true)]
 async fn the_second_of_two_publishers_is_told() {
     let log = log_with_example().await;
-    let rival = config::print(&common::changed("birrete", 99));
-    let change = config_record::Change::Text(rival.clone());
+    let competing = config::print(&common::changed("birrete", 99));
+    let change = config_record::Change::Text(competing.clone());
     let (_, body) = publication::Publication::new(uuid::Uuid::now_v7(), FIRST, change);
-    log.set_rival(body);
+    log.set_competing(body);
     log.fail_append(Append::Second);
 
     let error = publish(&log, &common::changed("birrete", 81), None).await;
 
     assert_eq!(error, Err(PublishError::Lost(SECOND)));
-    assert_eq!(text_in_force(&log).await, rival);
+    assert_eq!(text_in_force(&log).await, competing);
 }
 
 /// Guards against an outcome that is given up because the log is down for a while after the append.
--- a/crates/basilgrade_admin/src/client.rs
+++ b/crates/basilgrade_admin/src/client.rs
@@ -23,7 +23,7 @@
 use crate::wire;
 
 /// The longest wait for a connection or an answer.
-const WAIT: time::Duration = time::Duration::from_secs(10);
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// The largest answer, in words of 8 bytes: a configuration of 8 MiB, with room to spare.
 const MESSAGE_WORDS: usize = 2 << 20;
 
@@ -54,7 +54,7 @@
                 .map_err(|error| ClientError::handshake(address, &error))?;
             Ok::<_, ClientError>(stream)
         };
-        let stream = tokio::time::timeout(WAIT, connect)
+        let stream = tokio::time::timeout(CALL_TIMEOUT, connect)
             .await
             .map_err(|_| ClientError::Unreachable(address, "no answer in time".to_owned()))??;
         let (reader, writer) = stream.into_split();
@@ -147,7 +147,7 @@
 async fn answer<T>(
     promise: impl Future<Output = Result<T, capnp::Error>>,
 ) -> Result<T, ClientError> {
-    match tokio::time::timeout(WAIT, promise).await {
+    match tokio::time::timeout(CALL_TIMEOUT, promise).await {
         Ok(answer) => Ok(answer?),
         Err(_) => Err(ClientError::Failed("no answer in time".to_owned())),
     }
--- a/crates/basilgrade_admin/src/server.rs
+++ b/crates/basilgrade_admin/src/server.rs
@@ -17,7 +17,7 @@
 /// Most connections at once; operators open few, and each can hold a message in memory.
 const CONNECTIONS: usize = 16;
 /// The pause after a failed accept, for example when no file descriptors are left.
-const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
+const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(100);
 
 /// Serves operators' tools on a thread of its own, because Cap'n Proto RPC is single-threaded.
 #[derive(Debug)]
@@ -95,7 +95,7 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("event=admin-accept error=\"{error}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
                 continue;
             }
         };
--- a/crates/basilgrade_admin/src/server/connection.rs
+++ b/crates/basilgrade_admin/src/server/connection.rs
@@ -18,9 +18,9 @@
 use crate::server::service;
 
 /// The longest time to authenticate; it frees connections that send nothing.
-const AUTHENTICATION: time::Duration = time::Duration::from_secs(5);
-/// The longest life of a connection; it frees connections whose tool has disappeared.
-const LIFE: time::Duration = time::Duration::from_mins(5);
+const AUTHENTICATION_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+/// The longest lifetime of a connection; it frees connections whose tool has disappeared.
+const LIFETIME: time::Duration = time::Duration::from_mins(5);
 /// The largest message from a tool, in words of 8 bytes; calls carry one short text at most.
 const MESSAGE_WORDS: usize = 8 << 10;
 
@@ -32,7 +32,7 @@
 ) -> Result<(), handshake::HandshakeError> {
     stream.set_nodelay(true)?;
     tokio::time::timeout(
-        AUTHENTICATION,
+        AUTHENTICATION_TIMEOUT,
         handshake::accept(&mut stream, secret.as_bytes()),
     )
     .await
@@ -49,6 +49,6 @@
     let client: admin_capnp::admin::Client = capnp_rpc::new_client(service::Service::new(admin));
     let system = capnp_rpc::RpcSystem::new(Box::new(network), Some(client.client));
     // The client ends the connection by closing it, with or without an error.
-    let _ = tokio::time::timeout(LIFE, system).await;
+    let _ = tokio::time::timeout(LIFETIME, system).await;
     Ok(())
 }
--- a/crates/basilgrade_config/src/parse/links.rs
+++ b/crates/basilgrade_config/src/parse/links.rs
@@ -72,7 +72,7 @@
     let mut reader = reader::Reader::new(section, source);
     let price = match prices.link {
         Some(price) if !reader.has("price") => {
-            reader.know("price");
+            reader.mark_known("price");
             Some(price)
         }
         _ => reader.required("price", prices::price),
--- a/crates/basilgrade_config/src/reader.rs
+++ b/crates/basilgrade_config/src/reader.rs
@@ -122,7 +122,7 @@
     }
 
     /// Counts a key as known without reading it.
-    pub(crate) fn know(&mut self, key: &'static str) {
+    pub(crate) fn mark_known(&mut self, key: &'static str) {
         self.known.push(key);
     }
 
