--- a/crates/basilctl/src/publish.rs
+++ b/crates/basilctl/src/publish.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use basilgrade_config as config;
+use basilgrade_config::limits;
 use basilgrade_config::model::deployment;
 use basilgrade_journal::config_record;
 use basilgrade_journal::publication;
@@ -19,11 +20,11 @@
 use crate::publish::published::Published;
 use crate::stream::Stream;
 
-/// How long the outcome is looked for in the log; longer than the 9 s within which a configuration
+/// How long the outcome is awaited; longer than the 9 s within which a configuration
 /// is in force everywhere.
 pub const OUTCOME_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-/// The pause between two looks.
-const PAUSE: time::Duration = time::Duration::from_millis(500);
+/// The time between two reads.
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
 /// Publishes a configuration and waits until its outcome is in the log.
 ///
@@ -70,8 +71,15 @@
 }
 
 /// The text to publish, checked to say the same as the configuration.
-fn canonical(deployment: &deployment::Deployment) -> Result<String, PublishError> {
+///
+/// # Errors
+///
+/// If the text is too long for the log, or does not say the same.
+pub fn canonical(deployment: &deployment::Deployment) -> Result<String, PublishError> {
     let text = config::print(deployment);
+    if text.len() > limits::PUBLISHED {
+        return Err(PublishError::TooLong(text.len()));
+    }
     match config::parse(&text, "canonical text") {
         Ok(again) if again == *deployment => Ok(text),
         _ => Err(PublishError::Print),
@@ -113,6 +121,6 @@
         if read.is_ok() && outcome != Outcome::Pending {
             return outcome;
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
