Compare importing, moving and recomputing a cached prefix

Cause: a prefix cached on another engine can be imported, reached by sending the text there, or computed again; which is best depends on the link's bandwidth and price.

Ruled out: a rule by prefix length, which ignores the price of the link.

Change: prefix::transfer, valued with the same weights as the choice of an upstream.

Conclusion: kept as a pure function; its gain is not measured.

--- a/crates/basilgrade_policy/src/prefix.rs
+++ b/crates/basilgrade_policy/src/prefix.rs
@@ -5,3 +5,4 @@
 pub mod hits;
 pub mod index;
 pub mod preferred;
+pub mod transfer;
--- a/crates/basilgrade_policy/src/router/score.rs
+++ b/crates/basilgrade_policy/src/router/score.rs
@@ -112,6 +112,12 @@
     }
 }
 
+/// Weighted sum of a price and a ratio of expected to remaining time; the lowest is best.
+#[inline]
+pub(crate) fn weigh(cost: f32, attainment: f32, price: f32, ratio: f32) -> f32 {
+    cost * price + attainment * (miss_chance(ratio) + TIME_SHARE * ratio)
+}
+
 /// Chance that a call with this ratio of expected finish to remaining time misses its deadline.
 ///
 /// A cubic step instead of a distribution function, because it is evaluated for every candidate.
--- a/crates/basilgrade_policy/src/router/settings.rs
+++ b/crates/basilgrade_policy/src/router/settings.rs
@@ -3,6 +3,8 @@
 use basilgrade_config::model::weights;
 use basilgrade_types::clock;
 
+use crate::router::score;
+
 /// What the scored router weighs and which corrections it applies.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -38,4 +40,10 @@
             trust: clock::Millis(2000),
         }
     }
+
+    /// What a price in millionths of the currency and `time` of the `left` milliseconds are worth
+    /// together; the lowest is best.
+    pub fn value(&self, price: f32, time: f32, left: f32) -> f32 {
+        score::weigh(self.cost, self.attainment, price, time / left.max(1.0))
+    }
 }
--- a/crates/basilgrade_policy/tests/prefix.rs
+++ b/crates/basilgrade_policy/tests/prefix.rs
@@ -5,6 +5,8 @@
 use basilgrade_policy::prefix::hits;
 use basilgrade_policy::prefix::index;
 use basilgrade_policy::prefix::preferred;
+use basilgrade_policy::prefix::transfer;
+use basilgrade_policy::router::settings;
 use basilgrade_types::clock;
 
 const NOW: clock::Millis = clock::Millis(1_000_000);
@@ -133,3 +135,43 @@
     assert_eq!(moved.count(), lost);
     assert!((20..100).contains(&lost), "{lost}");
 }
+
+/// A prefix of 4,000 tokens on an engine of the same region.
+fn near() -> transfer::Transfer {
+    transfer::Transfer {
+        tokens: 4000,
+        state: 65_536.0,
+        text: 16_384.0,
+        prefill: 0.5,
+        bandwidth: 1_000_000.0,
+        latency: 0.5,
+        wait: 5000.0,
+        link: 0.0,
+        left: 8000.0,
+    }
+}
+
+/// Guards against recomputing what a fast link brings sooner, and against moving 250 MiB over a
+/// link that is billed.
+#[test]
+fn the_link_decides_how_a_prefix_is_used() {
+    let settings = settings::Settings::default();
+    let idle = transfer::Transfer {
+        wait: 0.0,
+        ..near()
+    };
+    let far = transfer::Transfer {
+        link: 400.0,
+        bandwidth: 50_000.0,
+        ..near()
+    };
+    let short = transfer::Transfer {
+        tokens: 20,
+        ..near()
+    };
+
+    assert_eq!(near().best(&settings), transfer::Source::Import);
+    assert_eq!(idle.best(&settings), transfer::Source::Move);
+    assert_eq!(far.best(&settings), transfer::Source::Recompute);
+    assert_eq!(short.best(&settings), transfer::Source::Import);
+}
