--- /dev/null
+++ b/crates/basilgrade_claims/tests/messages.rs
@@ -0,0 +1,112 @@
+//! Arbitrary messages and bytes from peers.
+
+use basilgrade_claims::claims::Claims;
+use basilgrade_claims::message::Message;
+use basilgrade_claims::settings::Settings;
+use basilgrade_claims::view::View;
+use basilgrade_journal::node::Node;
+use basilgrade_types::clock::Millis;
+use basilgrade_types::incarnation::Incarnation;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn fixed(cases: u32) -> Config {
+    Config {
+        cases,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(23),
+        ..Config::default()
+    }
+}
+
+fn node(number: u8) -> Node {
+    Node {
+        vm: format!("vm{number}").parse().expect("a name"),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn name(number: u8) -> String {
+    format!(r#"{{"vm":"vm{number}","incarnation":1}}"#)
+}
+
+/// Messages with arbitrary slots, offsets, versions and keys; the shapes are right, the contents
+/// are not.
+fn message() -> impl Strategy<Value = String> {
+    let numbers = (
+        any::<u8>(),
+        0..4_u64,
+        any::<u64>(),
+        any::<u32>(),
+        0..3_u8,
+        0..8_u8,
+    );
+    numbers.prop_map(|(slot, pair, time, version, member, kind)| {
+        let slot = if time % 4 == 0 { slot } else { 5 };
+        let uuid: Vec<u8> = (0..16).map(|at| (time >> at) as u8).collect();
+        let bytes = format!("{uuid:?}");
+        let claim = format!(
+            r#"{{"key":{{"slot":{slot},"uuid":"018f0000-0000-7000-8000-{:012x}","explicit":true}},"step":0}}"#,
+            time & 0xffff
+        );
+        let record = format!(
+            r#"{{"key":{{"uuid":{bytes},"step":1}},"claim":{{"fingerprint":{bytes},"attempt":{bytes},"version":{version},"stage":"claimed"}},"answer":null}}"#
+        );
+        let primary = name(member);
+        let backup = name((member + 1) % 3);
+        match kind {
+            0 => format!(r#"{{"claim":{{"claim":{claim},"fingerprint":{bytes},"attempt":{bytes},"epoch":{pair}}}}}"#),
+            1 => format!(r#"{{"settle":{{"claim":{claim},"attempt":{bytes},"settlement":"released","epoch":{pair}}}}}"#),
+            2 => format!(
+                r#"{{"tenure":{{"slot":{slot},"tenure":{{"epoch":{pair},"pair":{pair},"former":null,"ceiling":{time},"grant":{{"slot":{slot},"prev":null,"domain":"d0","primary":{primary},"backup":{backup},"floor":0,"ceiling":{time},"history":"lost"}}}}}}}}"#
+            ),
+            3 => format!(r#"{{"behind":{{"slot":{slot}}}}}"#),
+            4 => format!(r#"{{"replicate":{{"slot":{slot},"pair":{pair},"floor":{version},"records":[{record}]}}}}"#),
+            5 => format!(r#"{{"replicated":{{"slot":{slot},"pair":{pair},"versions":[]}}}}"#),
+            6 => format!(
+                r#"{{"transfer":{{"slot":{slot},"pair":{pair},"index":{},"floor":0,"records":[{record}],"last":true}}}}"#,
+                version % 3
+            ),
+            _ => format!(r#"{{"transferred":{{"slot":{slot},"pair":{pair},"index":{}}}}}"#, version % 3),
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(fixed(400))]
+
+    /// Guards against a panic, or a table beyond its limit, whatever a peer sends.
+    #[test]
+    fn arbitrary_messages_are_bounded(texts in proptest::collection::vec((message(), 0..3_u8), 0..60)) {
+        let settings = Settings { claim_limit: 8, ..Settings::default() };
+        let domain = "d0".parse().expect("a name");
+        let mut claims = Claims::new(node(0), domain, settings);
+        let view = View { live: [node(0)].into_iter().collect(), ..View::default() };
+        let mut rng = StdRng::seed_from_u64(1);
+        for (at, (text, from)) in texts.iter().enumerate() {
+            let message: Message = serde_json::from_str(text).expect(text);
+
+            claims.receive(Millis(at as u64), &node(*from), message);
+            claims.tick(Millis(at as u64 * 300), &view, &mut rng);
+
+            prop_assert!(claims.claim_count() <= 8);
+            prop_assert!(claims.outputs().count() < 1_000);
+        }
+    }
+
+    /// Guards against a panic on bytes that are no message.
+    #[test]
+    fn arbitrary_bytes_are_no_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(message) = postcard::from_bytes::<Message>(&bytes) {
+            let domain = "d0".parse().expect("a name");
+            let mut claims = Claims::new(node(0), domain, Settings::default());
+
+            claims.receive(Millis(1), &node(1), message);
+        }
+    }
+}
--- a/crates/basilgrade_claims/tests/mutations.rs
+++ b/crates/basilgrade_claims/tests/mutations.rs
@@ -80,6 +80,19 @@
     assert!(violation.is_some());
 }
 
+/// Guards against a backup without all claims continuing as if it had the history.
+#[test]
+fn takeover_before_the_transfer_ends_runs_twice() {
+    let safety = Safety {
+        sync_first: false,
+        ..Safety::default()
+    };
+
+    let violation = first_violation(safety, 440..445);
+
+    assert!(violation.is_some());
+}
+
 /// Searches seeds for runs that violate a predicate when a mechanism is off.
 #[test]
 #[ignore = "takes minutes; prints the seeds used above"]
