Keep the leaving signal of a 503 without verdict; test split events

Events split between chunks and appends answered late were untested. Change: CallError::Leaving and CallError::is_leaving; Executions::clear for long runs.

--- a/crates/basilgrade_platform/tests/log.rs
+++ b/crates/basilgrade_platform/tests/log.rs
@@ -131,6 +131,30 @@
     assert!(platform.bodies("config").is_empty());
 }
 
+/// Guards against a late answer that is taken for a record that was not appended.
+#[tokio::test]
+async fn an_append_answered_late_has_an_unknown_outcome() {
+    let platform = platform().await;
+    let log = http::HttpLog::new(
+        platform.server.address,
+        http::Settings {
+            connect: LONG,
+            call: clock::Millis(200),
+            ..http::Settings::default()
+        },
+    );
+    platform.log_faults.set(fault::Fault::Late(LONG));
+
+    let result = log.append("config", "a".into()).await;
+
+    // On a very slow machine the time may end before the record was sent.
+    match result {
+        Err(error::AppendError::Unknown(_)) => {}
+        Err(error::AppendError::NotAppended(_)) => assert!(platform.bodies("config").is_empty()),
+        Ok(offset) => panic!("offset {offset} without an answer"),
+    }
+}
+
 /// Guards against a rate limit that is taken for an open outcome.
 #[tokio::test]
 async fn an_append_over_the_rate_is_not_done() {
--- a/crates/basilgrade_standins/src/execution.rs
+++ b/crates/basilgrade_standins/src/execution.rs
@@ -53,6 +53,11 @@
             .count()
     }
 
+    /// Forgets all executions, so that a long benchmark does not fill the memory with them.
+    pub fn clear(&self) {
+        self.lock().clear();
+    }
+
     pub(crate) fn add(&self, request: &http_request::HttpRequest) {
         let text = |name| request.header(name).unwrap_or_default().to_owned();
         self.lock().push(Execution {
--- a/crates/basilgrade_upstream/src/call_error.rs
+++ b/crates/basilgrade_upstream/src/call_error.rs
@@ -17,6 +17,10 @@
         Refused(address: net::SocketAddr, leaving: bool) {
             display("`{}` refused the call without running it", address)
         }
+        /// The upstream is leaving and did not say whether it ran the call.
+        Leaving(address: net::SocketAddr) {
+            display("`{}` is leaving and did not say whether the call ran", address)
+        }
         /// No complete answer in time.
         Timeout(address: net::SocketAddr) {
             display("`{}` did not answer in time", address)
@@ -49,11 +53,17 @@
 }
 
 impl CallError {
+    /// Whether the upstream said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        matches!(self, Self::Leaving(..) | Self::Refused(_, true))
+    }
+
     /// Whether the call may have run.
     pub fn verdict(&self) -> verdict::Verdict {
         match self {
             Self::Connect(..) | Self::Refused(..) | Self::Unsent(..) => verdict::Verdict::NotRun,
             Self::Broken(..)
+            | Self::Leaving(..)
             | Self::Malformed(..)
             | Self::Mismatch(..)
             | Self::Status(..)
--- a/crates/basilgrade_upstream/src/client/exchange.rs
+++ b/crates/basilgrade_upstream/src/client/exchange.rs
@@ -197,14 +197,17 @@
             .get(name)
             .is_some_and(|found| found.as_bytes() == value.as_bytes())
     };
-    let refused =
-        status == hyper::StatusCode::SERVICE_UNAVAILABLE && is(identity::VERDICT, "not-run");
-    let leaving = is(identity::LEAVING, "true");
+    let unavailable = status == hyper::StatusCode::SERVICE_UNAVAILABLE;
+    let refused = unavailable && is(identity::VERDICT, "not-run");
+    let leaving = unavailable && is(identity::LEAVING, "true");
     if echoed && body::Body::is_end_stream(response.body()) {
         shared.pool.put(connection);
     }
     if refused {
         return Err(call_error::CallError::Refused(address, leaving));
     }
+    if leaving {
+        return Err(call_error::CallError::Leaving(address));
+    }
     Err(call_error::CallError::Status(address, status.as_u16()))
 }
--- a/crates/basilgrade_upstream/tests/streams.rs
+++ b/crates/basilgrade_upstream/tests/streams.rs
@@ -348,6 +348,60 @@
     }
 }
 
+/// Guards against tokens that are lost or joined when an event is split between chunks.
+#[test]
+fn events_are_read_whatever_the_chunks() {
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    let engine = runtime.block_on(engine());
+    let client = common::client();
+    let tokens = prop::collection::vec(any::<String>(), 1..8);
+    let sizes = prop::collection::vec(1_usize..30, 1..20);
+    let ends = prop::sample::select(vec!["\n\n", "\r\n\r\n", "\n: comment\nid: 4\n"]);
+    let inputs = (tokens, sizes, ends);
+
+    let result =
+        test_runner::TestRunner::new(common::cases(96, 7)).run(&inputs, |(tokens, sizes, end)| {
+            let event = |(offset, token): (usize, &String)| {
+                let event = serde_json::json!({"offset": offset, "token": token});
+                format!("data: {event}{end}")
+            };
+            let mut body = tokens
+                .iter()
+                .enumerate()
+                .map(event)
+                .collect::<Vec<_>>()
+                .concat();
+            body += "data: [DONE]\n\n";
+            let generation = common::generation(engine.server.address, 50);
+            let head = answer(&generation.call, "");
+            let head = head.strip_suffix(b"\r\n").expect("end of head");
+            // The stand-in closes the connection, so the client must not pool it.
+            let more = b"connection: close\r\ntransfer-encoding: chunked\r\n\r\n";
+            let mut bytes = [head, more].concat();
+            let mut rest = body.as_bytes();
+            for size in sizes.iter().cycle() {
+                let (chunk, more) = rest.split_at((*size).min(rest.len()));
+                bytes.extend(format!("{:x}\r\n", chunk.len()).bytes());
+                bytes.extend([chunk, b"\r\n"].concat());
+                // The chunk of size zero that was just written ends the body.
+                if chunk.is_empty() {
+                    break;
+                }
+                rest = more;
+            }
+            engine.server.faults.push(fault::Fault::Raw(bytes.into()));
+
+            let (found, error) = runtime.block_on(common::collect(&client, generation));
+
+            let found: Vec<_> = found.into_iter().map(|token| token.text).collect();
+            prop_assert_eq!(error, None);
+            prop_assert_eq!(found, tokens);
+            Ok(())
+        });
+
+    assert_eq!(result, Ok(()));
+}
+
 /// Guards against a panic or a complete stream made of any bytes that do not hold one.
 #[test]
 fn arbitrary_bytes_are_an_error() {
--- a/crates/basilgrade_upstream/tests/verdicts.rs
+++ b/crates/basilgrade_upstream/tests/verdicts.rs
@@ -62,6 +62,7 @@
         Err(call_error::CallError::Malformed(..)) => "malformed",
         Err(call_error::CallError::Mismatch(..)) => "mismatch",
         Err(call_error::CallError::Refused(_, false)) => "refused",
+        Err(call_error::CallError::Leaving(..)) => "leaving, may have run",
         Err(call_error::CallError::Refused(_, true)) => "leaving",
         Err(call_error::CallError::Status(..)) => "status",
         Err(call_error::CallError::Timeout(..)) => "timeout",
@@ -79,6 +80,9 @@
     }
 }
 
+/// The answer of an upstream that is leaving and gives no verdict.
+const LEAVING: &str = "HTTP/1.1 503 -\r\nbasilgrade-leaving: true\r\ncontent-length: 0\r\n\r\n";
+
 fn raw(text: &str) -> fault::Fault {
     fault::Fault::Raw(text.to_owned().into())
 }
@@ -132,6 +136,7 @@
         (fault::Fault::Reset, "broken", 0),
         (fault::Fault::RunReset, "broken", 1),
         (fault::Fault::Status(404), "ok", 1),
+        (raw(LEAVING), "leaving, may have run", 0),
         (fault::Fault::Status(500), "status", 1),
         (fault::Fault::Truncated, "malformed", 1),
         (fault::Fault::Twice, "ok", 1),
@@ -161,6 +166,8 @@
         let executions = service.executions.of_key(&key);
         assert_eq!((name(&result), executions), (expected, runs), "{fault:?}");
         assert!(agrees(verdict_of(&result), executions), "{fault:?}");
+        let leaving = result.is_err_and(|error| error.is_leaving());
+        assert_eq!(leaving, expected.starts_with("leaving"), "{fault:?}");
     }
 }
 
