Use limits, queues, retry budget, outlier detection and shares in the daemon

Cause: the executor retried without a budget, sent to upstreams without a limit and held no customer to its share.

Ruled out: keeping speed averages per upstream only; a slow pool then looks like slow members, so speed is relative to the pool's averages.

Change: adaptive limits and a deadline queue for each pool, retry permission, budget and backoff, connection state and outliers as candidate weights, shares split by demand that membership spreads, leaving signs exchanged with peers, priority for calls with little slack.

Conclusion: quickstart, path and shutdown tests pass.

--- a/crates/basilgrade_server/benches/hot_path/setup.rs
+++ b/crates/basilgrade_server/benches/hot_path/setup.rs
@@ -21,8 +21,11 @@
     let parts = core::Parts {
         clock: sync::Arc::new(clock::SystemClock::new()),
         upstream: sync::Arc::new(client::HttpUpstream::new(client::Settings::default())),
-        router: |weights| {
-            let settings = router::settings::Settings::new(weights);
+        router: |weights, daemons| {
+            let settings = router::settings::Settings {
+                daemons: daemons as f32,
+                ..router::settings::Settings::new(weights)
+            };
             sync::Arc::new(router::scored::ScoredRouter::new(settings))
         },
         ledger: sync::Arc::new(ledger::closed::ClosedLedger),
--- a/crates/basilgrade_server/src/background.rs
+++ b/crates/basilgrade_server/src/background.rs
@@ -1,6 +1,7 @@
 //! Tasks beside the path of requests.
 
 pub mod gossip;
+pub mod health;
 pub mod load;
 pub mod reader;
 pub mod vms;
--- /dev/null
+++ b/crates/basilgrade_server/src/background/health.rs
@@ -0,0 +1,114 @@
+//! Evaluation of upstreams and of customers' demand, once a second.
+
+use std::sync;
+
+use basilgrade_membership::health;
+use basilgrade_membership::tag;
+use basilgrade_policy::share::shares;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::rate;
+use indexmap::IndexSet;
+use tokio_util::sync::CancellationToken;
+
+use crate::cluster;
+use crate::core;
+use crate::view::snapshot;
+
+/// Time between evaluations.
+const INTERVAL: clock::Millis = clock::Millis::from_secs(1);
+
+/// Time for which a leaving upstream seen by a peer gets no work. It is short, so that daemons do
+/// not keep the sign alive among themselves.
+const PEER_SIGN: clock::Millis = clock::Millis::from_secs(2);
+
+/// Evaluates until `stop`.
+pub async fn run(core: sync::Arc<core::Core>, cluster: cluster::Cluster, stop: CancellationToken) {
+    let mut reported = IndexSet::new();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(INTERVAL.duration()) => {}
+        }
+        let Some(view) = core.current.load_full() else {
+            continue;
+        };
+        let now = core.now();
+        evaluate(&view, now);
+        exchange_health(&view, &cluster, now);
+        core.set_daemons(cluster.live_daemons());
+        share(&view, &cluster, now, &mut reported);
+    }
+}
+
+fn evaluate(view: &snapshot::Snapshot, now: clock::Millis) {
+    for (name, pool) in &view.peers {
+        let indices = view.pools.get(name).map_or(&[][..], Vec::as_slice);
+        let factors: Vec<_> = indices
+            .iter()
+            .filter_map(|index| view.entries.get(*index as usize))
+            .map(|entry| entry.stats.speed.factor(now))
+            .collect();
+        pool.outliers.evaluate(now, &factors);
+        // Limits change with time, too, so a waiting request may have room now.
+        pool.wake(now);
+    }
+}
+
+/// Tells the other daemons which upstreams are leaving or ejected, and takes over which they saw
+/// leaving.
+fn exchange_health(view: &snapshot::Snapshot, cluster: &cluster::Cluster, now: clock::Millis) {
+    let seen = cluster.with(|node, now| {
+        for (index, entry) in view.entries.iter().enumerate() {
+            let weight = entry.candidate(index as u32, now).weight;
+            let health = if entry.stats.leaves_by_own_sign(now) {
+                health::Health::Leaving
+            } else if weight <= 0.0 {
+                health::Health::Ejected
+            } else {
+                health::Health::Healthy
+            };
+            node.set_health(now, &entry.id, health);
+        }
+        node.unhealthy(now)
+    });
+    for entry in &view.entries {
+        if seen.get(&tag::Tag::of(entry.id.as_str())) == Some(&health::Health::Leaving) {
+            entry.stats.mark_leaving_by_peer(now.plus(PEER_SIGN));
+        }
+    }
+}
+
+/// Splits the quotas of the customers that send to this daemon.
+fn share(
+    view: &snapshot::Snapshot,
+    cluster: &cluster::Cluster,
+    now: clock::Millis,
+    reported: &mut IndexSet<id::CustomerId>,
+) {
+    let demands: Vec<_> = view.shares.report(now).collect();
+    let counts = cluster.counts();
+    let mut heavy = IndexSet::new();
+    cluster.with(|node, _| {
+        for (position, rate) in &demands {
+            let Some((customer, _)) = view.deployment.customers.get_index(*position) else {
+                continue;
+            };
+            node.set_demand(customer, rate::RequestRate(f64::from(*rate)));
+            let demand = node.demand(customer);
+            let known = shares::Reported {
+                daemon: *rate,
+                domain: demand.domain.0 as f32,
+                total: demand.fleet.0 as f32,
+                daemons: counts.near,
+                domains: counts.domains,
+            };
+            view.shares.set(*position, &known);
+            heavy.insert(customer.clone());
+        }
+        for customer in reported.difference(&heavy) {
+            node.set_demand(customer, rate::RequestRate::default());
+        }
+    });
+    *reported = heavy;
+}
--- a/crates/basilgrade_server/src/cluster.rs
+++ b/crates/basilgrade_server/src/cluster.rs
@@ -24,6 +24,15 @@
 
 use crate::directory;
 
+/// Numbers of live daemons and failure domains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Counts {
+    /// Daemons of the own failure domain.
+    pub near: u32,
+    /// Failure domains with a live daemon.
+    pub domains: u32,
+}
+
 /// Membership of this daemon.
 #[derive(Clone)]
 pub struct Cluster {
@@ -131,6 +140,24 @@
         self.tick();
     }
 
+    /// Live daemons over all domains, this one included.
+    pub fn live_daemons(&self) -> u32 {
+        self.with(|node, _| live_domains(node).values().sum::<usize>().max(1) as u32)
+    }
+
+    /// How many live daemons and domains there are.
+    pub fn counts(&self) -> Counts {
+        self.with(|node, _| {
+            let domains = live_domains(node);
+            let own = domains.get(&node.record().domain).copied();
+            let alive = domains.values().filter(|count| **count > 0).count();
+            Counts {
+                near: own.unwrap_or(1).max(1) as u32,
+                domains: alive.max(1) as u32,
+            }
+        })
+    }
+
     /// All daemons that this one knows, itself included.
     pub fn members(&self) -> Vec<(record::Record, status::Status)> {
         self.with(|node, _| {
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -5,6 +5,7 @@
 
 use basilgrade_config::model::deployment;
 use basilgrade_config::model::weights;
+use basilgrade_policy::retry::budget;
 use basilgrade_policy::router;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -35,8 +36,8 @@
     pub clock: sync::Arc<dyn clock::Clock>,
     /// Calls to upstreams.
     pub upstream: sync::Arc<dyn upstream::Upstream>,
-    /// Makes the choice of upstream for what a deployment values.
-    pub router: fn(weights::Weights) -> sync::Arc<dyn router::Router>,
+    /// Makes the choice of upstream for what a deployment values and a number of daemons.
+    pub router: fn(weights::Weights, u32) -> sync::Arc<dyn router::Router>,
     /// Claims on request keys.
     pub ledger: sync::Arc<dyn ledger::Ledger>,
     /// Instruments.
@@ -59,6 +60,9 @@
     pub recent: recent::Recent,
     /// Requests being worked on.
     pub active: atomic::AtomicUsize,
+    /// What retries and hedges may spend.
+    pub retries: budget::RetryBudget,
+    daemons: atomic::AtomicU32,
     draining: atomic::AtomicBool,
     behind: atomic::AtomicBool,
 }
@@ -72,6 +76,8 @@
             registry: registry::Registry::default(),
             recent: recent::Recent::default(),
             active: atomic::AtomicUsize::default(),
+            retries: budget::RetryBudget::default(),
+            daemons: atomic::AtomicU32::new(1),
             draining: atomic::AtomicBool::default(),
             behind: atomic::AtomicBool::default(),
         }
@@ -82,9 +88,50 @@
         self.parts.clock.now()
     }
 
-    /// Upstreams that get no calls because they are slower or fail more often than their peers.
+    /// Upstreams that get fewer calls or none, because they are slower or fail more often than
+    /// their peers or refuse connections.
     pub fn ejected(&self) -> Vec<id::UpstreamId> {
-        Vec::new()
+        let Some(view) = self.current.load_full() else {
+            return Vec::new();
+        };
+        let now = self.now();
+        (0..view.entries.len())
+            .map(|index| (&view.entries[index], index as u32))
+            .filter(|(entry, index)| entry.candidate(*index, now).weight < 1.0)
+            .map(|(entry, _)| entry.id.clone())
+            .collect()
+    }
+
+    /// Notes the number of live daemons, by which own calls are extrapolated to those of all.
+    pub fn set_daemons(&self, daemons: u32) {
+        let before = self.daemons.swap(daemons, atomic::Ordering::AcqRel);
+        let Some(view) = self.current.load_full().filter(|_| before != daemons) else {
+            return;
+        };
+        let rebuilt = sync::Arc::new(self.build(view.revision, &view.deployment, Some(&view)));
+        // A revision that came into force meanwhile was built with the new number.
+        self.current.rcu(|held| match held {
+            Some(held) if held.revision > view.revision => Some(sync::Arc::clone(held)),
+            _ => Some(sync::Arc::clone(&rebuilt)),
+        });
+    }
+
+    fn build(
+        &self,
+        revision: revision::Revision,
+        deployment: &deployment::Deployment,
+        before: Option<&snapshot::Snapshot>,
+    ) -> snapshot::Snapshot {
+        let daemons = self.daemons.load(atomic::Ordering::Acquire);
+        snapshot::Snapshot::build(
+            revision,
+            deployment.clone(),
+            &self.parts.domain,
+            &self.registry,
+            (self.parts.router)(deployment.weights, daemons),
+            daemons,
+            before,
+        )
     }
 
     /// The revision in force; 0 when there is none.
@@ -100,14 +147,7 @@
         self.registry
             .retain(|upstream| deployment.upstreams.contains_key(upstream));
         let before = self.current.load_full();
-        let built = sync::Arc::new(snapshot::Snapshot::build(
-            revision,
-            deployment.clone(),
-            &self.parts.domain,
-            &self.registry,
-            (self.parts.router)(deployment.weights),
-            before.as_deref(),
-        ));
+        let built = sync::Arc::new(self.build(revision, deployment, before.as_deref()));
         let newer =
             |old: &Option<snapshot::Loaded>| old.as_ref().is_none_or(|old| old.revision < revision);
         let before = self.current.rcu(|old| {
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -221,6 +221,11 @@
         settings.peers.seeds.clone(),
         stop.clone(),
     ));
+    tokio::spawn(background::health::run(
+        sync::Arc::clone(&reader.core),
+        reader.cluster.clone(),
+        stop.clone(),
+    ));
     tokio::spawn(background::load::run(
         sync::Arc::clone(&reader.core),
         stop.clone(),
@@ -256,8 +261,11 @@
     Ok(core::Parts {
         clock,
         upstream: sync::Arc::new(upstream) as sync::Arc<dyn upstream::Upstream>,
-        router: |weights| {
-            let settings = router::settings::Settings::new(weights);
+        router: |weights, daemons| {
+            let settings = router::settings::Settings {
+                daemons: daemons as f32,
+                ..router::settings::Settings::new(weights)
+            };
             sync::Arc::new(router::scored::ScoredRouter::new(settings))
         },
         ledger,
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -1,20 +1,21 @@
 //! Attempts at one step: choice of upstream, call, and whether to try again.
 
-use std::sync;
-
 use basilgrade_config::model::pool;
-use basilgrade_config::model::stage;
 use basilgrade_policy::candidate;
 use basilgrade_policy::refusal;
+use basilgrade_policy::retry::backoff;
+use basilgrade_policy::retry::permission;
 use basilgrade_policy::router;
 use basilgrade_types::attempt;
 use basilgrade_types::clock;
 use basilgrade_types::verdict;
 use basilgrade_upstream::call;
 use basilgrade_upstream::call_error;
+use basilgrade_upstream::reply;
 
 use crate::caller::failure;
 use crate::exec::context;
+use crate::exec::inflight;
 use crate::exec::step;
 use crate::recent;
 use crate::view::entry;
@@ -46,12 +47,37 @@
         }
     }
 
-    /// Chooses the upstream of the next attempt.
+    /// Chooses the upstream of the next attempt, and waits for one while all are at their limits.
     ///
     /// # Errors
     ///
     /// A refusal of the router or a passed deadline, with the verdict of the attempts made.
-    pub fn choose(&mut self) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
+    pub async fn choose(
+        &mut self,
+    ) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
+        loop {
+            match self.choose_now() {
+                Err(failure::Failure::Refused(refusal::Refusal::Saturated)) => {
+                    self.wait_for_room().await?;
+                }
+                chosen => return chosen,
+            }
+        }
+    }
+
+    /// Waits in the pool's queue. A request that is shed there has not run.
+    async fn wait_for_room(&self) -> Result<(), failure::Failure> {
+        let saturated = || failure::Failure::Refused(refusal::Refusal::Saturated);
+        let peers = self.context.view.peers.get(&self.step.pool);
+        let room = peers.ok_or_else(saturated)?.wait(self.step.due);
+        let left = self.step.limit.since(self.context.core.now());
+        match tokio::time::timeout(left.duration(), room).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) | Err(_) => Err(saturated()),
+        }
+    }
+
+    fn choose_now(&mut self) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
         let now = self.context.core.now();
         if self.step.limit <= now {
             return Err(failure::Failure::DeadlinePassed(self.verdict()));
@@ -71,14 +97,21 @@
                 .ok_or(refusal::Refusal::Unserved)
         });
         let attempt = self.next;
-        self.record(now, candidates.len(), choice.as_ref().ok());
+        if !matches!(choice, Err(refusal::Refusal::Saturated)) {
+            self.record(now, candidates.len(), choice.as_ref().ok());
+        }
         match choice {
             Ok((entry, choice)) => {
+                if attempt.0 == 0 {
+                    self.context.core.retries.earn();
+                }
                 self.next = attempt.next();
                 self.tried.push(choice.index);
                 Ok((entry, attempt))
             }
-            Err(refusal) if self.worst.is_none() => Err(failure::Failure::Refused(refusal)),
+            Err(refusal) if self.verdict() == verdict::Verdict::NotRun => {
+                Err(failure::Failure::Refused(refusal))
+            }
             Err(_) => Err(failure::Failure::DeadlinePassed(self.verdict())),
         }
     }
@@ -118,12 +151,12 @@
         }
     }
 
-    /// Notes a failed attempt and says whether another one is allowed.
+    /// Notes a failed attempt, and waits before another one if that is allowed.
     ///
     /// # Errors
     ///
     /// The failure to report when no further attempt is allowed.
-    pub fn failed(
+    pub async fn failed(
         &mut self,
         entry: &entry::Entry,
         attempt: attempt::Attempt,
@@ -147,13 +180,21 @@
             verdict,
             error.to_string(),
         );
-        let repeatable = verdict == verdict::Verdict::NotRun
-            || self.step.idempotency == stage::Idempotency::Idempotent
-            || (self.step.keys == pool::Keys::Honoured && self.context.key.is_some());
-        if repeatable && self.next.0 < ATTEMPT_LIMIT {
-            return Ok(());
+        entry.failed(self.context.core.now(), &error);
+        let keys = match self.context.key {
+            Some(_) => self.step.keys,
+            None => pool::Keys::Ignored,
+        };
+        let retry = self.next.0 - 1;
+        let allowed = permission::may_retry(verdict, self.step.idempotency, keys)
+            && self.next.0 < ATTEMPT_LIMIT
+            && self.context.core.retries.spend();
+        if !allowed {
+            return Err(failure::Failure::Upstream(error, self.verdict()));
         }
-        Err(failure::Failure::Upstream(error, self.verdict()))
+        let delay = backoff::delay(retry, &mut rand::rng());
+        tokio::time::sleep(delay.duration()).await;
+        Ok(())
     }
 
     /// The call of an attempt.
@@ -230,26 +271,30 @@
 pub async fn run(
     context: &context::Context,
     step: &step::Step,
-) -> Result<basilgrade_upstream::reply::Reply, failure::Failure> {
-    let core = sync::Arc::clone(&context.core);
+) -> Result<reply::Reply, failure::Failure> {
     let mut attempts = Attempts::new(context, step);
     loop {
-        let (entry, attempt) = attempts.choose()?;
-        let started = core.now();
-        let inflight = super::inflight::Inflight::start(&entry.stats);
-        let result = core
-            .parts
-            .upstream
-            .call(attempts.call(entry, attempt))
-            .await;
-        drop(inflight);
-        match result {
-            Ok(reply) => {
-                entry.stats.observe(core.now().since(started), 0);
-                attempts.finished(entry, attempt, reply.body.len(), verdict::Verdict::Ran);
-                return Ok(reply);
-            }
-            Err(error) => attempts.failed(entry, attempt, error)?,
+        let (entry, attempt) = attempts.choose().await?;
+        match send(&attempts, entry, attempt).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) => attempts.failed(entry, attempt, error).await?,
         }
     }
 }
+
+/// Sends one attempt and records how it went.
+async fn send(
+    attempts: &Attempts<'_>,
+    entry: &entry::Entry,
+    attempt: attempt::Attempt,
+) -> Result<reply::Reply, call_error::CallError> {
+    let core = &attempts.context.core;
+    let started = core.now();
+    let _inflight = inflight::Inflight::start(entry, &core.parts.clock);
+    let call = attempts.call(entry, attempt);
+    let reply = core.parts.upstream.call(call).await?;
+    let now = core.now();
+    entry.answered(now, now.since(started), 0);
+    attempts.finished(entry, attempt, reply.body.len(), verdict::Verdict::Ran);
+    Ok(reply)
+}
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use basilgrade_policy::priority;
+use basilgrade_types::clock;
 use basilgrade_types::size;
 use basilgrade_types::verdict;
 use basilgrade_upstream::call;
@@ -16,6 +18,7 @@
 use crate::exec::inflight;
 use crate::exec::output;
 use crate::exec::step;
+use crate::view::entry;
 
 /// Runs a generation step and sends each token once and in order to `sink`.
 ///
@@ -35,10 +38,10 @@
     let mut attempts = attempts::Attempts::new(context, step);
     let mut received: Vec<String> = Vec::new();
     loop {
-        let (entry, attempt) = attempts.choose()?;
+        let (entry, attempt) = attempts.choose().await?;
         let started = core.now();
         let before = received.len();
-        let _inflight = inflight::Inflight::start(&entry.stats);
+        let _inflight = inflight::Inflight::start(entry, &core.parts.clock);
         let mut tokens = core.parts.upstream.generate(call::Generation {
             call: attempts.call(entry, attempt),
             model: step.model.clone(),
@@ -46,13 +49,14 @@
             tokens: step.tokens,
             offset: size::TokenCount(before as u64),
             received: received.clone(),
-            priority: 0,
+            priority: priority(context, step, entry),
         });
         let error = loop {
             match tokens.next().await {
                 None => {
                     let count = (received.len() - before) as u64;
-                    entry.stats.observe(core.now().since(started), count);
+                    let now = core.now();
+                    entry.answered(now, now.since(started), count);
                     let bytes = received[before..].iter().map(String::len).sum();
                     attempts.finished(entry, attempt, bytes, verdict::Verdict::Ran);
                     return Ok(());
@@ -73,7 +77,16 @@
                 }
             }
         };
-        attempts.failed(entry, attempt, error)?;
+        attempts.failed(entry, attempt, error).await?;
+    }
+}
+
+/// Calls with little slack go first; engines serve higher numbers first.
+fn priority(context: &context::Context, step: &step::Step, entry: &entry::Entry) -> u8 {
+    let need = clock::Millis(entry.peers.expected(step.tokens.0) as u64);
+    match priority::Priority::of(step.due.since(context.core.now()), need) {
+        priority::Priority::Urgent => 1,
+        priority::Priority::Normal => 0,
     }
 }
 
--- a/crates/basilgrade_server/src/exec/inflight.rs
+++ b/crates/basilgrade_server/src/exec/inflight.rs
@@ -3,33 +3,38 @@
 use std::sync;
 use std::sync::atomic;
 
-use crate::view::stats;
+use basilgrade_types::clock;
 
-/// Counts one call in flight until it is dropped, whatever way the call ends.
-pub struct Inflight {
-    stats: sync::Arc<stats::Stats>,
+use crate::view::entry;
+
+/// Counts one call in flight until it is dropped, whatever way the call ends, and then lets the
+/// next waiting request choose.
+pub struct Inflight<'a> {
+    entry: &'a entry::Entry,
+    clock: sync::Arc<dyn clock::Clock>,
 }
 
-impl Inflight {
-    /// Counts a call to the upstream with these `stats`.
-    pub fn start(stats: &sync::Arc<stats::Stats>) -> Self {
+impl<'a> Inflight<'a> {
+    /// Counts a call to the upstream `entry`.
+    pub fn start(entry: &'a entry::Entry, clock: &sync::Arc<dyn clock::Clock>) -> Self {
+        let stats = &entry.stats;
         stats.inflight.fetch_add(1, atomic::Ordering::Relaxed);
         stats.sent.fetch_add(1, atomic::Ordering::Relaxed);
         Self {
-            stats: sync::Arc::clone(stats),
+            entry,
+            clock: sync::Arc::clone(clock),
         }
     }
 }
 
-impl Drop for Inflight {
+impl Drop for Inflight<'_> {
     fn drop(&mut self) {
-        self.stats.inflight.fetch_sub(1, atomic::Ordering::Relaxed);
+        let stats = &self.entry.stats;
+        stats.inflight.fetch_sub(1, atomic::Ordering::Relaxed);
         // A report may have reset the counter since the call was sent.
         let lower = |sent: u32| sent.checked_sub(1);
-        let _ = self.stats.sent.fetch_update(
-            atomic::Ordering::Relaxed,
-            atomic::Ordering::Relaxed,
-            lower,
-        );
+        let relaxed = atomic::Ordering::Relaxed;
+        let _ = stats.sent.fetch_update(relaxed, relaxed, lower);
+        self.entry.peers.wake(self.clock.now());
     }
 }
--- a/crates/basilgrade_server/src/serve.rs
+++ b/crates/basilgrade_server/src/serve.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::sync::atomic;
 
+use basilgrade_policy::share::pressure;
 use basilgrade_types::clock;
 use basilgrade_types::request;
 use basilgrade_types::verdict;
@@ -155,10 +156,36 @@
         headers: parts.headers,
         body,
     };
+    admit(&context, &target)?;
     let output = dispatch(context.clone(), target, incoming).await?;
     Ok(output.response(&context))
 }
 
+/// Holds the customer to its share while the pool that the request needs last is busy.
+///
+/// The last pool is the one that generates, which is where capacity is scarce.
+fn admit(context: &context::Context, target: &target::Target) -> Result<(), failure::Failure> {
+    let view = &context.view;
+    let deployment = &view.deployment;
+    let pool = match target {
+        target::Target::Pipeline(name) => deployment
+            .pipelines
+            .get(name)
+            .and_then(|pipeline| pipeline.stages.last())
+            .map(|stage| &stage.pool),
+        target::Target::Service(pool, _) => Some(pool),
+        _ => None,
+    };
+    let now = context.core.now();
+    let pressure = pool.map_or(pressure::Pressure::Spare, |pool| {
+        pressure::Pressure::of(&view.candidates(pool, now))
+    });
+    let customer = deployment.customers.get_index_of(&context.customer);
+    view.shares
+        .admit(now, customer.unwrap_or(usize::MAX), pressure)
+        .map_err(failure::Failure::Refused)
+}
+
 async fn dispatch(
     context: context::Context,
     target: target::Target,
--- a/crates/basilgrade_server/src/view.rs
+++ b/crates/basilgrade_server/src/view.rs
@@ -2,6 +2,7 @@
 
 pub mod entry;
 pub mod gauge;
+pub mod pool;
 pub mod registry;
 pub mod snapshot;
 pub mod stats;
--- a/crates/basilgrade_server/src/view/entry.rs
+++ b/crates/basilgrade_server/src/view/entry.rs
@@ -7,7 +7,9 @@
 use basilgrade_policy::candidate;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use basilgrade_upstream::call_error;
 
+use crate::view::pool;
 use crate::view::stats;
 
 /// An upstream with its declared properties and its observed state.
@@ -25,8 +27,12 @@
     pub capacity: u32,
     /// Price of one call, in millionths of the currency.
     pub price: f32,
+    /// Position in its pool.
+    pub member: usize,
     /// Observed state.
     pub stats: sync::Arc<stats::Stats>,
+    /// Observed state of its pool.
+    pub peers: sync::Arc<pool::Pool>,
 }
 
 impl Entry {
@@ -40,6 +46,8 @@
             0 => now,
             at => clock::Millis(at),
         };
+        let factor = stats.speed.factor(now);
+        let weight = stats.connection.weight(now) * self.peers.outliers.weight(self.member);
         candidate::Candidate {
             index,
             region: self.region,
@@ -49,13 +57,37 @@
             reported,
             sent: load(&stats.sent),
             inflight: load(&stats.inflight),
-            limit: u32::MAX,
-            service: stats.service.get(),
+            limit: stats.limit.current(),
+            service: self.peers.service() * factor,
             prefill: 0.0,
-            decode: stats.decode.get(),
+            decode: self.peers.decode() * factor,
             cached: 0,
-            weight: 1.0,
+            weight,
             price: self.price,
         }
     }
+
+    /// Records a call that was answered after `spent`.
+    pub fn answered(&self, now: clock::Millis, spent: clock::Millis, tokens: u64) {
+        let expected = self.peers.expected(tokens);
+        let spent = spent.as_f64() as f32;
+        let inflight = self.stats.inflight.load(atomic::Ordering::Relaxed);
+        self.stats.speed.observe(now, expected, spent);
+        self.stats.limit.observe(now, spent / expected, inflight);
+        self.stats.connection.answered();
+        self.peers.observe(spent, tokens);
+        self.peers.outliers.observe(now, self.member, false);
+    }
+
+    /// Records a call that failed.
+    pub fn failed(&self, now: clock::Millis, error: &call_error::CallError) {
+        match error {
+            call_error::CallError::Connect(..) => {
+                self.stats.connection.refused(now, &mut rand::rng());
+            }
+            // A refusal is an answer, and how the upstream sheds load.
+            call_error::CallError::Refused(..) => self.stats.connection.answered(),
+            _ => self.peers.outliers.observe(now, self.member, true),
+        }
+    }
 }
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -6,6 +6,7 @@
 use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
 use basilgrade_policy::router;
+use basilgrade_policy::share::shares;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::revision;
@@ -13,6 +14,7 @@
 use indexmap::IndexSet;
 
 use crate::view::entry;
+use crate::view::pool;
 use crate::view::registry;
 
 /// An immutable view that requests read without a lock; a new revision replaces it as a whole.
@@ -27,6 +29,10 @@
     pub entries: Vec<entry::Entry>,
     /// Positions of the upstreams of each pool.
     pub pools: IndexMap<id::PoolId, Vec<u32>>,
+    /// Observed state of each pool.
+    pub peers: IndexMap<id::PoolId, sync::Arc<pool::Pool>>,
+    /// Shares of the customers' quotas.
+    pub shares: sync::Arc<shares::Shares>,
     /// Position of this daemon's region.
     pub home: u16,
     /// Price of 1 MiB from row region to column region.
@@ -47,6 +53,7 @@
         domain: &id::DomainId,
         registry: &registry::Registry,
         router: sync::Arc<dyn router::Router>,
+        daemons: u32,
         before: Option<&Self>,
     ) -> Self {
         let regions: IndexSet<_> = deployment
@@ -60,29 +67,34 @@
                 .and_then(|region| regions.get_index_of(region))
                 .unwrap_or_default() as u16
         };
-        let entries: Vec<_> = deployment
+        let mut pools: IndexMap<id::PoolId, Vec<u32>> = IndexMap::new();
+        for (index, upstream) in deployment.upstreams.values().enumerate() {
+            let pool = pools.entry(upstream.pool.clone()).or_default();
+            pool.push(index as u32);
+        }
+        let peers = pool_states(&deployment, &pools, before);
+        let entries = deployment
             .upstreams
             .values()
-            .map(|upstream| entry::Entry {
-                id: upstream.id.clone(),
-                pool: upstream.pool.clone(),
-                address: upstream.address,
-                region: position(&upstream.domain),
-                capacity: upstream.capacity,
-                price: deployment
-                    .pools
-                    .get(&upstream.pool)
-                    .map_or(0.0, |pool| pool.price.0 as f32),
-                stats: registry.stats(&upstream.id),
+            .enumerate()
+            .filter_map(|(index, upstream)| {
+                let pool = pools.get(&upstream.pool)?;
+                Some(entry::Entry {
+                    id: upstream.id.clone(),
+                    pool: upstream.pool.clone(),
+                    address: upstream.address,
+                    region: position(&upstream.domain),
+                    capacity: upstream.capacity,
+                    price: deployment
+                        .pools
+                        .get(&upstream.pool)
+                        .map_or(0.0, |pool| pool.price.0 as f32),
+                    member: pool.iter().position(|other| *other == index as u32)?,
+                    stats: registry.stats(&upstream.id, upstream.capacity),
+                    peers: sync::Arc::clone(peers.get(&upstream.pool)?),
+                })
             })
             .collect();
-        let mut pools: IndexMap<id::PoolId, Vec<u32>> = IndexMap::new();
-        for (index, entry) in entries.iter().enumerate() {
-            pools
-                .entry(entry.pool.clone())
-                .or_default()
-                .push(index as u32);
-        }
         let home = position(domain);
         let matrix = |value: &dyn Fn(&id::RegionId, &id::RegionId) -> f32| {
             regions
@@ -111,12 +123,15 @@
             || sync::Arc::new(planner::Planner::new(&deployment)),
             |before| sync::Arc::clone(&before.planner),
         );
+        let shares = customer_shares(&deployment, daemons, before);
         Self {
             revision,
             deployment,
             regions,
             entries,
             pools,
+            peers,
+            shares,
             home,
             prices,
             latency,
@@ -145,6 +160,44 @@
     }
 }
 
+/// State of each pool; it is kept while the pool has the same members in the same order.
+fn pool_states(
+    deployment: &deployment::Deployment,
+    pools: &IndexMap<id::PoolId, Vec<u32>>,
+    before: Option<&Snapshot>,
+) -> IndexMap<id::PoolId, sync::Arc<pool::Pool>> {
+    let state = |(name, indices): (&id::PoolId, &Vec<u32>)| {
+        let members: Vec<_> = indices
+            .iter()
+            .filter_map(|index| deployment.upstreams.get_index(*index as usize))
+            .map(|(upstream, _)| upstream.clone())
+            .collect();
+        let kept = before
+            .and_then(|before| before.peers.get(name))
+            .filter(|kept| kept.members == members);
+        let state = kept.map_or_else(
+            || sync::Arc::new(pool::Pool::new(members)),
+            sync::Arc::clone,
+        );
+        (name.clone(), state)
+    };
+    pools.iter().map(state).collect()
+}
+
+/// Shares of the quotas; they are kept while the customers stay the same.
+fn customer_shares(
+    deployment: &deployment::Deployment,
+    daemons: u32,
+    before: Option<&Snapshot>,
+) -> sync::Arc<shares::Shares> {
+    before
+        .filter(|before| before.deployment.customers == deployment.customers)
+        .map_or_else(
+            || sync::Arc::new(shares::Shares::new(deployment.customers.values(), daemons)),
+            |before| sync::Arc::clone(&before.shares),
+        )
+}
+
 /// The view shared by all requests.
 pub type Current = arc_swap::ArcSwapOption<Snapshot>;
 
--- a/crates/basilgrade_server/src/view/stats.rs
+++ b/crates/basilgrade_server/src/view/stats.rs
@@ -2,13 +2,11 @@
 
 use std::sync::atomic;
 
+use basilgrade_policy::health::connection;
+use basilgrade_policy::limit;
+use basilgrade_policy::speed;
 use basilgrade_types::clock;
 
-use crate::view::gauge;
-
-/// How much one observation moves an average.
-const AVERAGE_SHARE: f32 = 0.1;
-
 /// Counters of one upstream, shared by all requests; they outlive changes of configuration.
 #[derive(Debug)]
 pub struct Stats {
@@ -20,18 +18,23 @@
     pub queued: atomic::AtomicU32,
     /// Calls in flight that were sent since the last report.
     pub sent: atomic::AtomicU32,
-    /// When the last report was made.
+    /// When the last report was made; 0 before the first.
     pub reported: atomic::AtomicU64,
-    /// Instant until which the upstream counts as leaving; 0 when it is not.
+    /// Instant until which the upstream counts as leaving by what it or the VM list said.
     pub leaving: atomic::AtomicU64,
-    /// Time of a call without tokens, in milliseconds.
-    pub service: gauge::Gauge,
-    /// Time per generated token, in milliseconds.
-    pub decode: gauge::Gauge,
+    /// Instant until which it counts as leaving by what other daemons said.
+    pub peers: atomic::AtomicU64,
+    /// Speed relative to the rest of its pool.
+    pub speed: speed::Speed,
+    /// Most calls of this daemon in flight.
+    pub limit: limit::AdaptiveLimit,
+    /// Whether it accepts connections.
+    pub connection: connection::Connection,
 }
 
-impl Default for Stats {
-    fn default() -> Self {
+impl Stats {
+    /// The state of an upstream that nothing is known of, but that it can work on `capacity` calls.
+    pub fn new(capacity: u32) -> Self {
         Self {
             inflight: atomic::AtomicU32::default(),
             running: atomic::AtomicU32::default(),
@@ -39,30 +42,31 @@
             sent: atomic::AtomicU32::default(),
             reported: atomic::AtomicU64::default(),
             leaving: atomic::AtomicU64::default(),
-            service: gauge::Gauge::new(20.0),
-            decode: gauge::Gauge::new(10.0),
-        }
-    }
-}
-
-impl Stats {
-    /// Records a finished call that took `spent` and generated `tokens`.
-    pub fn observe(&self, spent: clock::Millis, tokens: u64) {
-        if tokens == 0 {
-            self.service.average(spent.as_f64() as f32, AVERAGE_SHARE);
-        } else {
-            let sample = spent.as_f64() as f32 / tokens as f32;
-            self.decode.average(sample, AVERAGE_SHARE);
+            peers: atomic::AtomicU64::default(),
+            speed: speed::Speed::default(),
+            limit: limit::AdaptiveLimit::new(capacity),
+            connection: connection::Connection::default(),
         }
     }
 
-    /// Notes that the upstream said it is leaving.
+    /// Notes that the upstream is leaving.
     pub fn mark_leaving(&self, until: clock::Millis) {
         self.leaving.fetch_max(until.0, atomic::Ordering::Relaxed);
     }
 
+    /// Notes that another daemon saw the upstream leaving.
+    pub fn mark_leaving_by_peer(&self, until: clock::Millis) {
+        self.peers.fetch_max(until.0, atomic::Ordering::Relaxed);
+    }
+
+    /// Whether the upstream counts as leaving by a sign that this daemon saw itself; only such
+    /// signs are passed on, as daemons would else keep them alive among themselves.
+    pub fn leaves_by_own_sign(&self, now: clock::Millis) -> bool {
+        self.leaving.load(atomic::Ordering::Relaxed) > now.0
+    }
+
     /// Whether the upstream counts as leaving at `now`.
     pub fn is_leaving(&self, now: clock::Millis) -> bool {
-        self.leaving.load(atomic::Ordering::Relaxed) > now.0
+        self.leaves_by_own_sign(now) || self.peers.load(atomic::Ordering::Relaxed) > now.0
     }
 }
