Test the connect limit and stage names outside ASCII

Cause: no test had a host that does not answer connection attempts, and names may hold any letters. Ruled out: an address that drops packets, as tests use loopback only; a full accept queue has the same effect. Change: two tests. Conclusion: both cases already worked.

--- a/crates/basilgrade_upstream/tests/success.rs
+++ b/crates/basilgrade_upstream/tests/success.rs
@@ -51,3 +51,16 @@
     assert_eq!(common::text(&tokens), expected);
     assert!(tokens.iter().map(|token| token.offset).eq(0..300));
 }
+
+/// Guards against names outside ASCII, which operators may use, being lost in headers.
+#[tokio::test]
+async fn a_stage_name_may_hold_any_letters() {
+    let member = pool::start().await.expect("free port");
+    let client = common::client();
+    let mut call = common::call(member.address);
+    call.stage = "búsqueda-ɛ".parse().expect("valid name");
+
+    let reply = client.call(call).await.expect("answer");
+
+    assert_eq!(reply.body, pool::transform("búsqueda-ɛ", b"in"));
+}
--- a/crates/basilgrade_upstream/tests/verdicts.rs
+++ b/crates/basilgrade_upstream/tests/verdicts.rs
@@ -247,6 +247,29 @@
     assert_eq!(name(&after), "ok");
 }
 
+/// Guards against a call that spends all of its time on an upstream whose host does not accept
+/// connections, although another upstream could have run it.
+#[tokio::test]
+async fn a_connection_that_is_not_established_is_not_run() {
+    let socket = tokio::net::TcpSocket::new_v4().expect("socket");
+    let any = (std::net::Ipv4Addr::LOCALHOST, 0).into();
+    socket.bind(any).expect("free port");
+    let listener = socket.listen(1).expect("listener");
+    let address = listener.local_addr().expect("address");
+    // Connections that are never accepted; the kernel leaves those beyond its queue unanswered.
+    let queued = (0..2).map(|_| tokio::net::TcpStream::connect(address));
+    let _queued = futures::future::join_all(queued).await;
+    let client = client::HttpUpstream::new(client::Settings {
+        connect: SHORT,
+        ..client::Settings::default()
+    });
+
+    let result = client.call(common::call(address)).await;
+
+    assert_eq!(name(&result), "connect", "{result:?}");
+    assert_eq!(client.counters().connects, 0);
+}
+
 /// Guards against a call that waits without end, and against one sent with no time left.
 #[tokio::test]
 async fn the_time_left_bounds_a_call() {
