Do not send a call whose time ran out while it got its connection

Cause: a timer that has already passed still polls the send once, so such a call became may have run, with a time left of 0. Ruled out: a test, as it would need control over the time between two steps. Change: the time left is checked right before sending.

--- a/crates/basilgrade_upstream/src/client/exchange.rs
+++ b/crates/basilgrade_upstream/src/client/exchange.rs
@@ -119,20 +119,21 @@
     let address = connection.address;
     // Waiting until the connection asks for a call makes `hyper` look for a close and for
     // unexpected bytes before it writes.
-    match time::timeout_at(deadline, connection.sender.ready()).await {
-        Ok(Ok(())) => {}
-        Ok(Err(_)) => return Ok(Sent::Untouched(request)),
-        Err(_) => {
-            return Err(call_error::CallError::Unsent(
-                address,
-                "time ran out before the connection was ready".to_owned(),
-            ));
-        }
+    let ready = time::timeout_at(deadline, connection.sender.ready()).await;
+    if let Ok(Err(_)) = ready {
+        return Ok(Sent::Untouched(request));
     }
     let left = deadline.saturating_duration_since(time::Instant::now());
+    let left = left.as_millis() as u64;
+    if ready.is_err() || left == 0 {
+        return Err(call_error::CallError::Unsent(
+            address,
+            "time ran out before the connection was ready".to_owned(),
+        ));
+    }
     request
         .headers_mut()
-        .insert(identity::TIME_LEFT, (left.as_millis() as u64).into());
+        .insert(identity::TIME_LEFT, left.into());
     sent.store(true, atomic::Ordering::Relaxed);
     let sending = connection.sender.try_send_request(request);
     match time::timeout_at(deadline, sending).await {
