--- a/crates/basilgrade_policy/benches/policy/main.rs
+++ b/crates/basilgrade_policy/benches/policy/main.rs
@@ -12,6 +12,7 @@
 mod scenario;
 mod server;
 mod strategy;
+mod targets;
 mod workload;
 mod world;
 
--- a/crates/basilgrade_policy/benches/policy/report.rs
+++ b/crates/basilgrade_policy/benches/policy/report.rs
@@ -12,6 +12,7 @@
 use crate::outcome;
 use crate::scenario;
 use crate::strategy;
+use crate::targets;
 use crate::workload;
 use crate::world;
 
@@ -146,7 +147,29 @@
         println!("{}: capacity {capacity:.1} requests/s", deployment.name);
     }
     print(&deployments, &rows);
-    write(&deployments, &rows)
+    write(&deployments, &rows)?;
+    let lookup = |deployment: &str, scenario: &str, strategy: strategy::Strategy| {
+        rows.iter()
+            .find(|row| {
+                deployments[row.deployment].name == deployment
+                    && scenario::ALL[row.scenario].name == scenario
+                    && strategy::ALL[row.strategy] == strategy
+            })
+            .map(|row| row.figures)
+    };
+    let capacity = |name: &str| {
+        let position = deployments.iter().position(|found| found.name == name);
+        position.map_or(0.0, |position| capacities[position])
+    };
+    let mut file = fs::File::create(root()?.join("targets.csv"))?;
+    targets::write(&lookup, &capacity, &mut file)
+}
+
+/// The directory of the results.
+fn root() -> io::Result<path::PathBuf> {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/policy");
+    fs::create_dir_all(&root)?;
+    Ok(root)
 }
 
 fn figures(
@@ -208,9 +231,7 @@
 }
 
 fn write(deployments: &[deployment::Deployment], rows: &[Row]) -> io::Result<()> {
-    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/policy");
-    fs::create_dir_all(&root)?;
-    let mut file = fs::File::create(root.join("policy.csv"))?;
+    let mut file = fs::File::create(root()?.join("policy.csv"))?;
     writeln!(
         file,
         "deployment,scenario,strategy,{}",
--- a/crates/basilgrade_policy/benches/policy/strategy.rs
+++ b/crates/basilgrade_policy/benches/policy/strategy.rs
@@ -51,12 +51,14 @@
     Without(Mechanism),
     /// The policy with one mechanism that it does not use otherwise.
     With(Mechanism),
-    /// The scored router with the true state of every upstream.
+    /// The policy with the true state of every upstream.
     Oracle,
+    /// The same with 20 times the weight of cost, as a bound on traffic.
+    Thrift,
 }
 
 /// All strategies in the order of the report.
-pub(crate) const ALL: [Strategy; 21] = [
+pub(crate) const ALL: [Strategy; 22] = [
     Strategy::RoundRobin,
     Strategy::Random,
     Strategy::LeastOutstanding,
@@ -78,6 +80,7 @@
     Strategy::Without(Mechanism::Correction),
     Strategy::Without(Mechanism::Trust),
     Strategy::Oracle,
+    Strategy::Thrift,
 ];
 
 impl Strategy {
@@ -101,11 +104,16 @@
         )
     }
 
+    /// Whether the true state of the upstreams is known.
+    pub(crate) fn knows(self) -> bool {
+        matches!(self, Self::Oracle | Self::Thrift)
+    }
+
     /// Whether a run uses `mechanism`.
     pub(crate) fn has(self, mechanism: Mechanism) -> bool {
         let usual = !UNUSED.contains(&mechanism);
         match self {
-            Self::Policy | Self::Oracle => usual,
+            Self::Policy | Self::Oracle | Self::Thrift => usual,
             Self::Without(disabled) => usual && disabled != mechanism,
             Self::With(enabled) => usual || enabled == mechanism,
             _ => false,
--- a/crates/basilgrade_policy/benches/policy/world.rs
+++ b/crates/basilgrade_policy/benches/policy/world.rs
@@ -236,6 +236,9 @@
             daemons: (self.deployment.daemons * deployment::REGIONS) as f32,
             ..settings::Settings::default()
         };
+        if self.strategy == strategy::Strategy::Thrift {
+            settings.cost *= 20.0;
+        }
         if !self.strategy.has(Mechanism::Correction) {
             settings.echo = 0.0;
         }
@@ -623,7 +626,7 @@
         candidates.clear();
         let now = daemon::millis(self.now);
         let shape = &self.deployment.pools[stage.pool];
-        let oracle = self.strategy == strategy::Strategy::Oracle;
+        let oracle = self.strategy.knows();
         let mut hits = std::mem::take(&mut self.daemons[home].hits);
         let chain = &self.requests[request].chain;
         if shape.cache > 0 && self.strategy.has(Mechanism::Prefix) {
@@ -681,7 +684,15 @@
             });
         }
         self.daemons[home].hits = hits;
-        if shape.cache > 0 && !oracle && self.strategy.has(Mechanism::Preferred) {
+        let saved = shape.prefill * chain.len() as f64 * cache::BLOCK;
+        let price = self.deployment.link * f64::from(stage.bytes) / f64::from(1 << 20);
+        let left = (self.due(request) - now).0 as f32;
+        let settings = self.settings();
+        if shape.cache > 0
+            && !oracle
+            && self.strategy.has(Mechanism::Preferred)
+            && preferred::is_worth_crossing(&settings, price as f32, saved as f32, left)
+        {
             let open = candidates.iter().filter(|found| found.weight > 0.0);
             let last = chain.last().copied().unwrap_or_default();
             let preferred = preferred::preferred(last, open.map(|found| found.index));
@@ -697,7 +708,7 @@
 
     /// Weight of an upstream in the view of a daemon.
     fn weight(&self, home: usize, server: usize) -> f32 {
-        if self.strategy == strategy::Strategy::Oracle {
+        if self.strategy.knows() {
             return if self.servers[server].up { 1.0 } else { 0.0 };
         }
         let view = &self.daemons[home].views[server];
--- a/crates/basilgrade_policy/src/prefix/index.rs
+++ b/crates/basilgrade_policy/src/prefix/index.rs
@@ -19,11 +19,11 @@
 /// Ticks for which an entry is believed: two minutes.
 const LIFETIME: u64 = 120_000 / TICK;
 
-/// Ticks for which an entry is believed when removals may have been missed: 10 s.
-///
-/// This holds for upstreams whose events are not read, and for entries older than a gap in the
-/// events.
-const DOUBTFUL: u64 = 10_000 / TICK;
+/// Ticks for which an entry is believed when it is older than a gap in the upstream's events: 30 s.
+const DOUBTFUL: u64 = 30_000 / TICK;
+
+/// Ticks for which an entry is believed of an upstream whose events are not read: 10 s.
+const UNREAD: u64 = 10_000 / TICK;
 
 /// A bounded table of (block, upstream) pairs.
 ///
--- a/crates/basilgrade_policy/src/router/settings.rs
+++ b/crates/basilgrade_policy/src/router/settings.rs
@@ -37,7 +37,7 @@
             cost: weights.cost as f32,
             echo: 1.0,
             daemons: 1.0,
-            trust: clock::Millis(2000),
+            trust: clock::Millis(3000),
         }
     }
 
