Take out the adaptive limit and the deadline queue

Conclusion: engines that honour priorities, cancelled calls, the planner's refusals and the shares leave a limit nothing to gain but a worse choice of region.

--- a/crates/basilgrade_policy/benches/policy/deployment.rs
+++ b/crates/basilgrade_policy/benches/policy/deployment.rs
@@ -341,6 +341,19 @@
         self.customers.iter().enumerate().map(customer).collect()
     }
 
+    /// The pipeline of calls that must not be repeated, and the calls per second that its pool can
+    /// serve.
+    pub(crate) fn once(&self) -> (usize, f64) {
+        let position = self
+            .pipelines
+            .iter()
+            .position(|pipeline| !pipeline.idempotent);
+        let pipeline = position.unwrap_or_default();
+        let pool = &self.pools[self.pipelines[pipeline].stages[0].pool];
+        let places = pool.count as f64 * f64::from(pool.capacity);
+        (pipeline, places * 1000.0 / pool.service)
+    }
+
     /// Share of the requests that have a stage on the engines.
     pub(crate) fn engine_share(&self) -> f64 {
         let uses = |pipeline: &&Pipeline| pipeline.stages.iter().any(|stage| stage.pool == 0);
--- a/crates/basilgrade_policy/src/lib.rs
+++ b/crates/basilgrade_policy/src/lib.rs
@@ -3,10 +3,8 @@
 pub mod budget;
 pub mod candidate;
 pub mod health;
-pub mod limit;
 pub mod prefix;
 pub mod priority;
-pub mod queue;
 pub mod refusal;
 pub mod retry;
 pub mod router;
--- a/crates/basilgrade_policy/src/prefix/index.rs
+++ b/crates/basilgrade_policy/src/prefix/index.rs
@@ -19,12 +19,12 @@
 /// Ticks for which an entry is believed: two minutes.
 const LIFETIME: u64 = 120_000 / TICK;
 
-/// Ticks for which an entry is believed when it is older than a gap in the upstream's events: 30 s.
+/// Ticks for which an entry is believed when removals may have been missed: 30 s.
+///
+/// This holds for upstreams whose events are not read, and for entries older than a gap in the
+/// events.
 const DOUBTFUL: u64 = 30_000 / TICK;
 
-/// Ticks for which an entry is believed of an upstream whose events are not read: 10 s.
-const UNREAD: u64 = 10_000 / TICK;
-
 /// A bounded table of (block, upstream) pairs.
 ///
 /// Evidence is this daemon's own calls and the upstreams' cache events. Each entry is one atomic
@@ -162,11 +162,8 @@
         let gap = events.gap.load(atomic::Ordering::Relaxed);
         let age = entry.age(now);
         let before_gap = gap != 0 && age > now.wrapping_sub(gap - 1) & FIELD;
-        age < if unread || before_gap {
-            DOUBTFUL
-        } else {
-            LIFETIME
-        }
+        let missed = unread || before_gap;
+        age < if missed { DOUBTFUL } else { LIFETIME }
     }
 
     fn set(&self, hash: u64) -> &[atomic::AtomicU64; WAYS] {
