--- a/crates/basilgrade_policy/benches/policy/strategy.rs
+++ b/crates/basilgrade_policy/benches/policy/strategy.rs
@@ -5,10 +5,6 @@
 pub(crate) enum Mechanism {
     /// Deadline plan, degradation and refusal before any cost.
     Budget,
-    /// Adaptive limit per upstream; calls above it wait in the daemon.
-    Limit,
-    /// Waiting calls are served by deadline and shed, instead of in order of arrival.
-    Queue,
     /// Calls with little slack are served first by the upstream.
     Priority,
     /// Index of cached prefixes.
@@ -35,9 +31,6 @@
     Trust,
 }
 
-/// Mechanisms that did not pay for themselves and are measured as additions.
-const UNUSED: [Mechanism; 1] = [Mechanism::Limit];
-
 /// How a run chooses upstreams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Strategy {
@@ -49,22 +42,20 @@
     Policy,
     /// The policy without one mechanism.
     Without(Mechanism),
-    /// The policy with one mechanism that it does not use otherwise.
-    With(Mechanism),
-    /// The scored router with the true state of every upstream.
+    /// The policy with the true state of every upstream.
     Oracle,
+    /// The same with 20 times the weight of cost, as a bound on traffic.
+    Thrift,
 }
 
 /// All strategies in the order of the report.
-pub(crate) const ALL: [Strategy; 21] = [
+pub(crate) const ALL: [Strategy; 20] = [
     Strategy::RoundRobin,
     Strategy::Random,
     Strategy::LeastOutstanding,
     Strategy::TwoChoices,
     Strategy::Policy,
     Strategy::Without(Mechanism::Budget),
-    Strategy::With(Mechanism::Limit),
-    Strategy::Without(Mechanism::Queue),
     Strategy::Without(Mechanism::Priority),
     Strategy::Without(Mechanism::Prefix),
     Strategy::Without(Mechanism::Events),
@@ -78,13 +69,13 @@
     Strategy::Without(Mechanism::Correction),
     Strategy::Without(Mechanism::Trust),
     Strategy::Oracle,
+    Strategy::Thrift,
 ];
 
 impl Strategy {
     pub(crate) fn name(self) -> String {
         match self {
             Self::Without(mechanism) => format!("-{mechanism:?}").to_lowercase(),
-            Self::With(mechanism) => format!("+{mechanism:?}").to_lowercase(),
             other => format!("{other:?}").to_lowercase(),
         }
     }
@@ -101,13 +92,16 @@
         )
     }
 
+    /// Whether the true state of the upstreams is known.
+    pub(crate) fn knows(self) -> bool {
+        matches!(self, Self::Oracle | Self::Thrift)
+    }
+
     /// Whether a run uses `mechanism`.
     pub(crate) fn has(self, mechanism: Mechanism) -> bool {
-        let usual = !UNUSED.contains(&mechanism);
         match self {
-            Self::Policy | Self::Oracle => usual,
-            Self::Without(disabled) => usual && disabled != mechanism,
-            Self::With(enabled) => usual || enabled == mechanism,
+            Self::Policy | Self::Oracle | Self::Thrift => true,
+            Self::Without(disabled) => disabled != mechanism,
             _ => false,
         }
     }
