Take the adaptive limit and the deadline queue out of the daemon

Ruled out: keeping them unmeasured; they cost a lock and an atomic update a call.

Change: a request is refused instead of queued when no upstream may be called; shares, priorities and the planner's refusals hold the load.

--- a/crates/basilgrade_server/src/background/health.rs
+++ b/crates/basilgrade_server/src/background/health.rs
@@ -50,8 +50,6 @@
             .map(|entry| entry.stats.speed.factor(now))
             .collect();
         pool.outliers.evaluate(now, &factors);
-        // Limits change with time, too, so a waiting request may have room now.
-        pool.wake(now);
     }
 }
 
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -47,37 +47,12 @@
         }
     }
 
-    /// Chooses the upstream of the next attempt, and waits for one while all are at their limits.
+    /// Chooses the upstream of the next attempt.
     ///
     /// # Errors
     ///
     /// A refusal of the router or a passed deadline, with the verdict of the attempts made.
-    pub async fn choose(
-        &mut self,
-    ) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
-        loop {
-            match self.choose_now() {
-                Err(failure::Failure::Refused(refusal::Refusal::Saturated)) => {
-                    self.wait_for_room().await?;
-                }
-                chosen => return chosen,
-            }
-        }
-    }
-
-    /// Waits in the pool's queue. A request that is shed there has not run.
-    async fn wait_for_room(&self) -> Result<(), failure::Failure> {
-        let saturated = || failure::Failure::Refused(refusal::Refusal::Saturated);
-        let peers = self.context.view.peers.get(&self.step.pool);
-        let room = peers.ok_or_else(saturated)?.wait(self.step.due);
-        let left = self.step.limit.since(self.context.core.now());
-        match tokio::time::timeout(left.duration(), room).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) | Err(_) => Err(saturated()),
-        }
-    }
-
-    fn choose_now(&mut self) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
+    pub fn choose(&mut self) -> Result<(&'a entry::Entry, attempt::Attempt), failure::Failure> {
         let now = self.context.core.now();
         if self.step.limit <= now {
             return Err(failure::Failure::DeadlinePassed(self.verdict()));
@@ -97,9 +72,7 @@
                 .ok_or(refusal::Refusal::Unserved)
         });
         let attempt = self.next;
-        if !matches!(choice, Err(refusal::Refusal::Saturated)) {
-            self.record(now, candidates.len(), choice.as_ref().ok());
-        }
+        self.record(now, candidates.len(), choice.as_ref().ok());
         match choice {
             Ok((entry, choice)) => {
                 if attempt.0 == 0 {
@@ -274,7 +247,7 @@
 ) -> Result<reply::Reply, failure::Failure> {
     let mut attempts = Attempts::new(context, step);
     loop {
-        let (entry, attempt) = attempts.choose().await?;
+        let (entry, attempt) = attempts.choose()?;
         match send(&attempts, entry, attempt).await {
             Ok(reply) => return Ok(reply),
             Err(error) => attempts.failed(entry, attempt, error).await?,
@@ -290,7 +263,7 @@
 ) -> Result<reply::Reply, call_error::CallError> {
     let core = &attempts.context.core;
     let started = core.now();
-    let _inflight = inflight::Inflight::start(entry, &core.parts.clock);
+    let _inflight = inflight::Inflight::start(&entry.stats);
     let call = attempts.call(entry, attempt);
     let reply = core.parts.upstream.call(call).await?;
     let now = core.now();
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -38,10 +38,10 @@
     let mut attempts = attempts::Attempts::new(context, step);
     let mut received: Vec<String> = Vec::new();
     loop {
-        let (entry, attempt) = attempts.choose().await?;
+        let (entry, attempt) = attempts.choose()?;
         let started = core.now();
         let before = received.len();
-        let _inflight = inflight::Inflight::start(entry, &core.parts.clock);
+        let _inflight = inflight::Inflight::start(&entry.stats);
         let mut tokens = core.parts.upstream.generate(call::Generation {
             call: attempts.call(entry, attempt),
             model: step.model.clone(),
--- a/crates/basilgrade_server/src/view/entry.rs
+++ b/crates/basilgrade_server/src/view/entry.rs
@@ -57,7 +57,7 @@
             reported,
             sent: load(&stats.sent),
             inflight: load(&stats.inflight),
-            limit: stats.limit.current(),
+            limit: u32::MAX,
             service: self.peers.service() * factor,
             prefill: 0.0,
             decode: self.peers.decode() * factor,
@@ -71,9 +71,7 @@
     pub fn answered(&self, now: clock::Millis, spent: clock::Millis, tokens: u64) {
         let expected = self.peers.expected(tokens);
         let spent = spent.as_f64() as f32;
-        let inflight = self.stats.inflight.load(atomic::Ordering::Relaxed);
         self.stats.speed.observe(now, expected, spent);
-        self.stats.limit.observe(now, spent / expected, inflight);
         self.stats.connection.answered();
         self.peers.observe(spent, tokens);
         self.peers.outliers.observe(now, self.member, false);
--- a/crates/basilgrade_server/src/view/pool.rs
+++ b/crates/basilgrade_server/src/view/pool.rs
@@ -1,13 +1,7 @@
 //! Observed state of one pool.
 
-use std::sync;
-use std::sync::atomic;
-
 use basilgrade_policy::health::outliers;
-use basilgrade_policy::queue;
-use basilgrade_types::clock;
 use basilgrade_types::id;
-use tokio::sync::oneshot;
 
 use crate::view::gauge;
 
@@ -20,11 +14,7 @@
 /// Time per token before any was observed, in milliseconds.
 const FIRST_DECODE: f32 = 10.0;
 
-/// Requests that wait for an upstream of one pool; at 40 requests a second under deadlines of 10 s
-/// no more than 400 can be waiting usefully.
-const QUEUE_LIMIT: usize = 512;
-
-/// Averages, outliers and waiting requests of one pool.
+/// Averages and outliers of one pool.
 #[derive(Debug)]
 pub struct Pool {
     /// Upstreams in order of their position in the pool.
@@ -33,9 +23,6 @@
     pub outliers: outliers::Outliers,
     service: gauge::Gauge,
     decode: gauge::Gauge,
-    waiting: sync::Mutex<queue::DeadlineQueue<oneshot::Sender<()>>>,
-    /// Length of the queue, so that a finished call takes no lock when nothing waits.
-    length: atomic::AtomicUsize,
 }
 
 impl Pool {
@@ -46,8 +33,6 @@
             members,
             service: gauge::Gauge::new(FIRST_SERVICE),
             decode: gauge::Gauge::new(FIRST_DECODE),
-            waiting: sync::Mutex::new(queue::DeadlineQueue::new(QUEUE_LIMIT)),
-            length: atomic::AtomicUsize::default(),
         }
     }
 
@@ -77,44 +62,4 @@
             self.decode.average(spent / tokens as f32, AVERAGE_SHARE);
         }
     }
-
-    /// Requests waiting for an upstream of the pool.
-    pub fn queue_length(&self) -> usize {
-        self.length.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Queues a request in the order of deadlines. The receiver gets a message when an upstream has
-    /// room, and an error when the request is shed.
-    pub fn wait(&self, deadline: clock::Millis) -> oneshot::Receiver<()> {
-        let (sender, receiver) = oneshot::channel();
-        let need = clock::Millis(self.expected(0) as u64);
-        let mut waiting = self.lock();
-        // A request that is pushed out is told by its dropped sender.
-        drop(waiting.push(sender, deadline, need));
-        self.length.store(waiting.len(), atomic::Ordering::Relaxed);
-        receiver
-    }
-
-    /// Lets the most urgent waiting request choose again.
-    pub fn wake(&self, now: clock::Millis) {
-        if self.queue_length() == 0 {
-            return;
-        }
-        let mut waiting = self.lock();
-        while let Some(popped) = waiting.pop(now) {
-            // A waiting request whose caller has gone does not use the room, so the next gets it.
-            if let queue::Popped::Ready(sender) = popped
-                && sender.send(()).is_ok()
-            {
-                break;
-            }
-        }
-        self.length.store(waiting.len(), atomic::Ordering::Relaxed);
-    }
-
-    fn lock(&self) -> sync::MutexGuard<'_, queue::DeadlineQueue<oneshot::Sender<()>>> {
-        self.waiting
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
-    }
 }
--- a/crates/basilgrade_server/src/view/registry.rs
+++ b/crates/basilgrade_server/src/view/registry.rs
@@ -15,15 +15,12 @@
 
 impl Registry {
     /// The state of `upstream`, created on first use.
-    pub fn stats(&self, upstream: &id::UpstreamId, capacity: u32) -> sync::Arc<stats::Stats> {
+    pub fn stats(&self, upstream: &id::UpstreamId) -> sync::Arc<stats::Stats> {
         let mut known = self
             .known
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
-        known
-            .entry(upstream.clone())
-            .or_insert_with(|| sync::Arc::new(stats::Stats::new(capacity)))
-            .clone()
+        known.entry(upstream.clone()).or_default().clone()
     }
 
     /// Forgets upstreams that are no longer declared.
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -90,7 +90,7 @@
                         .get(&upstream.pool)
                         .map_or(0.0, |pool| pool.price.0 as f32),
                     member: pool.iter().position(|other| *other == index as u32)?,
-                    stats: registry.stats(&upstream.id, upstream.capacity),
+                    stats: registry.stats(&upstream.id),
                     peers: sync::Arc::clone(peers.get(&upstream.pool)?),
                 })
             })
--- a/crates/basilgrade_server/src/view/stats.rs
+++ b/crates/basilgrade_server/src/view/stats.rs
@@ -3,12 +3,11 @@
 use std::sync::atomic;
 
 use basilgrade_policy::health::connection;
-use basilgrade_policy::limit;
 use basilgrade_policy::speed;
 use basilgrade_types::clock;
 
 /// Counters of one upstream, shared by all requests; they outlive changes of configuration.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Stats {
     /// Calls of this daemon in flight.
     pub inflight: atomic::AtomicU32,
@@ -26,29 +25,11 @@
     pub peers: atomic::AtomicU64,
     /// Speed relative to the rest of its pool.
     pub speed: speed::Speed,
-    /// Most calls of this daemon in flight.
-    pub limit: limit::AdaptiveLimit,
     /// Whether it accepts connections.
     pub connection: connection::Connection,
 }
 
 impl Stats {
-    /// The state of an upstream that nothing is known of, but that it can work on `capacity` calls.
-    pub fn new(capacity: u32) -> Self {
-        Self {
-            inflight: atomic::AtomicU32::default(),
-            running: atomic::AtomicU32::default(),
-            queued: atomic::AtomicU32::default(),
-            sent: atomic::AtomicU32::default(),
-            reported: atomic::AtomicU64::default(),
-            leaving: atomic::AtomicU64::default(),
-            peers: atomic::AtomicU64::default(),
-            speed: speed::Speed::default(),
-            limit: limit::AdaptiveLimit::new(capacity),
-            connection: connection::Connection::default(),
-        }
-    }
-
     /// Notes that the upstream is leaving.
     pub fn mark_leaving(&self, until: clock::Millis) {
         self.leaving.fetch_max(until.0, atomic::Ordering::Relaxed);
