Prefer engines that have the prompt's prefix, and hedge slow stage calls

Cause: the daemon ignored caches and waited out slow calls although the policy code decides both.

Ruled out: polling cache events across regions, as every byte there is billed; hedges of token streams, whose tokens have been paid for.

--- a/crates/basilgrade_server/src/background.rs
+++ b/crates/basilgrade_server/src/background.rs
@@ -1,5 +1,6 @@
 //! Tasks beside the path of requests.
 
+pub mod cache;
 pub mod gossip;
 pub mod health;
 pub mod load;
--- /dev/null
+++ b/crates/basilgrade_server/src/background/cache.rs
@@ -0,0 +1,88 @@
+//! Polling of cache events.
+
+use std::sync;
+
+use basilgrade_config::model::pool;
+use basilgrade_policy::prefix::change;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_upstream::load;
+use futures::StreamExt;
+use futures::stream;
+use indexmap::IndexMap;
+use tokio_util::sync::CancellationToken;
+
+use crate::core;
+use crate::view::entry;
+use crate::view::snapshot;
+
+/// Time between polls; events are late anyway, and own calls are evidence at once.
+const INTERVAL: clock::Millis = clock::Millis::from_secs(1);
+
+/// Polls in flight at once.
+const CONCURRENCY: usize = 32;
+
+/// Polls the engines of this daemon's region until `stop`; those of other regions are known by own
+/// calls alone, as every byte to them is billed.
+pub async fn run(core: sync::Arc<core::Core>, stop: CancellationToken) {
+    let next = sync::Mutex::new(IndexMap::<id::UpstreamId, u64>::new());
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = tokio::time::sleep(INTERVAL.duration()) => {}
+        }
+        if let Some(view) = core.current.load_full() {
+            poll(&core, &view, &next).await;
+        }
+    }
+}
+
+async fn poll(
+    core: &sync::Arc<core::Core>,
+    view: &snapshot::Snapshot,
+    next: &sync::Mutex<IndexMap<id::UpstreamId, u64>>,
+) {
+    let engines = view.entries.iter().enumerate().filter(|(_, entry)| {
+        let pool = view.deployment.pools.get(&entry.pool);
+        let generates = pool.is_some_and(|pool| pool.kind == pool::Kind::Engine);
+        generates && entry.region == view.home
+    });
+    stream::iter(engines)
+        .for_each_concurrent(CONCURRENCY, |(index, entry)| async move {
+            let from = lock(next).get(&entry.id).copied().unwrap_or_default();
+            match core.parts.upstream.cache_events(entry.address, from).await {
+                Ok(events) => apply(core, view, index as u32, entry, &events, next),
+                Err(error) => log::debug!(
+                    "event=cache-events-failed upstream={} error={:?}",
+                    entry.id,
+                    error.to_string()
+                ),
+            }
+        })
+        .await;
+}
+
+fn apply(
+    core: &core::Core,
+    view: &snapshot::Snapshot,
+    index: u32,
+    entry: &entry::Entry,
+    events: &[load::CacheEvent],
+    next: &sync::Mutex<IndexMap<id::UpstreamId, u64>>,
+) {
+    let now = core.now();
+    for event in events {
+        let change = match event.change {
+            load::CacheChange::Stored => change::Change::Added(event.prefix),
+            load::CacheChange::Evicted => change::Change::Removed(event.prefix),
+        };
+        view.prefixes.apply(now, index, event.seq, change);
+    }
+    if let Some(last) = events.last() {
+        lock(next).insert(entry.id.clone(), last.seq + 1);
+    }
+}
+
+fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -226,6 +226,10 @@
         reader.cluster.clone(),
         stop.clone(),
     ));
+    tokio::spawn(background::cache::run(
+        sync::Arc::clone(&reader.core),
+        stop.clone(),
+    ));
     tokio::spawn(background::load::run(
         sync::Arc::clone(&reader.core),
         stop.clone(),
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -2,8 +2,10 @@
 
 use basilgrade_config::model::pool;
 use basilgrade_policy::candidate;
+use basilgrade_policy::prefix::hits;
 use basilgrade_policy::refusal;
 use basilgrade_policy::retry::backoff;
+use basilgrade_policy::retry::hedge;
 use basilgrade_policy::retry::permission;
 use basilgrade_policy::router;
 use basilgrade_types::attempt;
@@ -23,6 +25,9 @@
 /// Attempts at one step; more would outlast any deadline worth serving.
 pub const ATTEMPT_LIMIT: u32 = 4;
 
+/// Bytes of a prompt token, as usual for text; engines report no exact count before a call.
+const BYTES_PER_TOKEN: u32 = 4;
+
 /// How long an upstream that said it is leaving gets no work without saying so again.
 pub const LEAVING_SPAN: clock::Millis = clock::Millis::from_secs(30);
 
@@ -58,7 +63,7 @@
             return Err(failure::Failure::DeadlinePassed(self.verdict()));
         }
         let view = &self.context.view;
-        let candidates = view.candidates(&self.step.pool, now);
+        let candidates = self.candidates(now);
         let mut choice = self.ask_router(now, &candidates);
         if choice.is_err() && !self.tried.is_empty() {
             // Every other upstream is out of the question, so those tried before get another chance.
@@ -89,6 +94,57 @@
         }
     }
 
+    /// What is known of the pool's upstreams, and how much of the prompt each is expected to have
+    /// cached.
+    fn candidates(&self, now: clock::Millis) -> Vec<candidate::Candidate> {
+        let view = &self.context.view;
+        let mut candidates = view.candidates(&self.step.pool, now);
+        if self.step.blocks.is_empty() {
+            return candidates;
+        }
+        let mut hits = hits::Hits::default();
+        view.prefixes.lookup(now, &self.step.blocks, &mut hits);
+        for candidate in &mut candidates {
+            candidate.cached = hits.blocks(candidate.index) * step::BLOCK_TOKENS;
+        }
+        candidates
+    }
+
+    /// Notes that `entry` will have the prompt of this step in its cache, and returns the tokens
+    /// that it does not have yet.
+    pub fn cache(&self, entry: &entry::Entry) -> u32 {
+        let view = &self.context.view;
+        let now = self.context.core.now();
+        let mut hits = hits::Hits::default();
+        view.prefixes.lookup(now, &self.step.blocks, &mut hits);
+        let prompt = self.step.input.len() as u32 / BYTES_PER_TOKEN;
+        let Some(index) = view.deployment.upstreams.get_index_of(&entry.id) else {
+            return prompt;
+        };
+        view.prefixes.record(now, index as u32, &self.step.blocks);
+        prompt.saturating_sub(hits.blocks(index as u32) * step::BLOCK_TOKENS)
+    }
+
+    /// Chooses an upstream for a second call beside the one in flight, if it is worth its price.
+    fn hedge(&self, started: clock::Millis) -> Option<&'a entry::Entry> {
+        let view = &self.context.view;
+        let now = self.context.core.now();
+        let choice = self.ask_router(now, &self.candidates(now)).ok()?;
+        let settings = router::settings::Settings::new(view.deployment.weights);
+        let elapsed = now.since(started).as_f64() as f32;
+        let tail = self.step.tail?.as_f64() as f32;
+        let rest = hedge::expected_rest(elapsed, 0.0, tail);
+        let left = self.step.limit.since(now);
+        if !hedge::is_worthwhile(&settings, rest, left, &choice)
+            || !self.context.core.retries.spend_hedge()
+        {
+            return None;
+        }
+        let entry = view.entries.get(choice.index as usize)?;
+        self.record(now, view.entries.len(), Some(&(entry, choice)));
+        Some(entry)
+    }
+
     fn ask_router(
         &self,
         now: clock::Millis,
@@ -200,7 +256,7 @@
         let view = &self.context.view;
         let home = usize::from(view.home);
         let prompt = match self.step.kind {
-            pool::Kind::Engine => self.step.input.len() as u32 / 4,
+            pool::Kind::Engine => self.step.input.len() as u32 / BYTES_PER_TOKEN,
             _ => 0,
         };
         router::CallShape {
@@ -248,13 +304,62 @@
     let mut attempts = Attempts::new(context, step);
     loop {
         let (entry, attempt) = attempts.choose()?;
-        match send(&attempts, entry, attempt).await {
+        match race(&mut attempts, entry, attempt).await {
             Ok(reply) => return Ok(reply),
-            Err(error) => attempts.failed(entry, attempt, error).await?,
+            Err((entry, attempt, error)) => attempts.failed(entry, attempt, error).await?,
         }
     }
 }
 
+type Failed<'a> = (&'a entry::Entry, attempt::Attempt, call_error::CallError);
+
+/// Sends an attempt, and a second one beside it if the first takes unusually long.
+///
+/// The first answer counts; dropping the other call cancels it.
+async fn race<'a>(
+    attempts: &mut Attempts<'a>,
+    entry: &'a entry::Entry,
+    attempt: attempt::Attempt,
+) -> Result<reply::Reply, Failed<'a>> {
+    let started = attempts.context.core.now();
+    let allowed = permission::may_hedge(attempts.step.idempotency);
+    let Some(tail) = attempts.step.tail.filter(|_| allowed) else {
+        let result = send(attempts, entry, attempt).await;
+        return result.map_err(|error| (entry, attempt, error));
+    };
+    let second = attempts.next;
+    let result = {
+        let attempts = &*attempts;
+        let first = send(attempts, entry, attempt);
+        tokio::pin!(first);
+        let early = tokio::time::timeout(tail.duration(), &mut first).await;
+        let hedge = match early {
+            Ok(result) => return result.map_err(|error| (entry, attempt, error)),
+            Err(_) => attempts.hedge(started),
+        };
+        match hedge {
+            None => first.await.map_err(|error| (entry, attempt, error)),
+            Some(other) => {
+                let hedged = send(attempts, other, second);
+                tokio::pin!(hedged);
+                tokio::select! {
+                    result = &mut first => match result {
+                        Ok(reply) => Ok(reply),
+                        Err(_) => hedged.await.map_err(|error| (other, second, error)),
+                    },
+                    result = &mut hedged => match result {
+                        Ok(reply) => Ok(reply),
+                        Err(_) => first.await.map_err(|error| (entry, attempt, error)),
+                    },
+                }
+            }
+        }
+    };
+    // Another attempt must not take the number that a second call may have used.
+    attempts.next = second.next();
+    result
+}
+
 /// Sends one attempt and records how it went.
 async fn send(
     attempts: &Attempts<'_>,
--- a/crates/basilgrade_server/src/exec/budget.rs
+++ b/crates/basilgrade_server/src/exec/budget.rs
@@ -16,6 +16,8 @@
     pub due: clock::Millis,
     /// Instant at which the stage is given up.
     pub limit: clock::Millis,
+    /// The 0.95 quantile of the stage's time, if enough is known.
+    pub tail: Option<clock::Millis>,
 }
 
 /// The budget of a request to one pipeline.
@@ -61,6 +63,9 @@
             action: step.action,
             due: step.deadline,
             limit: limit.max(step.deadline),
+            tail: planner
+                .summary(now, self.pipeline, position)
+                .map(|summary| clock::Millis(summary.tail as u64)),
         })
     }
 
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -41,6 +41,7 @@
         let (entry, attempt) = attempts.choose()?;
         let started = core.now();
         let before = received.len();
+        let fresh = attempts.cache(entry);
         let _inflight = inflight::Inflight::start(&entry.stats);
         let mut tokens = core.parts.upstream.generate(call::Generation {
             call: attempts.call(entry, attempt),
@@ -68,6 +69,10 @@
                         let reason = format!("token {} where {expected} is due", token.offset);
                         break call_error::CallError::Malformed(entry.address, reason);
                     }
+                    if received.len() == before {
+                        let spent = core.now().since(started);
+                        entry.peers.observe_first(spent.as_f64() as f32, fresh);
+                    }
                     received.push(token.text.clone());
                     if sink.send(token).await.is_err() {
                         return Err(failure::Failure::DeadlinePassed(
--- a/crates/basilgrade_server/src/exec/pipeline.rs
+++ b/crates/basilgrade_server/src/exec/pipeline.rs
@@ -5,6 +5,7 @@
 use basilgrade_config::model::pool;
 use basilgrade_config::model::stage;
 use basilgrade_policy::budget::plan;
+use basilgrade_policy::prefix::blocks;
 use basilgrade_types::clock;
 use basilgrade_types::verdict;
 use basilgrade_upstream::token;
@@ -158,6 +159,10 @@
     } else {
         stage.idempotency
     };
+    let blocks = match pool.kind {
+        pool::Kind::Engine => blocks::hashes(&input, step::BLOCK_BYTES, step::BLOCK_LIMIT),
+        _ => Vec::new(),
+    };
     Ok(step::Step {
         stage: stage.id.clone(),
         pool: name.clone(),
@@ -170,6 +175,8 @@
         path: "/run".to_owned(),
         headers: hyper::HeaderMap::new(),
         input,
+        blocks,
+        tail: part.tail,
         due: part.due,
         limit: part.limit,
     })
--- a/crates/basilgrade_server/src/exec/service.rs
+++ b/crates/basilgrade_server/src/exec/service.rs
@@ -65,6 +65,8 @@
         path: incoming.path,
         headers: forwarded(&incoming.headers),
         input: incoming.body,
+        blocks: Vec::new(),
+        tail: None,
         due: context.deadline,
         limit: context.deadline,
     };
--- a/crates/basilgrade_server/src/exec/step.rs
+++ b/crates/basilgrade_server/src/exec/step.rs
@@ -32,8 +32,21 @@
     pub headers: hyper::HeaderMap,
     /// Input.
     pub input: Bytes,
+    /// Names of the leading blocks of a prompt; empty for steps that generate nothing.
+    pub blocks: Vec<u64>,
+    /// Time after which a second call may be worth its price, from earlier calls.
+    pub tail: Option<clock::Millis>,
     /// Instant by which the step should be done; upstreams are chosen by it.
     pub due: clock::Millis,
     /// Instant at which the step is given up, because what follows needs the rest of the time.
     pub limit: clock::Millis,
 }
+
+/// Bytes of one block of a prompt; engines name cached prefixes by blocks of this size.
+pub const BLOCK_BYTES: usize = 256;
+
+/// Prompt tokens in a block, at the usual four bytes a token.
+pub const BLOCK_TOKENS: u32 = 64;
+
+/// Leading blocks of a prompt that are looked up; longer prefixes are rarely shared.
+pub const BLOCK_LIMIT: usize = 64;
--- a/crates/basilgrade_server/src/view/entry.rs
+++ b/crates/basilgrade_server/src/view/entry.rs
@@ -59,7 +59,7 @@
             inflight: load(&stats.inflight),
             limit: u32::MAX,
             service: self.peers.service() * factor,
-            prefill: 0.0,
+            prefill: self.peers.prefill() * factor,
             decode: self.peers.decode() * factor,
             cached: 0,
             weight,
--- a/crates/basilgrade_server/src/view/pool.rs
+++ b/crates/basilgrade_server/src/view/pool.rs
@@ -14,6 +14,9 @@
 /// Time per token before any was observed, in milliseconds.
 const FIRST_DECODE: f32 = 10.0;
 
+/// Time per prompt token that is not cached before any was observed, in milliseconds.
+const FIRST_PREFILL: f32 = 0.2;
+
 /// Averages and outliers of one pool.
 #[derive(Debug)]
 pub struct Pool {
@@ -23,6 +26,7 @@
     pub outliers: outliers::Outliers,
     service: gauge::Gauge,
     decode: gauge::Gauge,
+    prefill: gauge::Gauge,
 }
 
 impl Pool {
@@ -33,6 +37,7 @@
             members,
             service: gauge::Gauge::new(FIRST_SERVICE),
             decode: gauge::Gauge::new(FIRST_DECODE),
+            prefill: gauge::Gauge::new(FIRST_PREFILL),
         }
     }
 
@@ -46,6 +51,18 @@
         self.decode.get()
     }
 
+    /// Time per prompt token that is not cached, in milliseconds.
+    pub fn prefill(&self) -> f32 {
+        self.prefill.get()
+    }
+
+    /// Records the time until the first token of a prompt with `fresh` tokens that were not cached.
+    pub fn observe_first(&self, spent: f32, fresh: u32) {
+        if fresh > 0 {
+            self.prefill.average(spent / fresh as f32, AVERAGE_SHARE);
+        }
+    }
+
     /// Expected time of a call at average speed, in milliseconds.
     pub fn expected(&self, tokens: u64) -> f32 {
         if tokens == 0 {
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -5,6 +5,7 @@
 use basilgrade_config::model::deployment;
 use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
+use basilgrade_policy::prefix::index;
 use basilgrade_policy::router;
 use basilgrade_policy::share::shares;
 use basilgrade_types::clock;
@@ -17,6 +18,9 @@
 use crate::view::pool;
 use crate::view::registry;
 
+/// Memory for the index of prefixes: a sixteenth of the 64 MB that a daemon may use for control.
+const PREFIX_BYTES: usize = 4 << 20;
+
 /// An immutable view that requests read without a lock; a new revision replaces it as a whole.
 pub struct Snapshot {
     /// The revision in force.
@@ -43,6 +47,8 @@
     pub router: sync::Arc<dyn router::Router>,
     /// Stage times and the plans that follow from them.
     pub planner: sync::Arc<planner::Planner>,
+    /// Prefixes expected in the caches of engines, by position of the upstream.
+    pub prefixes: sync::Arc<index::PrefixIndex>,
 }
 
 impl Snapshot {
@@ -124,6 +130,7 @@
             |before| sync::Arc::clone(&before.planner),
         );
         let shares = customer_shares(&deployment, daemons, before);
+        let prefixes = prefix_index(&deployment, before);
         Self {
             revision,
             deployment,
@@ -137,6 +144,7 @@
             latency,
             router,
             planner,
+            prefixes,
         }
     }
 
@@ -184,6 +192,28 @@
     pools.iter().map(state).collect()
 }
 
+/// The index of prefixes; it is kept while the positions of the upstreams stay the same.
+fn prefix_index(
+    deployment: &deployment::Deployment,
+    before: Option<&Snapshot>,
+) -> sync::Arc<index::PrefixIndex> {
+    before
+        .filter(|before| {
+            before
+                .deployment
+                .upstreams
+                .keys()
+                .eq(deployment.upstreams.keys())
+        })
+        .map_or_else(
+            || {
+                let count = deployment.upstreams.len();
+                sync::Arc::new(index::PrefixIndex::new(PREFIX_BYTES, count))
+            },
+            |before| sync::Arc::clone(&before.prefixes),
+        )
+}
+
 /// Shares of the quotas; they are kept while the customers stay the same.
 fn customer_shares(
     deployment: &deployment::Deployment,
