Give a daemon that starts an even share

Change: shares are at least even for 15 s after the start; demand is averaged over 10 s instead of 3 s.

--- a/crates/basilgrade_policy/benches/policy/world.rs
+++ b/crates/basilgrade_policy/benches/policy/world.rs
@@ -253,6 +253,7 @@
                 .collect(),
             retries: budget::RetryBudget::default(),
             shares: shares::Shares::new(
+                daemon::millis(self.now),
                 &self.quotas,
                 (self.deployment.daemons * deployment::REGIONS) as u32,
             ),
@@ -350,7 +351,7 @@
                 daemons: self.deployment.daemons as u32,
                 domains: deployment::REGIONS as u32,
             };
-            self.daemons[daemon].shares.set(customer, &reported);
+            self.daemons[daemon].shares.set(now, customer, &reported);
         }
     }
 
--- a/crates/basilgrade_policy/src/share/demand.rs
+++ b/crates/basilgrade_policy/src/share/demand.rs
@@ -5,7 +5,10 @@
 use basilgrade_types::clock;
 
 /// Time in which the influence of old requests falls to a third, in seconds.
-const SPAN: f32 = 3.0;
+///
+/// With 3 s, the rate of a customer with one request per second strays so far that 0.02% of the
+/// requests within a quota were refused.
+const SPAN: f32 = 10.0;
 
 /// Requests lately, as a rate.
 #[derive(Debug, Default)]
--- a/crates/basilgrade_policy/src/share/shares.rs
+++ b/crates/basilgrade_policy/src/share/shares.rs
@@ -22,6 +22,12 @@
 /// exceed a burst by this number each, once.
 const LEAST_BURST: f32 = 10.0;
 
+/// Time after the start during which a share is at least the even one.
+///
+/// A daemon that has just started has seen no demand, so its reports would leave it almost no share;
+/// 0.9% of the requests were refused during a rolling restart.
+const SETTLING: clock::Millis = clock::Millis(15_000);
+
 /// Share of a quota below which demand is not worth reporting.
 const REPORTED: f32 = 0.1;
 
@@ -58,11 +64,16 @@
 #[derive(Debug)]
 pub struct Shares {
     customers: Vec<Customer>,
+    started: clock::Millis,
+    /// Share of every daemon when quotas are split evenly.
+    even: f32,
 }
 
 impl Shares {
-    /// Shares of `customers` in their order, each split evenly over `daemons` daemons.
+    /// Shares of `customers` in their order, each split evenly over `daemons` daemons, at a daemon
+    /// that starts now.
     pub fn new<'a>(
+        now: clock::Millis,
         customers: impl IntoIterator<Item = &'a customer::Customer>,
         daemons: u32,
     ) -> Self {
@@ -76,6 +87,8 @@
         };
         Self {
             customers: customers.into_iter().map(customer).collect(),
+            started: now,
+            even,
         }
     }
 
@@ -124,14 +137,17 @@
     }
 
     /// Sets this daemon's share of a customer's quota from what was reported.
-    pub fn set(&self, customer: usize, reported: &Reported) {
+    pub fn set(&self, now: clock::Millis, customer: usize, reported: &Reported) {
         let Some(found) = self.customers.get(customer) else {
             return;
         };
         let domain = split(reported.domain, reported.total, reported.domains);
         let daemon = split(reported.daemon, reported.domain, reported.daemons);
-        let share = (domain * daemon).to_bits();
-        found.share.store(share, atomic::Ordering::Relaxed);
+        let settling = now - self.started < SETTLING;
+        let share = (domain * daemon).max(if settling { self.even } else { 0.0 });
+        found
+            .share
+            .store(share.to_bits(), atomic::Ordering::Relaxed);
     }
 }
 
--- a/crates/basilgrade_policy/tests/share.rs
+++ b/crates/basilgrade_policy/tests/share.rs
@@ -9,6 +9,9 @@
 
 const NOW: clock::Millis = clock::Millis(100_000);
 
+/// Long enough after the start that shares follow the demand.
+const SETTLED: clock::Millis = clock::Millis(160_000);
+
 /// Shares of one customer with 100 requests per second over 10 daemons.
 fn shares() -> shares::Shares {
     let customer = customer::Customer {
@@ -17,7 +20,7 @@
         burst: 100,
         targets: Vec::new(),
     };
-    shares::Shares::new([&customer], 10)
+    shares::Shares::new(NOW, [&customer], 10)
 }
 
 /// Requests admitted of `count` that come evenly in `seconds`.
@@ -82,8 +85,8 @@
 #[test]
 fn shares_follow_the_demand() {
     let (all, none) = (shares(), shares());
-    all.set(0, &reported(50.0, 50.0, 50.0));
-    none.set(0, &reported(0.0, 50.0, 50.0));
+    all.set(SETTLED, 0, &reported(50.0, 50.0, 50.0));
+    none.set(SETTLED, 0, &reported(0.0, 50.0, 50.0));
 
     let here = admitted(&all, NOW, 10, 2000, pressure::Pressure::Busy);
     let elsewhere = admitted(&none, NOW, 10, 2000, pressure::Pressure::Busy);
@@ -93,11 +96,22 @@
     assert!((15..=35).contains(&elsewhere), "{elsewhere}");
 }
 
+/// Guards against refusing the first requests at a daemon that has just started.
+#[test]
+fn a_daemon_that_starts_has_an_even_share() {
+    let shares = shares();
+    shares.set(NOW + clock::Millis(1000), 0, &reported(0.0, 50.0, 100.0));
+
+    let admitted = admitted(&shares, NOW, 10, 1000, pressure::Pressure::Busy);
+
+    assert!((105..=115).contains(&admitted), "{admitted}");
+}
+
 /// Guards against a daemon that is cut off and refuses everything, or admits everything.
 #[test]
 fn the_last_share_holds_without_reports() {
     let shares = shares();
-    shares.set(0, &reported(50.0, 50.0, 100.0));
+    shares.set(SETTLED, 0, &reported(50.0, 50.0, 100.0));
 
     let later = NOW + clock::Millis::from_secs(3600);
     let admitted = admitted(&shares, later, 10, 2000, pressure::Pressure::Busy);
