Bound streams, connections and slow readers, and report what the client drops

Cause: a stream was no longer counted once its response had begun, a caller that did not read could hold a stream beyond its deadline, and dropped answers were not in /metrics.

Ruled out: a second limit for streams; they share the limit of requests.

Change: a request stays counted until its last part is dropped; sending a token ends at the stage's limit; accepted connections are bounded; the client's counters are observed.

--- a/crates/basilgrade_server/src/background/health.rs
+++ b/crates/basilgrade_server/src/background/health.rs
@@ -101,7 +101,7 @@
                 daemons: counts.near,
                 domains: counts.domains,
             };
-            view.shares.set(*position, &known);
+            view.shares.set(now, *position, &known);
             heavy.insert(customer.clone());
         }
         for customer in reported.difference(&heavy) {
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -123,15 +123,14 @@
         before: Option<&snapshot::Snapshot>,
     ) -> snapshot::Snapshot {
         let daemons = self.daemons.load(atomic::Ordering::Acquire);
-        snapshot::Snapshot::build(
-            revision,
-            deployment.clone(),
-            &self.parts.domain,
-            &self.registry,
-            (self.parts.router)(deployment.weights, daemons),
+        let surroundings = snapshot::Surroundings {
+            now: self.now(),
+            domain: &self.parts.domain,
             daemons,
-            before,
-        )
+            registry: &self.registry,
+            router: (self.parts.router)(deployment.weights, daemons),
+        };
+        snapshot::Snapshot::build(revision, deployment.clone(), &surroundings, before)
     }
 
     /// The revision in force; 0 when there is none.
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -261,6 +261,7 @@
 ) -> Result<core::Parts, StartError> {
     let metrics = metrics::Metrics::new().map_err(StartError::Metrics)?;
     let upstream = client::HttpUpstream::new(client::Settings::default());
+    metrics.observe_client(upstream.clone());
     let requests = &settings.limits;
     Ok(core::Parts {
         clock,
--- a/crates/basilgrade_server/src/exec.rs
+++ b/crates/basilgrade_server/src/exec.rs
@@ -1,5 +1,6 @@
 //! Execution of requests: stages, services, attempts and claims.
 
+pub mod active;
 pub mod attempts;
 pub mod budget;
 pub mod claimed;
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -193,9 +193,6 @@
     ) -> Result<(), failure::Failure> {
         let verdict = error.verdict();
         self.finished(entry, attempt, 0, verdict);
-        if let call_error::CallError::Mismatch(..) = error {
-            self.context.core.parts.metrics.dropped_answer("mismatch");
-        }
         self.worst = self.worst.max(Some(verdict));
         if let call_error::CallError::Refused(_, true) = error {
             let until = self.context.core.now().plus(LEAVING_SPAN);
--- a/crates/basilgrade_server/src/exec/context.rs
+++ b/crates/basilgrade_server/src/exec/context.rs
@@ -11,6 +11,7 @@
 
 use crate::caller::head;
 use crate::core;
+use crate::exec::active;
 use crate::view::snapshot;
 
 /// A request, the view it is served under and its deadline.
@@ -18,6 +19,8 @@
 pub struct Context {
     /// Shared state of the daemon.
     pub core: sync::Arc<core::Core>,
+    /// Keeps the request counted while any part of it is in progress.
+    pub active: sync::Arc<active::Active>,
     /// The configuration that the request is served under from start to end.
     pub view: snapshot::Loaded,
     /// Identity of the request.
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -74,10 +74,12 @@
                         entry.peers.observe_first(spent.as_f64() as f32, fresh);
                     }
                     received.push(token.text.clone());
-                    if sink.send(token).await.is_err() {
-                        return Err(failure::Failure::DeadlinePassed(
-                            verdict::Verdict::MayHaveRun,
-                        ));
+                    let left = step.limit.since(core.now());
+                    let sent = tokio::time::timeout(left.duration(), sink.send(token)).await;
+                    if !matches!(sent, Ok(Ok(()))) {
+                        // The caller has gone, or did not read the stream within its deadline.
+                        let verdict = verdict::Verdict::MayHaveRun;
+                        return Err(failure::Failure::DeadlinePassed(verdict));
                     }
                 }
             }
--- a/crates/basilgrade_server/src/listener.rs
+++ b/crates/basilgrade_server/src/listener.rs
@@ -20,6 +20,9 @@
 /// Wait after an error of `accept`, such as too many open files, before the next one.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
+/// Connections accepted for each request that may be in progress, as some are idle.
+const CONNECTIONS_PER_REQUEST: usize = 2;
+
 /// A listener for callers.
 pub struct Listener {
     core: sync::Arc<core::Core>,
@@ -57,13 +60,20 @@
             tokio::time::sleep(linger.duration()).await;
         };
         tokio::pin!(closing);
+        let limit = self.core.parts.limits.requests * CONNECTIONS_PER_REQUEST;
+        let permits = sync::Arc::new(tokio::sync::Semaphore::new(limit));
         loop {
-            let accepted = tokio::select! {
+            let accepting = async {
+                // Callers beyond the limit wait in the system's backlog.
+                let permit = sync::Arc::clone(&permits).acquire_owned().await.ok();
+                (self.socket.accept().await, permit)
+            };
+            let (accepted, permit) = tokio::select! {
                 () = &mut closing => break,
-                accepted = self.socket.accept() => accepted,
+                accepted = accepting => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.start(stream, &graceful),
+                Ok((stream, _)) => self.start(stream, permit, &graceful),
                 Err(error) => {
                     log::warn!("event=accept-failed error={:?}", error.to_string());
                     tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -75,7 +85,12 @@
         log::info!("event=drain-finished");
     }
 
-    fn start(&self, stream: tokio_net::TcpStream, graceful: &graceful::GracefulShutdown) {
+    fn start(
+        &self,
+        stream: tokio_net::TcpStream,
+        permit: Option<tokio::sync::OwnedSemaphorePermit>,
+        graceful: &graceful::GracefulShutdown,
+    ) {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("event=nodelay-failed error={:?}", error.to_string());
         }
@@ -92,6 +107,7 @@
             .serve_connection(rt::TokioIo::new(stream), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
+            let _permit = permit;
             if let Err(error) = watched.await {
                 log::debug!("event=connection-closed error={:?}", error.to_string());
             }
--- a/crates/basilgrade_server/src/metrics.rs
+++ b/crates/basilgrade_server/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Metrics by OpenTelemetry, served for scraping in the Prometheus text format.
 
+use std::sync;
+
 use basilgrade_types::id;
 use basilgrade_types::verdict;
+use basilgrade_upstream::client;
 use compact_str::CompactString;
 use indexmap::IndexMap;
 use opentelemetry::KeyValue;
@@ -20,12 +23,14 @@
     attained: metrics::Counter<u64>,
     refusals: metrics::Counter<u64>,
     retries: metrics::Counter<u64>,
-    dropped: metrics::Counter<u64>,
     cost: metrics::Counter<f64>,
     billed: metrics::Counter<u64>,
     revision: metrics::Gauge<u64>,
     active: metrics::Gauge<u64>,
     duration: metrics::Histogram<f64>,
+    // Keeps the counters of the client observed.
+    observed: sync::OnceLock<metrics::ObservableCounter<u64>>,
+    meter: metrics::Meter,
 }
 
 /// How a request ended with respect to its deadline.
@@ -61,10 +66,6 @@
             attained: counter("basilgrade_deadlines", "Requests by target and attainment"),
             refusals: counter("basilgrade_refusals", "Requests refused, by reason"),
             retries: counter("basilgrade_retries", "Attempts beyond the first, by stage"),
-            dropped: counter(
-                "basilgrade_dropped_answers",
-                "Answers dropped because they were late, double or for another call",
-            ),
             cost: meter
                 .f64_counter("basilgrade_stage_cost")
                 .with_description("Price paid by stage, in millionths of the currency")
@@ -79,6 +80,8 @@
                 .f64_histogram("basilgrade_request_duration_ms")
                 .with_description("Time from head to answer, in milliseconds")
                 .build(),
+            observed: sync::OnceLock::new(),
+            meter: meter.clone(),
             _provider: provider,
         })
     }
@@ -117,9 +120,26 @@
             .add(1, &[KeyValue::new("stage", stage.to_string())]);
     }
 
-    /// Counts an answer that was dropped.
-    pub fn dropped_answer(&self, reason: &'static str) {
-        self.dropped.add(1, &[KeyValue::new("reason", reason)]);
+    /// Reports what the client for upstreams dropped.
+    pub fn observe_client(&self, client: client::HttpUpstream) {
+        let report = move |observer: &dyn metrics::AsyncInstrument<u64>| {
+            let counters = client.counters();
+            for (reason, count) in [
+                ("foreign-answer", counters.mismatches),
+                ("late-answer", counters.timeouts),
+                ("repeated-token", counters.tokens_repeated),
+                ("unexpected-bytes", counters.unexpected),
+            ] {
+                observer.observe(count, &[KeyValue::new("reason", reason)]);
+            }
+        };
+        let counter = self
+            .meter
+            .u64_observable_counter("basilgrade_dropped_answers")
+            .with_description("Answers dropped because they were late, double or for another call")
+            .with_callback(report)
+            .build();
+        let _ = self.observed.set(counter);
     }
 
     /// Adds the price of a call and the bytes it moved between regions.
--- a/crates/basilgrade_server/src/serve.rs
+++ b/crates/basilgrade_server/src/serve.rs
@@ -16,6 +16,7 @@
 use crate::caller::respond;
 use crate::caller::target;
 use crate::core;
+use crate::exec::active;
 use crate::exec::context;
 use crate::exec::output;
 use crate::exec::pipeline;
@@ -43,9 +44,8 @@
     }
     let started = core.now();
     let name = target.name().to_owned();
-    let active = Active::start(&core);
-    let result = match active {
-        Some(_) => answer(&core, id, target, request).await,
+    let result = match active::Active::start(&core) {
+        Some(active) => answer(active, id, target, request).await,
         None => Err(failure::Failure::Overloaded),
     };
     let spent = core.now().since(started);
@@ -121,7 +121,7 @@
 }
 
 async fn answer<B>(
-    core: &sync::Arc<core::Core>,
+    active: active::Active,
     id: request::RequestId,
     target: target::Target,
     request: hyper::Request<B>,
@@ -130,6 +130,7 @@
     B: body::Body<Data = Bytes>,
     B::Error: std::error::Error + Send + Sync + 'static,
 {
+    let core = sync::Arc::clone(active.core());
     let view = core.current.load_full().ok_or(failure::Failure::NotReady)?;
     let started = core.now();
     let head = head::Head::parse(request.headers())?;
@@ -141,7 +142,8 @@
         .ok_or_else(|| failure::Failure::UnknownTarget(parts.uri.path().to_owned()))?;
     let allowed = head.allowed.map_or(longest, |allowed| allowed.min(longest));
     let context = context::Context {
-        core: sync::Arc::clone(core),
+        core,
+        active: sync::Arc::new(active),
         view: sync::Arc::clone(&view),
         request: id,
         customer: head.customer,
@@ -242,24 +244,3 @@
         customer.targets.is_empty() || customer.targets.iter().any(|name| name == target.name());
     allowed.then_some(()).ok_or_else(forbidden)
 }
-
-/// Counts a request as active until it is dropped.
-struct Active {
-    core: sync::Arc<core::Core>,
-}
-
-impl Active {
-    fn start(core: &sync::Arc<core::Core>) -> Option<Self> {
-        let before = core.active.fetch_add(1, atomic::Ordering::AcqRel);
-        let active = Self {
-            core: sync::Arc::clone(core),
-        };
-        (before < core.parts.limits.requests).then_some(active)
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.core.active.fetch_sub(1, atomic::Ordering::AcqRel);
-    }
-}
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -21,6 +21,20 @@
 /// Memory for the index of prefixes: a sixteenth of the 64 MB that a daemon may use for control.
 const PREFIX_BYTES: usize = 4 << 20;
 
+/// What a view depends on besides the configuration.
+pub struct Surroundings<'a> {
+    /// The current instant.
+    pub now: clock::Millis,
+    /// Failure domain of this daemon.
+    pub domain: &'a id::DomainId,
+    /// Live daemons, this one included.
+    pub daemons: u32,
+    /// Observed state of upstreams.
+    pub registry: &'a registry::Registry,
+    /// Choice of upstream.
+    pub router: sync::Arc<dyn router::Router>,
+}
+
 /// An immutable view that requests read without a lock; a new revision replaces it as a whole.
 pub struct Snapshot {
     /// The revision in force.
@@ -52,14 +66,11 @@
 }
 
 impl Snapshot {
-    /// Indexes `deployment` as seen from failure domain `domain`.
+    /// Indexes `deployment`; what was observed `before` is kept where it still applies.
     pub fn build(
         revision: revision::Revision,
         deployment: deployment::Deployment,
-        domain: &id::DomainId,
-        registry: &registry::Registry,
-        router: sync::Arc<dyn router::Router>,
-        daemons: u32,
+        surroundings: &Surroundings<'_>,
         before: Option<&Self>,
     ) -> Self {
         let regions: IndexSet<_> = deployment
@@ -96,12 +107,12 @@
                         .get(&upstream.pool)
                         .map_or(0.0, |pool| pool.price.0 as f32),
                     member: pool.iter().position(|other| *other == index as u32)?,
-                    stats: registry.stats(&upstream.id),
+                    stats: surroundings.registry.stats(&upstream.id),
                     peers: sync::Arc::clone(peers.get(&upstream.pool)?),
                 })
             })
             .collect();
-        let home = position(domain);
+        let home = position(surroundings.domain);
         let matrix = |value: &dyn Fn(&id::RegionId, &id::RegionId) -> f32| {
             regions
                 .iter()
@@ -129,7 +140,7 @@
             || sync::Arc::new(planner::Planner::new(&deployment)),
             |before| sync::Arc::clone(&before.planner),
         );
-        let shares = customer_shares(&deployment, daemons, before);
+        let shares = customer_shares(&deployment, surroundings, before);
         let prefixes = prefix_index(&deployment, before);
         Self {
             revision,
@@ -142,7 +153,7 @@
             home,
             prices,
             latency,
-            router,
+            router: sync::Arc::clone(&surroundings.router),
             planner,
             prefixes,
         }
@@ -217,13 +228,20 @@
 /// Shares of the quotas; they are kept while the customers stay the same.
 fn customer_shares(
     deployment: &deployment::Deployment,
-    daemons: u32,
+    surroundings: &Surroundings<'_>,
     before: Option<&Snapshot>,
 ) -> sync::Arc<shares::Shares> {
+    let Surroundings { now, daemons, .. } = *surroundings;
     before
         .filter(|before| before.deployment.customers == deployment.customers)
         .map_or_else(
-            || sync::Arc::new(shares::Shares::new(deployment.customers.values(), daemons)),
+            || {
+                sync::Arc::new(shares::Shares::new(
+                    now,
+                    deployment.customers.values(),
+                    daemons,
+                ))
+            },
             |before| sync::Arc::clone(&before.shares),
         )
 }
