--- a/crates/basilgrade_policy/benches/policy/world.rs
+++ b/crates/basilgrade_policy/benches/policy/world.rs
@@ -462,8 +462,7 @@
 
     fn send_choice(&mut self, request: usize, home: usize, choice: router::Choice) {
         let server = choice.index as usize;
-        let now = daemon::millis(self.now);
-        let factor = self.daemons[home].views[server].speed.factor(now);
+        let factor = self.relative_speed(home, server);
         self.send(request, home, server, choice.finish / factor);
     }
 
@@ -564,7 +563,7 @@
             let factor = if oracle {
                 (1.0 / server.speed) as f32
             } else if self.strategy.has(Mechanism::Speed) {
-                view.speed.factor(now)
+                self.relative_speed(home, index)
             } else {
                 1.0
             };
@@ -627,6 +626,14 @@
         }
     }
 
+    /// Speed factor of an upstream against its pool.
+    fn relative_speed(&self, home: usize, server: usize) -> f32 {
+        let factor = self.daemons[home].views[server]
+            .speed
+            .factor(daemon::millis(self.now));
+        self.daemons[home].outliers[self.servers[server].pool].relative(factor)
+    }
+
     /// Weight of an upstream in the view of a daemon.
     fn weight(&self, home: usize, server: usize) -> f32 {
         if self.strategy.knows() {
--- a/crates/basilgrade_policy/src/health/outliers.rs
+++ b/crates/basilgrade_policy/src/health/outliers.rs
@@ -10,6 +10,12 @@
 /// Ratio to the median of the pool above which an upstream is too slow.
 const SLOW: f32 = 3.0;
 
+/// Ratio to the median of the pool from which an upstream counts as slower in the score.
+///
+/// Acting on smaller ratios moved a fifth of the traffic between regions under overload and gained
+/// nothing.
+pub const NOTICED: f32 = 1.5;
+
 /// Share of failed calls, above that of the median, from which an upstream fails too often.
 const FAILING: f32 = 0.3;
 
@@ -36,6 +42,8 @@
 #[derive(Debug)]
 pub struct Outliers {
     members: Vec<Member>,
+    /// Bits of the median speed factor of the pool.
+    typical: atomic::AtomicU32,
 }
 
 impl Outliers {
@@ -48,6 +56,7 @@
         };
         Self {
             members: (0..count).map(|_| member()).collect(),
+            typical: atomic::AtomicU32::new(1.0f32.to_bits()),
         }
     }
 
@@ -69,6 +78,7 @@
     /// could not carry the load.
     pub fn evaluate(&self, now: clock::Millis, factors: &[f32]) {
         let median_factor = median(factors.iter().copied());
+        store(&self.typical, median_factor);
         let median_failures = median(self.members.iter().map(|member| member.failures(now)));
         let badness = |(index, member): (usize, &Member)| {
             let factor = factors.get(index).copied().unwrap_or(1.0);
@@ -92,6 +102,15 @@
         }
     }
 
+    /// Factor by which an upstream with speed factor `factor` is slower than its pool.
+    ///
+    /// It is 1 up to [`NOTICED`] times the median: under overload the whole pool is slower than
+    /// expected, and small differences are mostly noise.
+    pub fn relative(&self, factor: f32) -> f32 {
+        let relative = factor / load(&self.typical).max(0.1);
+        if relative < NOTICED { 1.0 } else { relative }
+    }
+
     /// Weight of upstream `member` from 0 (ejected) to 1 (healthy).
     pub fn weight(&self, member: usize) -> f32 {
         self.members
--- a/crates/basilgrade_policy/tests/health.rs
+++ b/crates/basilgrade_policy/tests/health.rs
@@ -110,6 +110,18 @@
     assert!(outliers.weight(4) <= 0.0);
 }
 
+/// Guards against moving traffic because of small or common differences in speed.
+#[test]
+fn only_an_upstream_slower_than_its_pool_counts_as_slow() {
+    let outliers = outliers::Outliers::new(5);
+    outliers.evaluate(NOW, &[2.0, 2.2, 1.8, 2.1, 8.0]);
+
+    let (usual, slow) = (outliers.relative(2.2), outliers.relative(8.0));
+
+    assert!((usual - 1.0).abs() < f32::EPSILON, "{usual}");
+    assert!((3.5..4.5).contains(&slow), "{slow}");
+}
+
 /// Guards against noticing a hanging upstream only when its calls end.
 #[test]
 fn a_pending_call_raises_the_speed_factor() {
