Let a quarter of the hopeless requests through, and add property tests

Change: one in 4 requests that would be refused is let through, instead of one in 16. Property tests with a fixed seed for the router, quantiles, index, outliers and buckets.

--- a/crates/basilgrade_policy/src/budget/planner.rs
+++ b/crates/basilgrade_policy/src/budget/planner.rs
@@ -13,8 +13,9 @@
 /// One of this many requests that would be refused is let through.
 ///
 /// Refused requests give no observations, so without these the quantiles of a stage that has
-/// recovered would keep refusing until they decay.
-const PROBE: u32 = 16;
+/// recovered would keep refusing until they decay. With one in 16, refusals outlasted a burst by
+/// several seconds.
+const PROBE: u32 = 4;
 
 /// Stage times of one stage as declared and by its substitute.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/basilgrade_policy/tests/properties.rs
@@ -0,0 +1,183 @@
+//! Properties that hold for any input.
+
+use basilgrade_policy::budget::quantiles;
+use basilgrade_policy::candidate;
+use basilgrade_policy::health::outliers;
+use basilgrade_policy::prefix::hits;
+use basilgrade_policy::prefix::index;
+use basilgrade_policy::router;
+use basilgrade_policy::router::Router;
+use basilgrade_policy::router::eligible;
+use basilgrade_policy::router::scored;
+use basilgrade_policy::share::bucket;
+use basilgrade_types::clock;
+use proptest::prelude::*;
+use proptest::test_runner;
+use rand::SeedableRng;
+use rand::rngs;
+
+const NOW: clock::Millis = clock::Millis(1_000_000);
+
+/// Runs a property on 256 inputs from a fixed seed.
+fn check<S: Strategy>(strategy: &S, property: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    let config = test_runner::Config {
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    };
+    let rng = test_runner::TestRng::deterministic_rng(test_runner::RngAlgorithm::ChaCha);
+    let mut runner = test_runner::TestRunner::new_with_rng(config, rng);
+    if let Err(error) = runner.run(strategy, property) {
+        panic!("{error}");
+    }
+}
+
+fn candidates() -> impl Strategy<Value = Vec<candidate::Candidate>> {
+    let numbers = (0..5u16, 0..40u32, 0..1000u32, 0..2_000_000u64, 0..9u32);
+    let rates = (0.0..1e6f32, 0.0..10.0f32, 0.0..100.0f32, 0.0..1.0f32);
+    let one = (numbers, rates).prop_map(|(numbers, rates)| candidate::Candidate {
+        index: 0,
+        region: numbers.0,
+        capacity: numbers.1,
+        running: numbers.2,
+        queued: numbers.2 / 2,
+        reported: clock::Millis(numbers.3),
+        sent: numbers.4,
+        inflight: numbers.4,
+        limit: 7,
+        service: rates.0,
+        prefill: rates.1,
+        decode: rates.2,
+        cached: numbers.2,
+        weight: if rates.3 < 0.2 { 0.0 } else { rates.3 },
+        price: rates.0,
+    });
+    proptest::collection::vec(one, 0..40).prop_map(|mut list| {
+        for (index, candidate) in list.iter_mut().enumerate() {
+            candidate.index = index as u32;
+        }
+        list
+    })
+}
+
+/// Guards against a refusal while an upstream is open, and a choice of one that is not.
+#[test]
+fn a_choice_is_made_exactly_when_an_upstream_is_open() {
+    let inputs = (
+        candidates(),
+        proptest::collection::vec(0..40u32, 0..5),
+        any::<u64>(),
+    );
+    check(&inputs, |(list, excluded, seed)| {
+        let call = router::CallShape {
+            region: 0,
+            bytes: 1 << 20,
+            prices: vec![0.0, 400.0],
+            latency: vec![1.0, 10.0],
+            prompt: 1000,
+            output: 100,
+            deadline: NOW + clock::Millis(1),
+            excluded,
+        };
+        let open = |found: &&candidate::Candidate| {
+            eligible::Eligibility::of(found, &call) == eligible::Eligibility::Open
+        };
+        let mut rng = rngs::StdRng::seed_from_u64(seed);
+
+        let chosen = scored::ScoredRouter::default().choose(NOW, &call, &list, &mut rng);
+
+        let among: Vec<_> = list.iter().filter(open).map(|found| found.index).collect();
+        match chosen {
+            Ok(choice) => prop_assert!(among.contains(&choice.index)),
+            Err(_) => prop_assert!(among.is_empty()),
+        }
+        Ok(())
+    });
+}
+
+/// Guards against quantiles out of order or beyond what was observed.
+#[test]
+fn quantiles_are_ordered_and_inside_the_observations() {
+    let times = proptest::collection::vec(0.0..40_000.0f32, 4..200);
+    check(&times, |times| {
+        let quantiles = quantiles::Quantiles::default();
+        for time in &times {
+            quantiles.observe(NOW, *time);
+        }
+
+        let summary = quantiles.summary(NOW).expect("enough observations");
+
+        let greatest = times.iter().copied().fold(0.0, f32::max);
+        prop_assert!(summary.median <= summary.high && summary.high <= summary.tail);
+        prop_assert!(summary.tail <= (greatest + 1.0) * 1.2);
+        Ok(())
+    });
+}
+
+/// Guards against hits longer than the prompt and panics on any event.
+#[test]
+fn hits_are_never_longer_than_the_prompt() {
+    let chain = proptest::collection::vec(any::<u64>(), 0..20);
+    check(
+        &(chain, 0..70_000u32, any::<u64>()),
+        |(chain, upstream, number)| {
+            let index = index::PrefixIndex::new(4096, 8);
+            let mut hits = hits::Hits::default();
+            index.record(NOW, upstream % 8, &chain);
+            for hash in &chain {
+                let change = basilgrade_policy::prefix::change::Change::Added(*hash);
+                index.apply(NOW, upstream, number / 2, change);
+            }
+
+            index.lookup(NOW, &chain, &mut hits);
+
+            prop_assert!(
+                hits.as_slice()
+                    .iter()
+                    .all(|hit| hit.blocks as usize <= chain.len())
+            );
+            Ok(())
+        },
+    );
+}
+
+/// Guards against ejecting more than a third of a pool by any sequence of observations.
+#[test]
+fn no_observations_eject_more_than_a_third() {
+    let rounds = proptest::collection::vec((0..12usize, any::<bool>(), 0.1..30.0f32), 1..200);
+    check(&(1..12usize, rounds), |(count, rounds)| {
+        let outliers = outliers::Outliers::new(count);
+        let mut factors = vec![1.0; count];
+        for (step, (member, failed, factor)) in rounds.into_iter().enumerate() {
+            let now = NOW + clock::Millis(500 * step as u64);
+            outliers.observe(now, member, failed);
+            factors[member % count] = factor;
+            outliers.evaluate(now, &factors);
+
+            let lost: f32 = (0..count).map(|member| 1.0 - outliers.weight(member)).sum();
+            prop_assert!(lost <= count as f32 / 3.0 + 0.01, "{lost} of {count}");
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a bucket that gives more than its rate and burst.
+#[test]
+fn a_bucket_never_gives_more_than_rate_and_burst() {
+    let gaps = proptest::collection::vec(0..200u64, 1..300);
+    check(
+        &(gaps, 0.1..200.0f32, 0.0..50.0f32),
+        |(gaps, rate, burst)| {
+            let bucket = bucket::Bucket::default();
+            let mut now = NOW;
+            let mut given = 0u32;
+            for gap in gaps {
+                now = now + clock::Millis(gap);
+                given += u32::from(bucket.take(now, rate, burst));
+            }
+
+            let most = burst.max(1.0) + rate * (now - NOW).0 as f32 / 1000.0;
+            prop_assert!(given as f32 <= most + 1.0, "{given} of at most {most}");
+            Ok(())
+        },
+    );
+}
