--- /dev/null
+++ b/crates/basilgrade_membership/benches/footprint/sample.rs
@@ -0,0 +1,50 @@
+//! Counters of one daemon.
+
+/// Control traffic of one daemon.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Traffic {
+    /// Encoded bytes, in and out.
+    pub(crate) bytes: u64,
+    /// Messages, in and out.
+    pub(crate) messages: u64,
+    /// Pulled records with their requests, in and out.
+    pub(crate) pulled: u64,
+}
+
+/// Bytes around each message on the wire, worked out on paper: frame length 4, counter 8,
+/// HMAC-SHA-256 32, RPC envelope 10, IPv4 and TCP headers 40.
+pub(crate) const WIRE: u64 = 94;
+
+impl Traffic {
+    /// Bytes with what surrounds each message on the wire.
+    pub(crate) fn on_wire(&self) -> u64 {
+        self.bytes + self.pulled + self.messages * WIRE
+    }
+}
+
+/// Percentiles of a set of times.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    pub(crate) median: u64,
+    pub(crate) high: u64,
+    pub(crate) max: u64,
+}
+
+impl Times {
+    /// The median, the 99th percentile and the maximum.
+    pub(crate) fn of(mut times: Vec<u64>) -> Self {
+        times.sort_unstable();
+        let at = |quantile: f64| {
+            let index = (times.len() as f64 * quantile).ceil() as usize;
+            times
+                .get(index.saturating_sub(1))
+                .copied()
+                .unwrap_or(u64::MAX)
+        };
+        Self {
+            median: at(0.5),
+            high: at(0.99),
+            max: at(1.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/benches/footprint/shape.rs
@@ -0,0 +1,18 @@
+//! Shape of a simulated deployment.
+
+/// Number and size of the failure domains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Shape {
+    pub(crate) domains: usize,
+    pub(crate) size: usize,
+}
+
+impl Shape {
+    pub(crate) const fn new(domains: usize, size: usize) -> Self {
+        Self { domains, size }
+    }
+
+    pub(crate) const fn daemons(self) -> usize {
+        self.domains * self.size
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_membership/benches/footprint/workload.rs
@@ -0,0 +1,72 @@
+//! What the daemons of the target deployment report.
+
+use basilgrade_membership::health;
+use basilgrade_membership::load_total;
+use basilgrade_membership::node;
+use basilgrade_membership::prefix_hint;
+use basilgrade_membership::tag;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::rate;
+use rand::Rng;
+use rand::RngExt;
+
+/// Customers of the deployment.
+const CUSTOMERS: usize = 4200;
+/// Customers of a domain whose demand is above a tenth of their quota at some daemon.
+const ACTIVE: usize = 60;
+/// Of these, at one daemon.
+const PER_DAEMON: usize = 40;
+/// Pools of a domain: 19 models and 6 pools of encoders, retrievers and rerankers.
+const POOLS: usize = 25;
+/// Prefix hints that a daemon offers per second; most exceed the budget and are not sent.
+const HINTS: usize = 10;
+
+/// Lets a daemon report what it observed in the last second.
+pub(crate) fn report(
+    now: clock::Millis,
+    domain: usize,
+    number: usize,
+    node: &mut node::Node,
+    rng: &mut dyn Rng,
+) {
+    for index in 0..PER_DAEMON {
+        let customer = (domain * 97 + (number + index) % ACTIVE * 7) % CUSTOMERS;
+        let name: id::CustomerId = parse(&format!("customer-{customer:04}"));
+        node.set_demand(&name, rate::RequestRate(rng.random_range(1.0..2.0)));
+    }
+    if node.reads_log(now) {
+        for pool in 0..POOLS {
+            let total = load_total::LoadTotal {
+                running: rng.random_range(20..60),
+                queued: rng.random_range(0..20),
+                capacity: 64,
+            };
+            node.set_load(&parse(&format!("pool-{pool:02}")), total);
+        }
+    }
+    for _ in 0..HINTS {
+        node.add_prefix_hint(prefix_hint::PrefixHint {
+            prefix: tag::Tag::of(&format!("prefix-{}", rng.random_range(0..100_000))),
+            upstream: tag::Tag::of(&format!("engine-{}", rng.random_range(0..60))),
+            tokens: rng.random_range(64..4096),
+        });
+    }
+    // One outlier in each domain: ejected for 20 s of every minute, as one daemon sees it.
+    if number == 3 {
+        let upstream: id::UpstreamId = parse(&format!("engine-{domain}-1"));
+        let health = if now.0 / 1000 % 60 < 20 {
+            health::Health::Ejected
+        } else {
+            health::Health::Healthy
+        };
+        node.set_health(now, &upstream, health);
+    }
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("generated names are valid")
+}
