--- a/crates/basilgrade_journal/src/fold.rs
+++ b/crates/basilgrade_journal/src/fold.rs
@@ -146,11 +146,8 @@
             if let Ok((through, at, state)) = S::restore(record) {
                 let resume = through.next();
                 // A snapshot includes records before itself only; one that claims more is false.
-                if through < entry.offset
-                    && resume >= chunk.first
-                    && resume >= self.next
-                    && state.follows(&self.state)
-                {
+                // The search begins beyond the position, so what is found includes more.
+                if through < entry.offset && resume >= chunk.first && state.follows(&self.state) {
                     found = Some((through, at, state));
                 }
             }
--- a/crates/basilgrade_journal/tests/fold.rs
+++ b/crates/basilgrade_journal/tests/fold.rs
@@ -156,6 +156,28 @@
     assert_eq!(fold.state().text(), "abc");
 }
 
+/// Guards against a false snapshot, such as one by a faulty reader, lowering the revision of a
+/// reader that missed records.
+#[test]
+fn snapshot_of_a_lower_revision_is_not_used() {
+    let mut log = vec![publish(1, 0, "a"), publish(2, 1, "b")];
+    let mut fold = new_fold();
+    replay(&mut fold, &log, 0);
+    let lower = config_record::ConfigRecord::Snapshot {
+        revision: revision::Revision(1),
+        through: offset::Offset(2),
+        at: NOW,
+        text: "a".into(),
+        recent: Vec::new(),
+    };
+    log.extend([publish(3, 2, "c"), encode::line(&lower), publish(4, 3, "d")]);
+
+    replay(&mut fold, &log, 3);
+
+    assert_eq!(fold.state().revision(), revision::Revision(2));
+    assert!(!fold.is_current());
+}
+
 /// Guards against a foreign or malformed entry stopping replay or hiding the records after it.
 #[test]
 fn malformed_entries_are_skipped_and_counted() {
--- a/crates/basilgrade_journal/tests/leases.rs
+++ b/crates/basilgrade_journal/tests/leases.rs
@@ -155,6 +155,19 @@
     }
 }
 
+/// Guards against a holder that counts its time to live from too late and goes on sending orders
+/// when another may hold the lease.
+#[test]
+fn holders_take_turns() {
+    for seed in 0..100 {
+        let orders = orders(seed, Fencing::Checked, 0);
+
+        let overtaken = overtaken(&orders, Fencing::Ignored);
+
+        assert_eq!(overtaken, None, "seed {seed}");
+    }
+}
+
 /// Guards against an old holder's order reaching an engine that ignores the number after a newer
 /// holder's, as long as orders are under way for no longer than the margin.
 #[test]
