--- a/crates/basilgrade/tests/support/deployment.rs
+++ b/crates/basilgrade/tests/support/deployment.rs
@@ -12,6 +12,7 @@
 use basilgrade_types::revision;
 
 use super::daemon;
+use super::operator;
 
 /// Tokens of the last stage.
 pub(crate) const TOKENS: u64 = 40;
@@ -137,6 +138,39 @@
         }
     }
 
+    /// Starts another daemon in `domain` that knows the running ones and returns its position.
+    pub(crate) fn add(&mut self, name: &str, domain: &str) -> usize {
+        let mut seeds = Vec::new();
+        for daemon in &mut self.daemons {
+            if daemon.is_running() {
+                seeds.push(daemon.peer);
+            }
+        }
+        let mut daemon = daemon::Daemon::new(name);
+        daemon.configure(domain, self.platform.server.address, &seeds);
+        daemon.start();
+        self.daemons.push(daemon);
+        self.daemons.len() - 1
+    }
+
+    /// Waits until all running daemons report a state of which `condition` holds.
+    pub(crate) async fn reported(
+        &mut self,
+        condition: impl Fn(&basilgrade_admin::status::Status) -> bool,
+    ) {
+        for index in 0..self.daemons.len() {
+            if !self.daemons[index].is_running() {
+                continue;
+            }
+            let address = self.daemons[index].admin;
+            until(|| async {
+                let status = operator::status(address).await;
+                status.is_ok_and(|status| condition(&status))
+            })
+            .await;
+        }
+    }
+
     /// Executions of charges with `key` over all services.
     pub(crate) fn charges(&self, key: &str) -> usize {
         let counts = self.services.iter();
--- a/crates/basilgrade/tests/support/mod.rs
+++ b/crates/basilgrade/tests/support/mod.rs
@@ -5,4 +5,5 @@
 pub(crate) mod daemon;
 pub(crate) mod deployment;
 pub(crate) mod history;
+pub(crate) mod operator;
 pub(crate) mod port;
