--- a/crates/basilgrade/src/main.rs
+++ b/crates/basilgrade/src/main.rs
@@ -44,6 +44,7 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        () = daemon.stopping() => {}
     }
     daemon.stop();
     // The handlers stay registered, so a second signal does not end the process early.
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -113,6 +113,11 @@
         self.stop.cancel();
     }
 
+    /// Waits until a shutdown starts, by [`Daemon::stop`] or by an operator's drain.
+    pub async fn stopping(&self) {
+        self.stop.cancelled().await;
+    }
+
     /// Waits until a shutdown has finished every request.
     pub async fn finished(self) {
         if let Err(error) = self.task.await {
