--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -25,6 +25,9 @@
 /// Attempts at one step; more would outlast any deadline worth serving.
 pub const ATTEMPT_LIMIT: u32 = 4;
 
+/// Shortest time between looks at whether a second call is worth its price.
+const HEDGE_CHECK: clock::Millis = clock::Millis(10);
+
 /// Bytes of a prompt token, as usual for text; engines report no exact count before a call.
 const BYTES_PER_TOKEN: u32 = 4;
 
@@ -133,7 +136,9 @@
         let settings = router::settings::Settings::new(view.deployment.weights);
         let elapsed = now.since(started).as_f64() as f32;
         let tail = self.step.tail?.as_f64() as f32;
-        let rest = hedge::expected_rest(elapsed, 0.0, tail);
+        // Nothing of a whole answer arrives early, so a call that has taken unusually long is taken
+        // to need as long again.
+        let rest = hedge::expected_rest(elapsed, 0.0, tail.max(elapsed));
         let left = self.step.limit.since(now);
         if !hedge::is_worthwhile(&settings, rest, left, &choice)
             || !self.context.core.retries.spend_hedge()
@@ -191,22 +196,8 @@
         attempt: attempt::Attempt,
         error: call_error::CallError,
     ) -> Result<(), failure::Failure> {
+        self.note(entry, attempt, &error);
         let verdict = error.verdict();
-        self.finished(entry, attempt, 0, verdict);
-        self.worst = self.worst.max(Some(verdict));
-        if let call_error::CallError::Refused(_, true) = error {
-            let until = self.context.core.now().plus(LEAVING_SPAN);
-            entry.stats.mark_leaving(until);
-        }
-        log::warn!(
-            "event=attempt-failed request={} stage={} upstream={} verdict={} error={:?}",
-            self.context.request,
-            self.step.stage,
-            entry.id,
-            verdict,
-            error.to_string(),
-        );
-        entry.failed(self.context.core.now(), &error);
         let keys = match self.context.key {
             Some(_) => self.step.keys,
             None => pool::Keys::Ignored,
@@ -223,6 +214,31 @@
         Ok(())
     }
 
+    /// Notes a failed call, so that the verdict over all calls counts it.
+    fn note(
+        &mut self,
+        entry: &entry::Entry,
+        attempt: attempt::Attempt,
+        error: &call_error::CallError,
+    ) {
+        let verdict = error.verdict();
+        self.finished(entry, attempt, 0, verdict);
+        self.worst = self.worst.max(Some(verdict));
+        if let call_error::CallError::Refused(_, true) = error {
+            let until = self.context.core.now().plus(LEAVING_SPAN);
+            entry.stats.mark_leaving(until);
+        }
+        log::warn!(
+            "event=attempt-failed request={} stage={} upstream={} verdict={} error={:?}",
+            self.context.request,
+            self.step.stage,
+            entry.id,
+            verdict,
+            error.to_string(),
+        );
+        entry.failed(self.context.core.now(), error);
+    }
+
     /// The call of an attempt.
     pub fn call(&self, entry: &entry::Entry, attempt: attempt::Attempt) -> call::Call {
         let echo = match self.step.kind {
@@ -256,6 +272,9 @@
             pool::Kind::Engine => self.step.input.len() as u32 / BYTES_PER_TOKEN,
             _ => 0,
         };
+        // A step that has missed its part of the budget still has to meet its limit.
+        let late = self.step.due <= self.context.core.now();
+        let deadline = if late { self.step.limit } else { self.step.due };
         router::CallShape {
             region: view.home,
             bytes: self.step.input.len() as u32,
@@ -263,7 +282,7 @@
             latency: view.latency.get(home).cloned().unwrap_or_default(),
             prompt,
             output: self.step.tokens.0 as u32,
-            deadline: self.step.due,
+            deadline,
             excluded: self.tried.clone(),
         }
     }
@@ -303,12 +322,31 @@
         let (entry, attempt) = attempts.choose()?;
         match race(&mut attempts, entry, attempt).await {
             Ok(reply) => return Ok(reply),
-            Err((entry, attempt, error)) => attempts.failed(entry, attempt, error).await?,
+            Err(failed) => {
+                if let Some(other) = failed.other {
+                    attempts.note(other.entry, other.attempt, &other.error);
+                }
+                let last = failed.last;
+                attempts
+                    .failed(last.entry, last.attempt, last.error)
+                    .await?;
+            }
         }
     }
 }
 
-type Failed<'a> = (&'a entry::Entry, attempt::Attempt, call_error::CallError);
+/// A call that gave no answer.
+struct FailedCall<'a> {
+    entry: &'a entry::Entry,
+    attempt: attempt::Attempt,
+    error: call_error::CallError,
+}
+
+/// Why an attempt gave no answer, and the call beside it if there was one.
+struct Failed<'a> {
+    last: FailedCall<'a>,
+    other: Option<FailedCall<'a>>,
+}
 
 /// Sends an attempt, and a second one beside it if the first takes unusually long.
 ///
@@ -319,40 +357,55 @@
     attempt: attempt::Attempt,
 ) -> Result<reply::Reply, Failed<'a>> {
     let started = attempts.context.core.now();
+    let failed = |entry, attempt, error| FailedCall {
+        entry,
+        attempt,
+        error,
+    };
+    let alone = |error| Failed {
+        last: failed(entry, attempt, error),
+        other: None,
+    };
     let allowed = permission::may_hedge(attempts.step.idempotency);
     let Some(tail) = attempts.step.tail.filter(|_| allowed) else {
-        let result = send(attempts, entry, attempt).await;
-        return result.map_err(|error| (entry, attempt, error));
+        return send(attempts, entry, attempt).await.map_err(alone);
     };
     let second = attempts.next;
     let result = {
         let attempts = &*attempts;
         let first = send(attempts, entry, attempt);
         tokio::pin!(first);
-        let early = tokio::time::timeout(tail.duration(), &mut first).await;
-        let hedge = match early {
-            Ok(result) => return result.map_err(|error| (entry, attempt, error)),
-            Err(_) => attempts.hedge(started),
-        };
-        match hedge {
-            None => first.await.map_err(|error| (entry, attempt, error)),
-            Some(other) => {
-                let hedged = send(attempts, other, second);
-                tokio::pin!(hedged);
-                tokio::select! {
-                    result = &mut first => match result {
-                        Ok(reply) => Ok(reply),
-                        Err(_) => hedged.await.map_err(|error| (other, second, error)),
-                    },
-                    result = &mut hedged => match result {
-                        Ok(reply) => Ok(reply),
-                        Err(_) => first.await.map_err(|error| (entry, attempt, error)),
-                    },
-                }
+        let mut wait = tail.max(clock::Millis(1));
+        let hedge = loop {
+            let early = tokio::time::timeout(wait.duration(), &mut first).await;
+            if let Ok(result) = early {
+                return result.map_err(alone);
             }
+            // What is worth its price changes while the call goes on.
+            if let Some(other) = attempts.hedge(started) {
+                break other;
+            }
+            let left = attempts.step.limit.since(attempts.context.core.now());
+            wait = clock::Millis((wait.0 * 2).min(left.0 / 4).max(HEDGE_CHECK.0));
+        };
+        let hedged = send(attempts, hedge, second);
+        tokio::pin!(hedged);
+        let both = |one, other| Failed {
+            last: failed(entry, attempt, one),
+            other: Some(failed(hedge, second, other)),
+        };
+        tokio::select! {
+            result = &mut first => match result {
+                Ok(reply) => Ok(reply),
+                Err(one) => hedged.await.map_err(|other| both(one, other)),
+            },
+            result = &mut hedged => match result {
+                Ok(reply) => Ok(reply),
+                Err(other) => first.await.map_err(|one| both(one, other)),
+            },
         }
     };
-    // Another attempt must not take the number that a second call may have used.
+    // Another attempt must not take the number that the second call has used.
     attempts.next = second.next();
     result
 }
--- /dev/null
+++ b/crates/basilgrade_server/tests/replica.rs
@@ -0,0 +1,80 @@
+//! Replay of a stream fed by peers.
+
+use std::sync;
+
+use basilgrade_journal::chunk;
+use basilgrade_journal::config_record;
+use basilgrade_journal::config_state;
+use basilgrade_journal::entry;
+use basilgrade_journal::merge;
+use basilgrade_journal::publication;
+use basilgrade_server::journal::config_merge;
+use basilgrade_server::journal::replica;
+use basilgrade_types::clock;
+use basilgrade_types::offset;
+use basilgrade_types::revision;
+use proptest::prelude::*;
+
+type Replica = replica::Replica<config_state::ConfigState>;
+
+fn replica() -> Replica {
+    let merge: sync::Arc<dyn merge::Merge> = sync::Arc::new(config_merge::ConfigMerge);
+    Replica::new(merge)
+}
+
+fn record(number: u64) -> entry::Entry {
+    let change = config_record::Change::Text(format!("text {number}"));
+    let id = uuid::Uuid::from_u128(u128::from(number) + 1);
+    let (_, body) = publication::Publication::new(id, revision::Revision(number), change);
+    entry::Entry {
+        offset: offset::Offset(number),
+        body,
+    }
+}
+
+fn chunk(from: u64, to: u64) -> chunk::Chunk {
+    chunk::Chunk {
+        from: offset::Offset(from),
+        first: offset::Offset(0),
+        next: offset::Offset(to),
+        entries: (from..to).map(record).collect(),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: prop::test_runner::RngSeed::Fixed(22),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a peer that gets a gap, an older state or nothing although it is behind, also
+    /// when transfers are repeated or come in another order.
+    #[test]
+    fn a_peer_that_pulls_reaches_the_same_state(
+        steps in prop::collection::vec((1_u64..400, any::<bool>(), any::<bool>()), 1..8),
+    ) {
+        let now = clock::Millis(1);
+        let (source, peer) = (replica(), replica());
+        let mut end = 0;
+        let mut old = None;
+        for (length, pulls, repeats) in steps {
+            source.feed(now, &chunk(end, end + length));
+            end += length;
+            if pulls {
+                let transfer = source.transfer(peer.next());
+                peer.take(now, transfer.clone());
+                if repeats && let Some(old) = old.take() {
+                    peer.take(now, old);
+                }
+                prop_assert_eq!(peer.next(), source.next());
+                old = Some(transfer);
+            }
+        }
+        peer.take(now, source.transfer(peer.next()));
+        let held = |replica: &Replica| replica.with(|fold| fold.state().clone());
+        prop_assert_eq!(held(&peer), held(&source));
+        prop_assert!(peer.is_current());
+    }
+}
