Split the simulated run into files by concern

Cause: one file of 1,100 lines held the whole path of a request.

Ruled out: separate types for the parts, which would pass the same state around.

Change: world.rs keeps the event loop; its parts are in world/.

Conclusion: none.

--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/world/faults.rs
@@ -0,0 +1,67 @@
+//! Faults of a scenario and their repair.
+
+use crate::event::Event;
+use crate::scenario;
+use crate::world::World;
+
+impl World<'_> {
+    pub(super) fn fault(&mut self) {
+        match self.scenario.kind {
+            scenario::Kind::SlowEngine => self.set_speed(0, 0.1),
+            scenario::Kind::FailingEngine => {
+                self.servers[0].failing = true;
+                for call in self.servers[0].fail() {
+                    self.events
+                        .push(self.now + self.calls[call].travel, Event::Fail(call));
+                }
+                self.servers[0].up = true;
+            }
+            scenario::Kind::SlowPool => {
+                for server in self.pools[3]..self.pools[4] {
+                    self.set_speed(server, 0.2);
+                }
+            }
+            scenario::Kind::DomainLost => {
+                for server in 0..self.servers.len() {
+                    if self.servers[server].region == 1 {
+                        for call in self.servers[server].fail() {
+                            self.events
+                                .push(self.now + self.calls[call].travel, Event::Fail(call));
+                        }
+                    }
+                }
+            }
+            scenario::Kind::SlowLink => self.slow_link = 20.0,
+            scenario::Kind::ColdStart => {
+                for server in 0..2 {
+                    self.servers[server].up = true;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn repair(&mut self) {
+        for server in 0..self.servers.len() {
+            self.set_speed(server, 1.0);
+            self.servers[server].up = true;
+            self.servers[server].failing = false;
+        }
+        self.slow_link = 1.0;
+    }
+
+    pub(super) fn set_speed(&mut self, server: usize, speed: f64) {
+        self.servers[server].advance(self.now);
+        self.servers[server].speed = speed;
+        self.reschedule(server);
+    }
+
+    /// Replaces a daemon by one that knows nothing; calls in flight are finished by the old one.
+    pub(super) fn restart(&mut self, daemon: usize) {
+        let mut fresh = self.daemon(self.daemons[daemon].region);
+        for (old, new) in self.daemons[daemon].views.iter_mut().zip(&mut fresh.views) {
+            new.sent = std::mem::take(&mut old.sent);
+        }
+        self.daemons[daemon] = fresh;
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_policy/benches/policy/world/view.rs
@@ -0,0 +1,191 @@
+//! What a daemon knows when it chooses.
+
+use basilgrade_policy::candidate;
+use basilgrade_policy::prefix::preferred;
+use basilgrade_policy::router;
+use basilgrade_policy::share::pressure;
+
+use crate::cache;
+use crate::daemon;
+use crate::deployment;
+use crate::strategy::Mechanism;
+use crate::world::World;
+
+impl World<'_> {
+    /// Travel time one way between a daemon and an upstream.
+    pub(super) fn travel(&self, from: usize, to: usize, bytes: u32) -> f64 {
+        if from == to {
+            return self.deployment.near;
+        }
+        let transfer = f64::from(bytes) / 2.0 / self.deployment.bandwidth;
+        (self.deployment.far + transfer) * self.slow_link
+    }
+
+    pub(super) fn call_shape(
+        &self,
+        request: usize,
+        home: usize,
+        stage: deployment::Stage,
+    ) -> router::CallShape {
+        let region = self.daemons[home].region;
+        let price = |to: usize| {
+            if to == region {
+                0.0
+            } else {
+                self.deployment.link as f32
+            }
+        };
+        let uses_prompt = self.deployment.pools[stage.pool].prefill > 0.0;
+        router::CallShape {
+            region: region as u16,
+            bytes: stage.bytes,
+            prices: (0..deployment::REGIONS).map(price).collect(),
+            latency: (0..deployment::REGIONS)
+                .map(|to| self.travel(region, to, stage.bytes) as f32)
+                .collect(),
+            prompt: if uses_prompt {
+                self.requests[request].prompt
+            } else {
+                0
+            },
+            output: (stage.output * self.shortening(request)) as u32,
+            deadline: self.due(request),
+            excluded: self.progress[request].excluded.clone(),
+        }
+    }
+
+    pub(super) fn candidates(
+        &mut self,
+        request: usize,
+        home: usize,
+        stage: deployment::Stage,
+        candidates: &mut Vec<candidate::Candidate>,
+    ) {
+        candidates.clear();
+        let now = daemon::millis(self.now);
+        let shape = &self.deployment.pools[stage.pool];
+        let oracle = self.strategy.knows();
+        let mut hits = std::mem::take(&mut self.daemons[home].hits);
+        let chain = &self.requests[request].chain;
+        if shape.cache > 0 && self.strategy.has(Mechanism::Prefix) {
+            self.daemons[home].index.lookup(now, chain, &mut hits);
+        }
+        for index in self.pools[stage.pool]..self.pools[stage.pool + 1] {
+            let server = &self.servers[index];
+            let view = &self.daemons[home].views[index];
+            let load = if oracle { server.load() } else { view.load };
+            let factor = if oracle {
+                (1.0 / server.speed) as f32
+            } else if self.strategy.has(Mechanism::Speed) {
+                self.relative_speed(home, index)
+            } else {
+                1.0
+            };
+            let weight = self.weight(home, index);
+            let cached = if shape.cache == 0 {
+                0
+            } else if oracle {
+                server.cache.cached(chain)
+            } else if self.strategy.has(Mechanism::Prefix) {
+                (f64::from(hits.blocks(index as u32)) * cache::BLOCK) as u32
+            } else {
+                0
+            };
+            candidates.push(candidate::Candidate {
+                index: index as u32,
+                region: server.region as u16,
+                capacity: server.capacity,
+                running: load.running,
+                queued: load.queued,
+                reported: if oracle {
+                    now
+                } else {
+                    daemon::millis(view.reported)
+                },
+                sent: if oracle {
+                    self.travelling[index]
+                } else {
+                    view.since_report()
+                },
+                inflight: view.sent.len() as u32,
+                limit: u32::MAX,
+                service: shape.service as f32 * factor,
+                prefill: shape.prefill as f32 * factor,
+                decode: shape.decode as f32 * factor,
+                cached,
+                weight,
+                price: shape.price as f32,
+            });
+        }
+        self.daemons[home].hits = hits;
+        let saved = shape.prefill * chain.len() as f64 * cache::BLOCK;
+        let price = self.deployment.link * f64::from(stage.bytes) / f64::from(1 << 20);
+        let left = (self.due(request) - now).0 as f32;
+        let settings = self.settings();
+        if shape.cache > 0
+            && !oracle
+            && self.strategy.has(Mechanism::Preferred)
+            && preferred::is_worth_crossing(&settings, price as f32, saved as f32, left)
+        {
+            let open = candidates.iter().filter(|found| found.weight > 0.0);
+            let last = chain.last().copied().unwrap_or_default();
+            let preferred = preferred::preferred(last, open.map(|found| found.index));
+            let found = candidates
+                .iter_mut()
+                .find(|found| Some(found.index) == preferred);
+            if let Some(found) = found {
+                let whole = (chain.len() as f64 * cache::BLOCK) as u32;
+                found.cached = whole;
+            }
+        }
+    }
+
+    /// Speed factor of an upstream against its pool.
+    pub(super) fn relative_speed(&self, home: usize, server: usize) -> f32 {
+        let factor = self.daemons[home].views[server]
+            .speed
+            .factor(daemon::millis(self.now));
+        self.daemons[home].outliers[self.servers[server].pool].relative(factor)
+    }
+
+    /// Weight of an upstream in the view of a daemon.
+    pub(super) fn weight(&self, home: usize, server: usize) -> f32 {
+        if self.strategy.knows() {
+            return if self.servers[server].up { 1.0 } else { 0.0 };
+        }
+        let view = &self.daemons[home].views[server];
+        let connection = if self.strategy.has(Mechanism::Connection) {
+            view.connection.weight(daemon::millis(self.now))
+        } else if self.now >= view.closed {
+            1.0
+        } else {
+            0.0
+        };
+        if !self.strategy.has(Mechanism::Outliers) {
+            return connection;
+        }
+        let pool = self.servers[server].pool;
+        let member = server - self.pools[pool];
+        connection.min(self.daemons[home].outliers[pool].weight(member))
+    }
+
+    /// The pressure on the busiest pool that a request needs.
+    pub(super) fn pressure(&self, request: usize, home: usize) -> pressure::Pressure {
+        let pipeline = &self.deployment.pipelines[self.requests[request].pipeline];
+        let busy = pipeline.stages.iter().any(|stage| {
+            let range = self.pools[stage.pool]..self.pools[stage.pool + 1];
+            let (load, capacity) = range.fold((0, 0), |(load, capacity), server| {
+                let view = &self.daemons[home].views[server];
+                let own = view.load.running + view.load.queued + view.since_report();
+                (load + own, capacity + self.servers[server].capacity)
+            });
+            let pressure = pressure::Pressure::from_load(load as f32, capacity as f32);
+            pressure == pressure::Pressure::Busy
+        });
+        if busy {
+            pressure::Pressure::Busy
+        } else {
+            pressure::Pressure::Spare
+        }
+    }
+}
