Keep members when the table of incarnations is full

Cause: the table of newest incarnations held the 4096 names heard of last, and members are looked up by it. VMs that are replaced under new names would have displaced the longest-running members and this daemon itself after some weeks.

Ruled out: no limit, since a peer could fill the memory with names.

Change: only names that are not members are dropped.

Figures: many_replaced_vms_displace_no_member sends probes of 6000 names. After: all three are alive and at most 4096 names are kept.

Conclusion: the lookup no longer depends on how many names were heard.

--- a/crates/basilgrade_membership/src/node/members.rs
+++ b/crates/basilgrade_membership/src/node/members.rs
@@ -102,7 +102,14 @@
 
     fn note_incarnation(&mut self, vm: &id::VmId, incarnation: incarnation::Incarnation) {
         if self.newest.len() >= limits::NAME_LIMIT && !self.newest.contains_key(vm) {
-            self.newest.shift_remove_index(0);
+            // Members are looked up by it, so only names of others may go.
+            let old = self
+                .newest
+                .iter()
+                .position(|(vm, run)| !self.members.contains_key(&tag::Tag::daemon(vm, *run)));
+            if let Some(old) = old {
+                self.newest.shift_remove_index(old);
+            }
         }
         let newest = self.newest.entry(vm.clone()).or_insert(incarnation);
         *newest = incarnation.max(*newest);
--- a/crates/basilgrade_membership/tests/memory.rs
+++ b/crates/basilgrade_membership/tests/memory.rs
@@ -2,14 +2,19 @@
 
 mod support;
 
+use basilgrade_membership::body;
+use basilgrade_membership::limits;
 use basilgrade_membership::load_total;
+use basilgrade_membership::message;
 use basilgrade_membership::prefix_hint;
+use basilgrade_membership::status;
 use basilgrade_membership::tag;
 use basilgrade_types::id;
 use basilgrade_types::rate;
 use basilgrade_types::size;
 use support::Cluster;
 use support::domain;
+use support::record;
 use support::vm;
 
 const CUSTOMERS: usize = 60;
@@ -87,3 +92,31 @@
     let (hints, demands, loads, _) = held_under(100);
     assert_eq!((hints, demands, loads), (0, 0, 0));
 }
+
+/// Guards against a table of earlier incarnations that grows with every VM that is ever replaced,
+/// and against members that are forgotten when it is full.
+#[test]
+fn many_replaced_vms_displace_no_member() {
+    let mut cluster = Cluster::settled(2, 1, 3);
+    let observer = vm(0, 0);
+    let now = cluster.now;
+    for number in 0..6000_u64 {
+        let mut stranger = record(7, 0, number);
+        stranger.vm = format!("stranger-{number}").parse().unwrap();
+        let message = message::Message {
+            incarnation: stranger.incarnation,
+            body: body::Body::Probe(stranger.clone()),
+        };
+        cluster.node(&observer).receive(now, &stranger.vm, message);
+    }
+
+    let node = &cluster.nodes[&observer];
+    let known = (0..6000)
+        .map(|number| format!("stranger-{number}").parse().unwrap())
+        .filter(|stranger| node.newest_incarnation(stranger).is_some());
+    assert!(known.count() <= limits::NAME_LIMIT);
+    for number in 0..3 {
+        let status = node.status(&vm(0, number));
+        assert_eq!(status, Some(status::Status::Alive), "member {number}");
+    }
+}
