--- a/crates/basilgrade_membership/benches/footprint/report.rs
+++ b/crates/basilgrade_membership/benches/footprint/report.rs
@@ -89,7 +89,7 @@
         sample::WIRE
     );
     println!(
-        "{:>8} {:>7} {:>8} {:>8} {:>8} {:>8} {:>7} {:>8} {:>9} {:>7}",
+        "{:>8} {:>7} {:>8} {:>8} {:>8} {:>8} {:>7} {:>8} {:>9} {:>8} {:>7}",
         "domains",
         "size",
         "B/s",
@@ -99,6 +99,7 @@
         "msg/s",
         "core %",
         "heap KB",
+        "held KB",
         "reads/s"
     );
 }
@@ -114,7 +115,7 @@
 
 fn print_row(footprint: &scenario::Footprint) {
     println!(
-        "{:>8} {:>7} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>7.1} {:>8.4} {:>9.1} {:>7.1}",
+        "{:>8} {:>7} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>7.1} {:>8.4} {:>9.1} {:>8.1} {:>7.1}",
         footprint.shape.domains,
         footprint.shape.size,
         footprint.bytes,
@@ -124,6 +125,7 @@
         footprint.messages,
         footprint.processor,
         footprint.memory / 1000.0,
+        footprint.held / 1000.0,
         footprint.reads,
     );
 }
--- a/crates/basilgrade_membership/benches/footprint/scenario.rs
+++ b/crates/basilgrade_membership/benches/footprint/scenario.rs
@@ -36,6 +36,8 @@
     pub(crate) processor: f64,
     /// Heap bytes of a node.
     pub(crate) memory: f64,
+    /// Bytes that a node counts against its memory limit.
+    pub(crate) held: f64,
     /// Reads of the log a second, of all daemons together.
     pub(crate) reads: f64,
 }
@@ -80,6 +82,12 @@
         messages: messages as f64 / seconds / daemons,
         processor: spent as f64 / 1e9 / seconds / daemons * 100.0,
         memory: node_memory(&world),
+        held: world
+            .nodes
+            .iter()
+            .map(|node| node.weight() as f64)
+            .sum::<f64>()
+            / daemons,
         reads: reads as f64 / seconds,
     };
     (footprint, world)
