--- a/crates/basilgrade_journal/tests/fold.rs
+++ b/crates/basilgrade_journal/tests/fold.rs
@@ -85,9 +85,10 @@
     let mut fold = new_fold();
     fold.feed(NOW, &read(&log, 0, 0, 1));
 
-    fold.feed(NOW, &read(&log, 0, 0, 1));
-    fold.feed(NOW, &read(&log, 0, 2, 1));
+    let mut events = fold.feed(NOW, &read(&log, 0, 0, 1));
+    events.extend(fold.feed(NOW, &read(&log, 0, 2, 1)));
 
+    assert_eq!(events, []);
     assert_eq!(fold.state().text(), "a");
     assert_eq!(fold.next(), offset::Offset(1));
 }
