Declare placed models, engine slots and the model of a substitute pool

Cause: placement needs to know which models a pool serves, in which version, how many replicas are required and how many models an engine holds. A substitute pool of engines was asked for the stage's own model, which it may not have. Ruled out: a list of versions per model (operators would have to maintain the former one during a roll-out); slots as a key of the model (they are a property of the engines). Change: optional sections [model NAME] with pool, version and least; pool key slots (default 1); stage key substitute-model. Weights are named NAME or NAME.VERSION, and the longest declared name owns them. A pool without [model] sections is left alone, so existing configurations stay valid. Tests: with the longest name replaced by the shortest, weights_belong_to_the_longest_name fails; with the check of stages left out, the table of rules fails. Conclusion: the canonical text of a pool of engines has one more line.

--- a/clients/python/basilgrade_config.py
+++ b/clients/python/basilgrade_config.py
@@ -52,21 +52,28 @@
 
 @dataclass(frozen=True)
 class Pool:
-    """Upstreams that can stand in for each other; `price` is for one call, in millionths."""
+    """Upstreams that can stand in for each other; `price` is for one call, in millionths.
+
+    `slots` is the number of models that one engine can hold; it is for pools of engines only.
+    """
 
     name: str
     kind: Kind
     price: int
     fencing: Literal["checked", "ignored"] = "ignored"
     keys: Literal["honoured", "ignored"] = "ignored"
+    slots: int = 1
 
     def sections(self) -> Iterator[Section]:
-        yield f"pool {_name(self.name)}", [
+        keys: list[tuple[str, Value]] = [
             ("kind", self.kind),
             ("fencing", self.fencing),
             ("keys", self.keys),
-            ("price", self.price),
         ]
+        if self.kind == "engine" or self.slots != 1:
+            keys.append(("slots", self.slots))
+        keys.append(("price", self.price))
+        yield f"pool {_name(self.name)}", keys
 
 
 @dataclass(frozen=True)
@@ -88,12 +95,33 @@
         ]
 
 
+@dataclass(frozen=True)
+class Model:
+    """A model that is placed on the engines of a pool.
+
+    `version` is the version to serve; `least` counts replicas in each failure domain.
+    """
+
+    name: str
+    pool: str
+    version: Optional[str] = None
+    least: int = 1
+
+    def sections(self) -> Iterator[Section]:
+        keys: list[tuple[str, Value]] = [("pool", self.pool)]
+        if self.version is not None:
+            keys.append(("version", self.version))
+        keys.append(("least", self.least))
+        yield f"model {_name(self.name)}", keys
+
+
 @dataclass(frozen=True)
 class Stage:
     """A stage of a pipeline; `model` and `tokens` are for pools of engines only.
 
     At most one of `shorten` (tokens), `skip` and `substitute` (a pool) says how the stage may be
-    degraded when time runs out.
+    degraded when time runs out. `substitute_model` is the model that the substitute pool is asked
+    for, if it is not `model`.
     """
 
     name: str
@@ -104,6 +132,7 @@
     shorten: Optional[int] = None
     skip: bool = False
     substitute: Optional[str] = None
+    substitute_model: Optional[str] = None
 
     def section(self, pipeline: str) -> Section:
         optional: list[tuple[str, Optional[Value]]] = [
@@ -114,6 +143,7 @@
             ("shorten", self.shorten),
             ("skip", "true" if self.skip else None),
             ("substitute", self.substitute),
+            ("substitute-model", self.substitute_model),
         ]
         keys = [(key, value) for key, value in optional if value is not None]
         return f"stage {_name(pipeline)} {_name(self.name)}", keys
@@ -181,6 +211,7 @@
     links: list[Link] = field(default_factory=list)
     pools: list[Pool] = field(default_factory=list)
     upstreams: list[Upstream] = field(default_factory=list)
+    models: list[Model] = field(default_factory=list)
     pipelines: list[Pipeline] = field(default_factory=list)
     services: list[Service] = field(default_factory=list)
     customers: list[Customer] = field(default_factory=list)
@@ -189,12 +220,14 @@
         """All sections in canonical order."""
         yield "deployment", [("name", _name(self.name))]
         yield "weights", [("attainment", _number(self.attainment)), ("cost", _number(self.cost))]
-        groups: list[Iterable[Union[Domain, Link, Pool, Upstream, Pipeline, Service, Customer]]]
+        Item = Union[Domain, Link, Pool, Upstream, Model, Pipeline, Service, Customer]
+        groups: list[Iterable[Item]]
         groups = [
             sorted(self.domains, key=lambda domain: domain.name),
             sorted(self.links, key=lambda link: sorted([link.one, link.other])),
             sorted(self.pools, key=lambda pool: pool.name),
             sorted(self.upstreams, key=lambda upstream: upstream.name),
+            sorted(self.models, key=lambda model: model.name),
             sorted(self.pipelines, key=lambda pipeline: pipeline.name),
             sorted(self.services, key=lambda service: service.pool),
             sorted(self.customers, key=lambda customer: customer.name),
--- a/clients/python/examples/adwenkor.py
+++ b/clients/python/examples/adwenkor.py
@@ -97,6 +97,7 @@
                     model="reviewer-70b",
                     tokens=120,
                     substitute="commentator",
+                    substitute_model="commentator-8b",
                 ),
             ],
         ),
--- a/crates/basilgrade_config/src/limits.rs
+++ b/crates/basilgrade_config/src/limits.rs
@@ -25,6 +25,12 @@
 pub const POOLS: usize = 1024;
 /// Most upstreams.
 pub const UPSTREAMS: usize = 16_384;
+/// Most models that are placed.
+pub const MODELS: usize = 1024;
+/// Most replicas of a model that can be required in a failure domain.
+pub const REPLICAS: u32 = 1024;
+/// Most models that an engine can hold at once.
+pub const SLOTS: u32 = 64;
 /// Most pipelines.
 pub const PIPELINES: usize = 512;
 /// Most stages of one pipeline.
--- a/crates/basilgrade_config/src/model/deployment.rs
+++ b/crates/basilgrade_config/src/model/deployment.rs
@@ -10,6 +10,7 @@
 use crate::model::domain;
 use crate::model::link;
 use crate::model::pipeline;
+use crate::model::placed;
 use crate::model::pool;
 use crate::model::service;
 use crate::model::upstream;
@@ -31,6 +32,9 @@
     pub pools: IndexMap<id::PoolId, pool::Pool>,
     /// Upstreams by name.
     pub upstreams: IndexMap<id::UpstreamId, upstream::Upstream>,
+    /// Models that the system places on engines, by name.
+    #[serde(default)]
+    pub models: IndexMap<id::ModelId, placed::PlacedModel>,
     /// Pipelines by name.
     pub pipelines: IndexMap<id::PipelineId, pipeline::Pipeline>,
     /// Plain services by pool name.
@@ -45,6 +49,14 @@
         self.domains.get(domain).map(|found| &found.region)
     }
 
+    /// The model that `weights` are a version of; of several, the one with the longest name.
+    pub fn model_of(&self, weights: &id::ModelId) -> Option<&placed::PlacedModel> {
+        let models = self.models.values();
+        models
+            .filter(|model| model.has_version(weights))
+            .max_by_key(|model| model.id.as_str().len())
+    }
+
     /// The link between two regions, if one is declared.
     pub fn link(&self, from: &id::RegionId, to: &id::RegionId) -> Option<&link::Link> {
         self.links.iter().find(|link| {
--- a/crates/basilgrade_config/src/model/pool.rs
+++ b/crates/basilgrade_config/src/model/pool.rs
@@ -57,10 +57,17 @@
     pub fencing: Fencing,
     /// Whether its upstreams honour request keys.
     pub keys: Keys,
+    /// Models that one of its engines can hold at once.
+    #[serde(default = "one")]
+    pub slots: u32,
     /// Price of one call.
     pub price: price::Price,
 }
 
+const fn one() -> u32 {
+    1
+}
+
 impl Kind {
     /// The text in a configuration.
     pub const fn as_str(self) -> &'static str {
--- a/crates/basilgrade_config/src/model/stage.rs
+++ b/crates/basilgrade_config/src/model/stage.rs
@@ -30,7 +30,12 @@
     /// Leave the stage out.
     Skip,
     /// Use another pool, for example with a smaller model.
-    Substitute(id::PoolId),
+    Substitute {
+        /// The pool.
+        pool: id::PoolId,
+        /// The model asked for there; the stage's own if there is none.
+        model: Option<id::ModelId>,
+    },
 }
 
 /// One stage of a pipeline.
--- a/crates/basilgrade_config/src/parse.rs
+++ b/crates/basilgrade_config/src/parse.rs
@@ -5,6 +5,7 @@
 mod domains;
 mod headers;
 mod links;
+mod models;
 mod names;
 mod pipelines;
 mod pools;
@@ -34,6 +35,7 @@
     deployment.links = links::read(&sections, &mut source, &deployment, &prices);
     deployment.pools = pools::read(&sections, &mut source, &prices);
     deployment.upstreams = upstreams::read(&sections, &mut source, &names);
+    deployment.models = models::read(&sections, &mut source, &names, &deployment.pools);
     deployment.pipelines = pipelines::read(&sections, &mut source, &names, &deployment.pools);
     deployment.services = services::read(&sections, &mut source, &names, &deployment.pools);
     deployment.customers = customers::read(&sections, &mut source, &names);
--- a/crates/basilgrade_config/src/parse/headers.rs
+++ b/crates/basilgrade_config/src/parse/headers.rs
@@ -17,11 +17,12 @@
     most: usize,
 }
 
-const KINDS: [Kind; 11] = [
+const KINDS: [Kind; 12] = [
     kind("customer", "[customer NAME]", 1, limits::CUSTOMERS),
     kind("deployment", "[deployment]", 0, 1),
     kind("domain", "[domain NAME]", 1, limits::DOMAINS),
     kind("link", "[link REGION REGION]", 2, limits::LINKS),
+    kind("model", "[model NAME]", 1, limits::MODELS),
     kind("pipeline", "[pipeline NAME]", 1, limits::PIPELINES),
     kind("pool", "[pool NAME]", 1, limits::POOLS),
     kind("prices", "[prices]", 0, 1),
--- a/crates/basilgrade_config/src/parse/pools.rs
+++ b/crates/basilgrade_config/src/parse/pools.rs
@@ -3,6 +3,7 @@
 use basilgrade_types::id;
 use indexmap::IndexMap;
 
+use crate::limits;
 use crate::model::pool;
 use crate::parse::headers;
 use crate::parse::prices;
@@ -36,6 +37,11 @@
         let fencing = reader.optional("fencing", value::parsed);
         Some(fencing.unwrap_or(pool::Fencing::Ignored))
     };
+    let slots = reader.optional("slots", value::whole(1..=limits::SLOTS));
+    if slots.is_some() && kind.is_some_and(|kind| kind != pool::Kind::Engine) {
+        let found = "only engines load models";
+        reader.report("slots", found, "the key only for a pool of engines");
+    }
     let keys = reader.optional("keys", value::parsed);
     let default = kind.and_then(|kind| prices.call(kind));
     let price = if default.is_some() || kind.is_none() {
@@ -49,6 +55,7 @@
         kind: kind?,
         fencing: fencing?,
         keys: keys.unwrap_or(pool::Keys::Ignored),
+        slots: slots.unwrap_or(1),
         price: price?,
     })
 }
--- a/crates/basilgrade_config/src/parse/stages.rs
+++ b/crates/basilgrade_config/src/parse/stages.rs
@@ -76,6 +76,10 @@
     let most = size::TokenCount(limits::TOKENS);
     let shorten = reader.optional("shorten", value::bounded(size::TokenCount(1)..=most));
     let substitute = reader.optional("substitute", value::parsed::<id::PoolId>);
+    let model = reader.optional("substitute-model", value::parsed);
+    if reader.has("substitute-model") {
+        check_substitute_model(reader, pool);
+    }
     let given: Vec<&str> = ["skip", "shorten", "substitute"]
         .into_iter()
         .filter(|key| reader.has(key))
@@ -101,11 +105,32 @@
     match (skip, shorten, substitute) {
         (Some(true), ..) => stage::Degrade::Skip,
         (_, Some(shorten), _) => stage::Degrade::Shorten(shorten),
-        (.., Some(substitute)) => stage::Degrade::Substitute(substitute),
+        (.., Some(substitute)) => stage::Degrade::Substitute {
+            pool: substitute,
+            model,
+        },
         _ => stage::Degrade::Never,
     }
 }
 
+fn check_substitute_model(reader: &mut reader::Reader<'_>, pool: Option<&pool::Pool>) {
+    if !reader.has("substitute") {
+        let found = "`substitute` is missing";
+        reader.report(
+            "substitute-model",
+            found,
+            "the key only beside `substitute`",
+        );
+    } else if pool.is_some_and(|pool| pool.kind != pool::Kind::Engine) {
+        let found = "only engines serve models";
+        reader.report(
+            "substitute-model",
+            found,
+            "the key only for a pool of engines",
+        );
+    }
+}
+
 fn check_substitute(
     reader: &mut reader::Reader<'_>,
     pool: Option<&pool::Pool>,
--- a/crates/basilgrade_config/src/print.rs
+++ b/crates/basilgrade_config/src/print.rs
@@ -9,6 +9,7 @@
 use crate::model::customer;
 use crate::model::deployment;
 use crate::model::pipeline;
+use crate::model::placed;
 use crate::model::pool;
 use crate::model::stage;
 use crate::print::printer::Printer;
@@ -44,6 +45,9 @@
         out.key("address", upstream.address);
         out.key("capacity", upstream.capacity);
     }
+    for model in sorted(deployment.models.values(), |model| &model.id) {
+        print_model(&mut out, model);
+    }
     for pipeline in sorted(deployment.pipelines.values(), |pipeline| &pipeline.id) {
         print_pipeline(&mut out, pipeline);
     }
@@ -72,9 +76,21 @@
     out.key("kind", pool.kind);
     out.key("fencing", pool.fencing);
     out.key("keys", pool.keys);
+    if pool.kind == pool::Kind::Engine {
+        out.key("slots", pool.slots);
+    }
     out.key("price", pool.price);
 }
 
+fn print_model(out: &mut Printer, model: &placed::PlacedModel) {
+    out.header(&format!("model {}", model.id));
+    out.key("pool", &model.pool);
+    if let Some(version) = model.version() {
+        out.key("version", version);
+    }
+    out.key("least", model.least);
+}
+
 fn print_pipeline(out: &mut Printer, pipeline: &pipeline::Pipeline) {
     out.header(&format!("pipeline {}", pipeline.id));
     out.key("deadline", pipeline.deadline);
@@ -101,7 +117,12 @@
         stage::Degrade::Never => {}
         stage::Degrade::Shorten(tokens) => out.key("shorten", tokens),
         stage::Degrade::Skip => out.key("skip", true),
-        stage::Degrade::Substitute(pool) => out.key("substitute", pool),
+        stage::Degrade::Substitute { pool, model } => {
+            out.key("substitute", pool);
+            if let Some(model) = model {
+                out.key("substitute-model", model);
+            }
+        }
     }
 }
 
--- a/crates/basilgrade_config/tests/common/mod.rs
+++ b/crates/basilgrade_config/tests/common/mod.rs
@@ -62,6 +62,19 @@
     .to_owned()
 }
 
+/// [`deployment`] with two placed models, one of them with a version.
+pub fn placed() -> String {
+    deployment().replace("price = 400", "price = 400\nslots = 2")
+        + "\
+[model asistente-8b]
+pool = assistant
+version = v2
+[model asistente-8b.mini]
+pool = assistant
+least = 0
+"
+}
+
 /// Valid settings with nothing optional.
 pub fn settings() -> String {
     "\
--- a/crates/basilgrade_config/tests/parse.rs
+++ b/crates/basilgrade_config/tests/parse.rs
@@ -39,6 +39,24 @@
     assert_eq!(customer.targets, ["seating", "ticket-sales"]);
 }
 
+/// Guards against a version that is attributed to a model whose name it only begins with.
+#[test]
+fn weights_belong_to_the_longest_name() {
+    let deployment = parse(&common::placed(), "birrete.ini").expect("the text is valid");
+    let owner = |weights: &str| {
+        let weights = weights.parse().expect("the name is valid");
+        let model = deployment.model_of(&weights);
+        model.map(|model| model.id.as_str())
+    };
+
+    assert_eq!(owner("asistente-8b.v1"), Some("asistente-8b"));
+    assert_eq!(owner("asistente-8b.mini.v1"), Some("asistente-8b.mini"));
+    assert_eq!(owner("asistente-8bit"), None);
+    let model = &deployment.models["asistente-8b"];
+    assert_eq!(model.weights.as_str(), "asistente-8b.v2");
+    assert_eq!((model.least, deployment.pools["assistant"].slots), (1, 2));
+}
+
 /// Guards against reports that stop at the first fault or name the wrong place.
 #[test]
 fn reports_all_problems_with_position() {
@@ -78,6 +96,27 @@
 
 /// A text of the fixture, what takes its place, and a part of the report.
 const RULES: &[(&str, &str, &str)] = &[
+    (
+        "[pipeline seating]",
+        "[model asistente-8b]\npool = ticket-sales\n[pipeline seating]",
+        "`pool`: `ticket-sales` is a pool of kind `service`; expected a pool of kind `engine`",
+    ),
+    (
+        "[pipeline seating]",
+        "[model asistente-9b]\npool = assistant\n[pipeline seating]",
+        "[stage seating answer] `model`: model `asistente-8b` is not placed in pool `assistant`; \
+         expected a model of the pool, the nearest being `asistente-9b`",
+    ),
+    (
+        "kind = service",
+        "kind = service\nslots = 2",
+        "`slots`: only engines load models; expected the key only for a pool of engines",
+    ),
+    (
+        "shorten = 80",
+        "substitute-model = asistente-1b",
+        "`substitute-model`: `substitute` is missing; expected the key only beside `substitute`",
+    ),
     (
         "name = birrete",
         "name = ñ/",
--- a/crates/basilgrade_config/tests/print.rs
+++ b/crates/basilgrade_config/tests/print.rs
@@ -9,13 +9,15 @@
 /// Guards against values that are lost or changed by printing.
 #[test]
 fn printing_and_reading_gives_the_same() {
-    let deployment = parse(&common::deployment(), "birrete.ini").expect("the text is valid");
+    for text in [common::deployment(), common::placed()] {
+        let deployment = parse(&text, "birrete.ini").expect("the text is valid");
 
-    let text = print(&deployment);
+        let text = print(&deployment);
 
-    let again = parse(&text, "printed.ini").expect("printed text is valid");
-    assert_eq!(again, deployment);
-    assert_eq!(print(&again), text);
+        let again = parse(&text, "printed.ini").expect("printed text is valid");
+        assert_eq!(again, deployment);
+        assert_eq!(print(&again), text);
+    }
 }
 
 /// Guards against a canonical text that depends on the order in the operator's file.
--- a/crates/basilgrade_config/tests/python.rs
+++ b/crates/basilgrade_config/tests/python.rs
@@ -54,8 +54,11 @@
         .filter(|upstream| deployment.pools[&upstream.pool].kind == pool::Kind::Engine);
     assert_eq!(engines.count(), 18);
     let stages = &deployment.pipelines["loudness-note"].stages;
-    let substitute = "commentator".parse().expect("the name is valid");
-    assert_eq!(stages[1].degrade, stage::Degrade::Substitute(substitute));
+    let substitute = stage::Degrade::Substitute {
+        pool: "commentator".parse().expect("the name is valid"),
+        model: Some("commentator-8b".parse().expect("the name is valid")),
+    };
+    assert_eq!(stages[1].degrade, substitute);
     assert_eq!(stages[1].tokens.0, 120);
     assert!((deployment.customers["northern-choir"].rate.0 - 1.5).abs() < f64::EPSILON);
     assert!((deployment.weights.cost - 4.0).abs() < f64::EPSILON);
--- a/crates/basilgrade_policy/src/budget/planner.rs
+++ b/crates/basilgrade_policy/src/budget/planner.rs
@@ -48,7 +48,7 @@
             stage::Degrade::Never => None,
             stage::Degrade::Shorten(tokens) => Some(plan::Action::Shorten(*tokens)),
             stage::Degrade::Skip => Some(plan::Action::Skip),
-            stage::Degrade::Substitute(_) => Some(plan::Action::Substitute),
+            stage::Degrade::Substitute { .. } => Some(plan::Action::Substitute),
         }
     }
 
--- a/crates/basilgrade_server/src/exec/pipeline.rs
+++ b/crates/basilgrade_server/src/exec/pipeline.rs
@@ -131,9 +131,11 @@
     input: Bytes,
 ) -> Result<step::Step, failure::Failure> {
     let marked = context.idempotency == Some(stage::Idempotency::NonIdempotent);
-    let name = match (&stage.degrade, part.action) {
-        (stage::Degrade::Substitute(pool), plan::Action::Substitute) => pool,
-        _ => &stage.pool,
+    let (name, model) = match (&stage.degrade, part.action) {
+        (stage::Degrade::Substitute { pool, model }, plan::Action::Substitute) => {
+            (pool, model.as_ref().or(stage.model.as_ref()))
+        }
+        _ => (&stage.pool, stage.model.as_ref()),
     };
     let tokens = match part.action {
         plan::Action::Shorten(tokens) => tokens,
@@ -163,7 +165,7 @@
         pool: name.clone(),
         kind: pool.kind,
         keys: pool.keys,
-        model: stage.model.clone(),
+        model: model.cloned(),
         tokens,
         idempotency,
         method: hyper::Method::POST,
