--- a/crates/basilgrade_membership/benches/footprint/report.rs
+++ b/crates/basilgrade_membership/benches/footprint/report.rs
@@ -29,23 +29,15 @@
 const TARGET: shape::Shape = shape::Shape::new(20, 19);
 
 pub(crate) fn run() {
-    println!(
-        "seed {SEED}; per daemon; wire adds {} B per message (on paper)",
-        sample::WIRE
-    );
-    println!(
-        "{:>8} {:>7} {:>8} {:>8} {:>8} {:>8} {:>7} {:>8} {:>9} {:>7}",
-        "domains",
-        "size",
-        "B/s",
-        "on wire",
-        "busiest",
-        "reader",
-        "msg/s",
-        "core %",
-        "heap KB",
-        "reads/s"
-    );
+    // `-- target` measures the target shape alone.
+    if std::env::args().any(|argument| argument == "target") {
+        let (footprint, mut world) = scenario::steady(TARGET, SEED);
+        print_head();
+        print_row(&footprint);
+        print_events(&mut world);
+        return;
+    }
+    print_head();
     for shape in SMALL {
         print_row(&scenario::steady(shape, SEED).0);
     }
@@ -91,6 +83,27 @@
     }
 }
 
+fn print_head() {
+    println!(
+        "seed {SEED}; per daemon; wire adds {} B per message (on paper)",
+        sample::WIRE
+    );
+    println!(
+        "{:>8} {:>7} {:>8} {:>8} {:>8} {:>8} {:>7} {:>8} {:>9} {:>8} {:>7}",
+        "domains",
+        "size",
+        "B/s",
+        "on wire",
+        "busiest",
+        "reader",
+        "msg/s",
+        "core %",
+        "heap KB",
+        "held KB",
+        "reads/s"
+    );
+}
+
 type Quantity = (&'static str, fn(&scenario::Footprint) -> f64);
 
 const QUANTITIES: [Quantity; 4] = [
@@ -102,7 +115,7 @@
 
 fn print_row(footprint: &scenario::Footprint) {
     println!(
-        "{:>8} {:>7} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>7.1} {:>8.4} {:>9.1} {:>7.1}",
+        "{:>8} {:>7} {:>8.0} {:>8.0} {:>8.0} {:>8.0} {:>7.1} {:>8.4} {:>9.1} {:>8.1} {:>7.1}",
         footprint.shape.domains,
         footprint.shape.size,
         footprint.bytes,
@@ -112,6 +125,7 @@
         footprint.messages,
         footprint.processor,
         footprint.memory / 1000.0,
+        footprint.held / 1000.0,
         footprint.reads,
     );
 }
