Measure a tick with a full view and the size of grant records

Cause: the first figure for a tick used an empty view, which skips the choice of members, and the size of a grant record was not known.

Ruled out: 20 domains in the view of the benchmark; the primary then releases its surplus slots and waits for the log, and plans nothing.

--- a/crates/basilgrade_claims/benches/claims.rs
+++ b/crates/basilgrade_claims/benches/claims.rs
@@ -75,6 +75,8 @@
         }],
         ..Chunk::default()
     };
+    let size = chunk.entries[0].body.len();
+    println!("a record of {slots} grants has {size} bytes");
     let mut fold: Fold<ControlState> = Fold::new(Arc::new(()));
     fold.feed(Millis(NOW), &chunk);
     let settings = Settings {
@@ -164,16 +166,23 @@
         kept.push(daemons);
     }
     let daemon = &mut kept[3][0];
-    let view = View::default();
+    let view = View {
+        live: (0..19).map(node).collect(),
+        domains: [("d0".parse().expect("a name"), 19)].into_iter().collect(),
+        ..View::default()
+    };
     let now = Millis(NOW + 1_800_000);
     let start = Instant::now();
+    let mut appends = 0;
     for tick in 0..2_000 {
         daemon.tick(now.plus(Millis(tick * 50)), &view, &mut rng);
-        daemon.outputs().for_each(drop);
+        let of = |output: &Output| matches!(output, Output::Append { .. });
+        appends += daemon.outputs().filter(of).count();
     }
     let micros = start.elapsed().as_secs_f64() * 1e6 / 2_000.0;
     println!(
-        "tick with 64 slots and 200000 claims: {micros:.2} us; at 20 a second {:.3}% of a core",
+        "tick as primary of 64 slots with {} claims: {micros:.2} us; at 20 a second {:.3}% of a core; {appends} appends",
+        daemon.claim_count(),
         micros * 20.0 / 1e4
     );
 }
--- a/crates/basilgrade_claims/src/claims.rs
+++ b/crates/basilgrade_claims/src/claims.rs
@@ -84,6 +84,9 @@
     }
 
     /// Takes note of the state of stream `control` before offset `next`.
+    ///
+    /// Call it with a fold that is current; a stale state is harmless but leads to proposals that
+    /// cannot take effect.
     pub fn observe(
         &mut self,
         now: clock::Millis,
