Split large files of the daemon; keep the delta format's adapter once

Cause: attempts.rs and daemon.rs held several jobs, and ConfigMerge stood twice.

Ruled out: a package of its own for nine lines.

--- a/crates/basilctl/src/stream.rs
+++ b/crates/basilctl/src/stream.rs
@@ -1,11 +1,11 @@
 //! Stream `config` as an operator's tool reads it.
 
-mod config_merge;
 pub mod error;
 
 use std::sync::Arc;
 
 use basilgrade_journal::chunk;
+use basilgrade_journal::config_merge;
 use basilgrade_journal::config_state;
 use basilgrade_journal::entry;
 use basilgrade_journal::fold;
--- a/crates/basilgrade_server/src/journal/config_merge.rs
+++ b/crates/basilgrade_journal/src/config_merge.rs
@@ -1,7 +1,7 @@
-//! The delta format of the configuration package, as the journal needs it.
+//! The delta format of the configuration package, as replay needs it.
 
+use crate::merge;
 use basilgrade_config::delta;
-use basilgrade_journal::merge;
 
 /// Applies deltas of configuration texts.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/basilgrade_journal/src/lib.rs
+++ b/crates/basilgrade_journal/src/lib.rs
@@ -1,6 +1,7 @@
 //! Records in the log and their replay: configuration revisions, slot grants and leases.
 
 pub mod chunk;
+pub mod config_merge;
 pub mod config_record;
 pub mod config_state;
 pub mod control_record;
--- /dev/null
+++ b/crates/basilgrade_server/src/assembly.rs
@@ -0,0 +1,95 @@
+//! The parts of a daemon, before any task is started.
+
+use std::sync;
+
+use basilgrade_config::settings;
+use basilgrade_membership::record;
+use basilgrade_peer::links;
+use basilgrade_peer::secret;
+use basilgrade_policy::router;
+use basilgrade_types::clock;
+use basilgrade_upstream::client;
+use basilgrade_upstream::upstream;
+
+use crate::background;
+use crate::cluster;
+use crate::core;
+use crate::daemon;
+use crate::journal::streams;
+use crate::ledger;
+use crate::limits;
+use crate::metrics;
+use crate::platform;
+
+/// What the tasks of a daemon share.
+pub(crate) struct Assembly {
+    /// Reading of the log, with everything it feeds.
+    pub(crate) reader: background::reader::Reader,
+    /// The secret of links to other daemons.
+    pub(crate) secret: secret::Secret,
+}
+
+/// Builds the parts of a daemon; nothing runs yet.
+pub(crate) fn assemble(
+    settings: &settings::Settings,
+    platform: &platform::Platform,
+) -> Result<Assembly, daemon::StartError> {
+    let process = &settings.process;
+    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock::new());
+    let secret = secret::Secret::from_bytes(settings.peers.secret.as_bytes());
+    let links = sync::Arc::new(links::Links::new(secret.clone()));
+    let record = record::Record {
+        vm: process.vm.clone(),
+        incarnation: clock.now().into(),
+        domain: process.domain.clone(),
+        address: process.peer_address,
+    };
+    let cluster = cluster::Cluster::new(record, sync::Arc::clone(&clock), links.clone());
+    let ledger = ledger::slots::SlotLedger::new(
+        sync::Arc::clone(&clock),
+        links.clone(),
+        sync::Arc::new(cluster.clone()),
+        sync::Arc::clone(&platform.log),
+    );
+    let parts = parts(settings, clock, sync::Arc::new(ledger.clone()))?;
+    let reader = background::reader::Reader {
+        core: sync::Arc::new(core::Core::new(parts)),
+        streams: sync::Arc::new(streams::Streams::default()),
+        cluster,
+        ledger,
+        links,
+        platform: platform.clone(),
+    };
+    Ok(Assembly { reader, secret })
+}
+
+fn parts(
+    settings: &settings::Settings,
+    clock: sync::Arc<dyn clock::Clock>,
+    ledger: sync::Arc<dyn ledger::Ledger>,
+) -> Result<core::Parts, daemon::StartError> {
+    let metrics = metrics::Metrics::new().map_err(daemon::StartError::Metrics)?;
+    let upstream = client::HttpUpstream::new(client::Settings::default());
+    metrics.observe_client(upstream.clone());
+    let requests = &settings.limits;
+    Ok(core::Parts {
+        clock,
+        upstream: sync::Arc::new(upstream) as sync::Arc<dyn upstream::Upstream>,
+        router: |weights, daemons| {
+            let settings = router::settings::Settings {
+                daemons: daemons as f32,
+                ..router::settings::Settings::new(weights)
+            };
+            sync::Arc::new(router::scored::ScoredRouter::new(settings))
+        },
+        ledger,
+        metrics: sync::Arc::new(metrics),
+        limits: limits::Limits {
+            head: requests.header_bytes,
+            body: requests.body_bytes,
+            requests: requests.concurrent_requests as usize,
+            sender: requests.slow_sender,
+        },
+        domain: settings.process.domain.clone(),
+    })
+}
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -6,27 +6,19 @@
 
 use basilgrade_claims::settings as claims;
 use basilgrade_config::settings;
-use basilgrade_membership::record;
-use basilgrade_peer::links;
 use basilgrade_peer::listener as peer_listener;
-use basilgrade_peer::secret;
 use basilgrade_peer::server;
-use basilgrade_policy::router;
 use basilgrade_types::clock;
-use basilgrade_upstream::client;
-use basilgrade_upstream::upstream;
 use quick_error::quick_error;
 use tokio::task;
 use tokio_util::sync::CancellationToken;
 
+use crate::assembly;
 use crate::background;
 use crate::cluster;
 use crate::core;
-use crate::journal::streams;
 use crate::ledger;
-use crate::limits;
 use crate::listener;
-use crate::metrics;
 use crate::operator;
 use crate::peer_handler;
 use crate::platform;
@@ -73,7 +65,7 @@
         settings: settings::Settings,
         platform: platform::Platform,
     ) -> Result<Self, StartError> {
-        let parts = assemble(&settings, &platform)?;
+        let parts = assembly::assemble(&settings, &platform)?;
         let core = sync::Arc::clone(&parts.reader.core);
         let address = settings.process.caller_address;
         let bind = |error| StartError::Bind(address, error);
@@ -126,45 +118,6 @@
     }
 }
 
-/// What the tasks of a daemon share.
-struct Assembly {
-    reader: background::reader::Reader,
-    secret: secret::Secret,
-}
-
-fn assemble(
-    settings: &settings::Settings,
-    platform: &platform::Platform,
-) -> Result<Assembly, StartError> {
-    let process = &settings.process;
-    let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock::new());
-    let secret = secret::Secret::from_bytes(settings.peers.secret.as_bytes());
-    let links = sync::Arc::new(links::Links::new(secret.clone()));
-    let record = record::Record {
-        vm: process.vm.clone(),
-        incarnation: clock.now().into(),
-        domain: process.domain.clone(),
-        address: process.peer_address,
-    };
-    let cluster = cluster::Cluster::new(record, sync::Arc::clone(&clock), links.clone());
-    let ledger = ledger::slots::SlotLedger::new(
-        sync::Arc::clone(&clock),
-        links.clone(),
-        sync::Arc::new(cluster.clone()),
-        sync::Arc::clone(&platform.log),
-    );
-    let parts = parts(settings, clock, sync::Arc::new(ledger.clone()))?;
-    let reader = background::reader::Reader {
-        core: sync::Arc::new(core::Core::new(parts)),
-        streams: sync::Arc::new(streams::Streams::default()),
-        cluster,
-        ledger,
-        links,
-        platform: platform.clone(),
-    };
-    Ok(Assembly { reader, secret })
-}
-
 fn start_admin(
     reader: &background::reader::Reader,
     settings: &settings::Settings,
@@ -184,12 +137,12 @@
 }
 
 async fn spawn_tasks(
-    assembly: Assembly,
+    assembly: assembly::Assembly,
     settings: &settings::Settings,
     platform: platform::Platform,
     stop: &CancellationToken,
 ) -> Result<(), StartError> {
-    let Assembly { reader, secret } = assembly;
+    let assembly::Assembly { reader, secret } = assembly;
     let address = settings.process.peer_address;
     let peers = peer_listener::Listener::bind(address, secret)
         .await
@@ -258,34 +211,3 @@
         Err(_) => log::warn!("event=hand-over-incomplete waited={HAND_OVER_LIMIT}"),
     }
 }
-
-fn parts(
-    settings: &settings::Settings,
-    clock: sync::Arc<dyn clock::Clock>,
-    ledger: sync::Arc<dyn ledger::Ledger>,
-) -> Result<core::Parts, StartError> {
-    let metrics = metrics::Metrics::new().map_err(StartError::Metrics)?;
-    let upstream = client::HttpUpstream::new(client::Settings::default());
-    metrics.observe_client(upstream.clone());
-    let requests = &settings.limits;
-    Ok(core::Parts {
-        clock,
-        upstream: sync::Arc::new(upstream) as sync::Arc<dyn upstream::Upstream>,
-        router: |weights, daemons| {
-            let settings = router::settings::Settings {
-                daemons: daemons as f32,
-                ..router::settings::Settings::new(weights)
-            };
-            sync::Arc::new(router::scored::ScoredRouter::new(settings))
-        },
-        ledger,
-        metrics: sync::Arc::new(metrics),
-        limits: limits::Limits {
-            head: requests.header_bytes,
-            body: requests.body_bytes,
-            requests: requests.concurrent_requests as usize,
-            sender: requests.slow_sender,
-        },
-        domain: settings.process.domain.clone(),
-    })
-}
--- a/crates/basilgrade_server/src/exec.rs
+++ b/crates/basilgrade_server/src/exec.rs
@@ -6,6 +6,7 @@
 pub mod claimed;
 pub mod context;
 pub mod generation;
+pub mod hedged;
 pub mod inflight;
 pub mod output;
 pub mod pipeline;
--- a/crates/basilgrade_server/src/exec/pipeline.rs
+++ b/crates/basilgrade_server/src/exec/pipeline.rs
@@ -15,11 +15,11 @@
 use crate::caller::failure;
 use crate::caller::head;
 use crate::caller::respond;
-use crate::exec::attempts;
 use crate::exec::budget;
 use crate::exec::claimed;
 use crate::exec::context;
 use crate::exec::generation;
+use crate::exec::hedged;
 use crate::exec::output;
 use crate::exec::step;
 
@@ -79,7 +79,7 @@
         let result = if generates {
             generation::whole(&context, &step).await.map(Bytes::from)
         } else {
-            attempts::run(&context, &step).await.map(|reply| reply.body)
+            hedged::run(&context, &step).await.map(|reply| reply.body)
         };
         budget.observe(position, part.action, started);
         match result {
--- a/crates/basilgrade_server/src/exec/service.rs
+++ b/crates/basilgrade_server/src/exec/service.rs
@@ -10,9 +10,9 @@
 
 use crate::caller::failure;
 use crate::caller::respond;
-use crate::exec::attempts;
 use crate::exec::claimed;
 use crate::exec::context;
+use crate::exec::hedged;
 use crate::exec::output;
 use crate::exec::step;
 
@@ -82,7 +82,7 @@
     context: context::Context,
     step: step::Step,
 ) -> Result<output::Output, failure::Failure> {
-    let reply = attempts::run(&context, &step).await?;
+    let reply = hedged::run(&context, &step).await?;
     Ok(output::Output::Whole(
         reply.status,
         reply.headers,
--- a/crates/basilgrade_server/src/journal/streams.rs
+++ b/crates/basilgrade_server/src/journal/streams.rs
@@ -13,8 +13,8 @@
 use basilgrade_types::clock;
 
 use crate::core;
-use crate::journal::config_merge;
 use crate::journal::replica;
+use basilgrade_journal::config_merge;
 
 /// Replay of the configuration and of grants and leases.
 pub struct Streams {
--- a/crates/basilgrade_server/src/lib.rs
+++ b/crates/basilgrade_server/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon: caller interface, pipeline executor, background tasks, metrics and shutdown.
 
+mod assembly;
 pub mod background;
 pub mod caller;
 pub mod cluster;
--- a/crates/basilgrade_server/tests/replica.rs
+++ b/crates/basilgrade_server/tests/replica.rs
@@ -3,12 +3,12 @@
 use std::sync;
 
 use basilgrade_journal::chunk;
+use basilgrade_journal::config_merge;
 use basilgrade_journal::config_record;
 use basilgrade_journal::config_state;
 use basilgrade_journal::entry;
 use basilgrade_journal::merge;
 use basilgrade_journal::publication;
-use basilgrade_server::journal::config_merge;
 use basilgrade_server::journal::replica;
 use basilgrade_types::clock;
 use basilgrade_types::offset;
