Count the bytes of links between daemons and measure whole processes

Cause: the footprint benchmark measures the protocol without frames and keyed hashes.

Ruled out: socket statistics of the system; they need tools that are not everywhere.

--- a/crates/basilgrade/tests/support/daemon.rs
+++ b/crates/basilgrade/tests/support/daemon.rs
@@ -81,6 +81,11 @@
         self.child = Some(command.spawn().expect("the daemon starts"));
     }
 
+    /// Id of the process, if it runs.
+    pub(crate) fn process(&self) -> Option<u32> {
+        self.child.as_ref().map(process::Child::id)
+    }
+
     /// Sends a signal by name, such as `STOP`.
     pub(crate) fn signal(&self, name: &str) {
         let Some(child) = &self.child else {
--- a/crates/basilgrade_peer/src/codec.rs
+++ b/crates/basilgrade_peer/src/codec.rs
@@ -1,6 +1,7 @@
 //! Frames with a keyed hash and a counter.
 
 use std::io;
+use std::sync;
 
 use bytes::BufMut;
 use bytes::Bytes;
@@ -9,10 +10,14 @@
 use tokio_util::codec;
 
 use crate::secret;
+use crate::traffic;
 
 /// Longest frame, in bytes; bounds the memory that a peer can make this daemon use.
 pub const FRAME_LIMIT: usize = 1 << 20;
 
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
 /// Bytes of the keyed hash at the end of each frame.
 const TAG_LENGTH: usize = 16;
 
@@ -24,6 +29,7 @@
     frames: codec::LengthDelimitedCodec,
     sending: Direction,
     receiving: Direction,
+    traffic: sync::Arc<traffic::Traffic>,
 }
 
 #[derive(Debug)]
@@ -53,10 +59,20 @@
             frames,
             sending: direction(sending),
             receiving: direction(receiving),
+            traffic: sync::Arc::default(),
         }
     }
 }
 
+impl SealedCodec {
+    /// Counts the bytes of this link in `traffic`.
+    #[must_use]
+    pub fn counted(mut self, traffic: sync::Arc<traffic::Traffic>) -> Self {
+        self.traffic = traffic;
+        self
+    }
+}
+
 impl codec::Encoder<Bytes> for SealedCodec {
     type Error = io::Error;
 
@@ -65,6 +81,7 @@
         let mut frame = BytesMut::with_capacity(content.len() + TAG_LENGTH);
         frame.put_slice(&content);
         frame.put_slice(&tag[..TAG_LENGTH]);
+        self.traffic.add_sent(LENGTH_BYTES + frame.len());
         self.frames.encode(frame.freeze(), out)
     }
 }
@@ -77,6 +94,7 @@
         let Some(mut frame) = self.frames.decode(input)? else {
             return Ok(None);
         };
+        self.traffic.add_received(LENGTH_BYTES + frame.len());
         let refused = || io::Error::new(io::ErrorKind::InvalidData, "frame fails its keyed hash");
         let length = frame.len().checked_sub(TAG_LENGTH).ok_or_else(refused)?;
         let tag = frame.split_off(length);
--- a/crates/basilgrade_peer/src/lib.rs
+++ b/crates/basilgrade_peer/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod secret;
 pub mod server;
 pub mod service;
+pub mod traffic;
 pub mod transfer;
 pub mod transport;
--- a/crates/basilgrade_peer/src/links.rs
+++ b/crates/basilgrade_peer/src/links.rs
@@ -12,6 +12,7 @@
 use crate::error;
 use crate::secret;
 use crate::service;
+use crate::traffic;
 use crate::transport;
 
 /// Time for one call to a peer. A daemon that takes longer counts as not answering.
@@ -29,14 +30,16 @@
 /// Links to other daemons.
 pub struct Links {
     secret: secret::Secret,
+    traffic: sync::Arc<traffic::Traffic>,
     open: sync::Mutex<IndexMap<net::SocketAddr, Link>>,
 }
 
 impl Links {
-    /// No link yet; `secret` authenticates both sides of each.
-    pub fn new(secret: secret::Secret) -> Self {
+    /// No link yet; `secret` authenticates both sides of each, `traffic` counts their bytes.
+    pub fn new(secret: secret::Secret, traffic: sync::Arc<traffic::Traffic>) -> Self {
         Self {
             secret,
+            traffic,
             open: sync::Mutex::default(),
         }
     }
@@ -89,7 +92,7 @@
             }
             Some(Link::Failed(_)) | None => {}
         }
-        match transport::connect(address, &self.secret).await {
+        match transport::connect(address, &self.secret, &self.traffic).await {
             Ok(transport) => {
                 let client = service::PeerClient::new(client::Config::default(), transport).spawn();
                 self.lock().insert(address, Link::Open(client.clone()));
--- a/crates/basilgrade_peer/src/listener.rs
+++ b/crates/basilgrade_peer/src/listener.rs
@@ -15,6 +15,7 @@
 use crate::server as peer_server;
 use crate::service;
 use crate::service::Peer;
+use crate::traffic;
 use crate::transport;
 
 /// Links accepted at once; bounds what strangers can hold open. Three times the largest fleet
@@ -28,17 +29,26 @@
 pub struct Listener {
     socket: tokio_net::TcpListener,
     secret: secret::Secret,
+    traffic: sync::Arc<traffic::Traffic>,
 }
 
 impl Listener {
-    /// Binds `address`.
+    /// Binds `address`; `traffic` counts the bytes of the links.
     ///
     /// # Errors
     ///
     /// An I/O error when the address is in use or not local.
-    pub async fn bind(address: net::SocketAddr, secret: secret::Secret) -> io::Result<Self> {
+    pub async fn bind(
+        address: net::SocketAddr,
+        secret: secret::Secret,
+        traffic: sync::Arc<traffic::Traffic>,
+    ) -> io::Result<Self> {
         let socket = tokio_net::TcpListener::bind(address).await?;
-        Ok(Self { socket, secret })
+        Ok(Self {
+            socket,
+            secret,
+            traffic,
+        })
     }
 
     /// The address bound.
@@ -67,13 +77,14 @@
                 continue;
             };
             let secret = self.secret.clone();
+            let traffic = sync::Arc::clone(&self.traffic);
             let peer = peer.clone();
             let stop = stop.clone();
             tokio::spawn(async move {
                 let _permit = permit;
                 tokio::select! {
                     () = stop.cancelled() => {}
-                    () = serve(stream, address, &secret, peer) => {}
+                    () = serve(stream, address, &secret, &traffic, peer) => {}
                 }
             });
         }
@@ -84,12 +95,13 @@
     stream: tokio_net::TcpStream,
     address: net::SocketAddr,
     secret: &secret::Secret,
+    traffic: &sync::Arc<traffic::Traffic>,
     peer: peer_server::PeerServer,
 ) {
     let transport = match transport::accept::<
         tarpc::ClientMessage<service::PeerRequest>,
         tarpc::Response<service::PeerResponse>,
-    >(stream, secret)
+    >(stream, secret, traffic)
     .await
     {
         Ok(transport) => transport,
--- a/crates/basilgrade_peer/src/transport.rs
+++ b/crates/basilgrade_peer/src/transport.rs
@@ -1,6 +1,7 @@
 //! Typed, authenticated transports over TCP.
 
 use std::net;
+use std::sync;
 
 use tokio::net as tokio_net;
 use tokio::time;
@@ -11,6 +12,7 @@
 use crate::handshake;
 use crate::postcard_format;
 use crate::secret;
+use crate::traffic;
 
 /// Time to connect; peers are inside the operator's network.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -36,6 +38,7 @@
 pub async fn connect<I, O>(
     address: net::SocketAddr,
     secret: &secret::Secret,
+    traffic: &sync::Arc<traffic::Traffic>,
 ) -> Result<Transport<I, O>, error::LinkError> {
     let connecting = tokio_net::TcpStream::connect(address);
     let mut stream = time::timeout(CONNECT_TIMEOUT, connecting)
@@ -43,7 +46,7 @@
         .map_err(|_| error::LinkError::Timeout)??;
     stream.set_nodelay(true)?;
     let codec = handshake::connect(&mut stream, secret).await?;
-    Ok(frame(stream, codec))
+    Ok(frame(stream, codec.counted(sync::Arc::clone(traffic))))
 }
 
 /// Authenticates both sides of an accepted connection.
@@ -54,8 +57,9 @@
 pub async fn accept<I, O>(
     mut stream: tokio_net::TcpStream,
     secret: &secret::Secret,
+    traffic: &sync::Arc<traffic::Traffic>,
 ) -> Result<Transport<I, O>, error::LinkError> {
     stream.set_nodelay(true)?;
     let codec = handshake::accept(&mut stream, secret).await?;
-    Ok(frame(stream, codec))
+    Ok(frame(stream, codec.counted(sync::Arc::clone(traffic))))
 }
--- a/crates/basilgrade_server/src/assembly.rs
+++ b/crates/basilgrade_server/src/assembly.rs
@@ -6,6 +6,7 @@
 use basilgrade_membership::record;
 use basilgrade_peer::links;
 use basilgrade_peer::secret;
+use basilgrade_peer::traffic;
 use basilgrade_policy::router;
 use basilgrade_types::clock;
 use basilgrade_upstream::client;
@@ -27,6 +28,8 @@
     pub(crate) reader: background::reader::Reader,
     /// The secret of links to other daemons.
     pub(crate) secret: secret::Secret,
+    /// Bytes of these links.
+    pub(crate) traffic: sync::Arc<traffic::Traffic>,
 }
 
 /// Builds the parts of a daemon; nothing runs yet.
@@ -37,7 +40,11 @@
     let process = &settings.process;
     let clock: sync::Arc<dyn clock::Clock> = sync::Arc::new(clock::SystemClock::new());
     let secret = secret::Secret::from_bytes(settings.peers.secret.as_bytes());
-    let links = sync::Arc::new(links::Links::new(secret.clone()));
+    let traffic = sync::Arc::new(traffic::Traffic::default());
+    let links = sync::Arc::new(links::Links::new(
+        secret.clone(),
+        sync::Arc::clone(&traffic),
+    ));
     let record = record::Record {
         vm: process.vm.clone(),
         incarnation: clock.now().into(),
@@ -60,7 +67,11 @@
         links,
         platform: platform.clone(),
     };
-    Ok(Assembly { reader, secret })
+    Ok(Assembly {
+        reader,
+        secret,
+        traffic,
+    })
 }
 
 fn parts(
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -142,9 +142,15 @@
     platform: platform::Platform,
     stop: &CancellationToken,
 ) -> Result<(), StartError> {
-    let assembly::Assembly { reader, secret } = assembly;
+    let assembly::Assembly {
+        reader,
+        secret,
+        traffic,
+    } = assembly;
+    let metrics = &reader.core.parts.metrics;
+    metrics.observe_traffic(sync::Arc::clone(&traffic));
     let address = settings.process.peer_address;
-    let peers = peer_listener::Listener::bind(address, secret)
+    let peers = peer_listener::Listener::bind(address, secret, traffic)
         .await
         .map_err(|error| StartError::Bind(address, error))?;
     let handler = peer_handler::PeerHandler {
--- a/crates/basilgrade_server/src/metrics.rs
+++ b/crates/basilgrade_server/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use basilgrade_peer::traffic;
 use basilgrade_types::id;
 use basilgrade_types::verdict;
 use basilgrade_upstream::client;
@@ -28,8 +29,6 @@
     revision: metrics::Gauge<u64>,
     active: metrics::Gauge<u64>,
     duration: metrics::Histogram<f64>,
-    // Keeps the counters of the client observed.
-    observed: sync::OnceLock<metrics::ObservableCounter<u64>>,
     meter: metrics::Meter,
 }
 
@@ -80,7 +79,6 @@
                 .f64_histogram("basilgrade_request_duration_ms")
                 .with_description("Time from head to answer, in milliseconds")
                 .build(),
-            observed: sync::OnceLock::new(),
             meter: meter.clone(),
             _provider: provider,
         })
@@ -133,13 +131,28 @@
                 observer.observe(count, &[KeyValue::new("reason", reason)]);
             }
         };
-        let counter = self
-            .meter
+        // The meter keeps the counter; the handle is not needed.
+        self.meter
             .u64_observable_counter("basilgrade_dropped_answers")
             .with_description("Answers dropped because they were late, double or for another call")
             .with_callback(report)
             .build();
-        let _ = self.observed.set(counter);
+    }
+
+    /// Reports the bytes of links between daemons.
+    pub fn observe_traffic(&self, traffic: sync::Arc<traffic::Traffic>) {
+        let report = move |observer: &dyn metrics::AsyncInstrument<u64>| {
+            observer.observe(traffic.sent(), &[KeyValue::new("direction", "sent")]);
+            observer.observe(
+                traffic.received(),
+                &[KeyValue::new("direction", "received")],
+            );
+        };
+        self.meter
+            .u64_observable_counter("basilgrade_peer_bytes")
+            .with_description("Bytes of links between daemons")
+            .with_callback(report)
+            .build();
     }
 
     /// Adds the price of a call and the bytes it moved between regions.
