Measure the other decisions on the path of a request

Cause: the cost of a plan, a lookup and an admission was not known, nor whether it grows with the number of customers.

--- a/crates/basilgrade_policy/benches/decision.rs
+++ b/crates/basilgrade_policy/benches/decision.rs
@@ -1,9 +1,18 @@
-//! Time of one routing decision at 60 and 1,200 candidates, for each router.
+//! Time of the decisions on the path of a request, above all of one routing decision at 60 and 1,200
+//! candidates for each router.
 
 use std::hint;
 use std::time;
 
+use basilgrade_config::model::customer;
+use basilgrade_config::model::deployment;
+use basilgrade_config::model::pipeline;
+use basilgrade_config::model::stage;
+use basilgrade_policy::budget::plan;
+use basilgrade_policy::budget::planner;
 use basilgrade_policy::candidate;
+use basilgrade_policy::prefix::hits;
+use basilgrade_policy::prefix::index;
 use basilgrade_policy::router;
 use basilgrade_policy::router::Router;
 use basilgrade_policy::router::least_outstanding;
@@ -11,7 +20,11 @@
 use basilgrade_policy::router::round_robin;
 use basilgrade_policy::router::scored;
 use basilgrade_policy::router::two_choices;
+use basilgrade_policy::share::pressure;
+use basilgrade_policy::share::shares;
 use basilgrade_types::clock;
+use basilgrade_types::rate;
+use basilgrade_types::size;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs;
@@ -71,25 +84,93 @@
         ),
         ("two_choices", Box::new(two_choices::TwoChoicesRouter)),
     ];
-    println!("router,candidates,least microseconds,median microseconds");
+    println!("decision,size,least microseconds,median microseconds");
     for (name, router) in &routers {
         for count in [60, 1200] {
             let mut rng = rngs::StdRng::seed_from_u64(1);
             let list = candidates(count, &mut rng);
-            let mut times: Vec<_> = (0..BATCHES)
-                .map(|_| {
-                    let start = time::Instant::now();
-                    for _ in 0..BATCH {
-                        let choice = router.choose(NOW, &call, hint::black_box(&list), &mut rng);
-                        let _ = hint::black_box(choice);
-                    }
-                    start.elapsed()
-                })
-                .map(|time| time.as_secs_f64() * 1e6 / f64::from(BATCH))
-                .collect();
-            times.sort_by(f64::total_cmp);
-            let (least, median) = (times[0], times[BATCHES / 2]);
-            println!("{name},{count},{least:.3},{median:.3}");
+            measure(name, count, || {
+                let choice = router.choose(NOW, &call, hint::black_box(&list), &mut rng);
+                let _ = hint::black_box(choice);
+            });
         }
     }
+    measure_plan();
+    measure_lookup();
+    measure_admit();
+}
+
+/// Prints the least and the median time of `decide`.
+fn measure(name: &str, size: u32, mut decide: impl FnMut()) {
+    let mut times: Vec<_> = (0..BATCHES)
+        .map(|_| {
+            let start = time::Instant::now();
+            for _ in 0..BATCH {
+                decide();
+            }
+            start.elapsed().as_secs_f64() * 1e6 / f64::from(BATCH)
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    println!("{name},{size},{:.3},{:.3}", times[0], times[BATCHES / 2]);
+}
+
+/// A plan for six stages.
+fn measure_plan() {
+    let stage = |index: u32| stage::Stage {
+        id: format!("s{index}").parse().expect("a valid name"),
+        pool: "pool".parse().expect("a valid name"),
+        model: None,
+        tokens: size::TokenCount(100),
+        idempotency: stage::Idempotency::Idempotent,
+        degrade: stage::Degrade::Skip,
+    };
+    let pipeline = pipeline::Pipeline {
+        id: "pipeline".parse().expect("a valid name"),
+        deadline: clock::Millis::from_secs(10),
+        stages: (0..6).map(stage).collect(),
+    };
+    let mut deployment = deployment::Deployment::default();
+    deployment.pipelines.insert(pipeline.id.clone(), pipeline);
+    let planner = planner::Planner::new(&deployment);
+    for step in 0..600 {
+        planner.observe(NOW, 0, step % 6, plan::Action::Run, 100.0);
+    }
+    let deadline = NOW + clock::Millis::from_secs(10);
+    measure("plan of stages", 6, || {
+        let _ = hint::black_box(planner.plan(NOW, 0, 0, deadline));
+    });
+}
+
+/// A lookup of a prompt of 16 blocks.
+fn measure_lookup() {
+    let index = index::PrefixIndex::new(256 << 10, 1200);
+    let mut hits = hits::Hits::default();
+    let mut rng = rngs::StdRng::seed_from_u64(1);
+    let chain: Vec<u64> = (0..16).map(|_| rng.random()).collect();
+    for upstream in 0..8 {
+        index.record(NOW, upstream, &chain);
+    }
+    measure("lookup of blocks", 16, || {
+        index.lookup(NOW, hint::black_box(&chain), &mut hits);
+    });
+}
+
+/// Admission among few and many customers.
+fn measure_admit() {
+    for count in [5, 4200] {
+        let customer = |index| customer::Customer {
+            id: format!("c{index}").parse().expect("a valid name"),
+            rate: rate::RequestRate(10.0),
+            burst: 10,
+            targets: Vec::new(),
+        };
+        let customers: Vec<_> = (0..count).map(customer).collect();
+        let shares = shares::Shares::new(NOW, &customers, 9);
+        let mut turn = 0;
+        measure("admission among customers", count, || {
+            turn = (turn + 7) % customers.len();
+            let _ = hint::black_box(shares.admit(NOW, turn, pressure::Pressure::Busy));
+        });
+    }
 }
