Withstand invalid readings and upstreams that restart

Cause: read-through. The events of an upstream that restarts count from the start again and were all ignored as repeated; a score or speed that is not a number would have ended the comparison; very low rates and the greatest event number overflowed.

Ruled out: taking a lower event number as a restart, because a repeated read looks the same.

Change: PrefixIndex::restart; guards in Speed, ScoredRouter and Bucket, with tests.

Conclusion: the daemon has to call restart when an upstream's incarnation changes.

--- a/crates/basilgrade_policy/src/prefix/index.rs
+++ b/crates/basilgrade_policy/src/prefix/index.rs
@@ -111,7 +111,8 @@
             return;
         };
         let next = events.next.load(atomic::Ordering::Relaxed);
-        if next > number + 1 {
+        // The greatest numbers are left out, so that the next one can be counted.
+        if number > u64::MAX - 2 || next > number + 1 {
             return;
         }
         if next != 0 {
@@ -129,6 +130,19 @@
         }
     }
 
+    /// Begins to read the events of `upstream` anew, because it has restarted and counts from the
+    /// start again.
+    ///
+    /// What it had cached is doubtful until the next call or event confirms it.
+    pub fn restart(&self, now: clock::Millis, upstream: u32) {
+        let Some(events) = self.upstreams.get(upstream as usize) else {
+            return;
+        };
+        events.next.store(0, atomic::Ordering::Relaxed);
+        events.missed.store(0, atomic::Ordering::Relaxed);
+        events.gap.store(ticks(now) + 1, atomic::Ordering::Relaxed);
+    }
+
     /// Finds the upstreams that are expected to have the first blocks, in `hits`.
     ///
     /// A block is evidence for all blocks before it, because caches evict the ends of prefixes
--- a/crates/basilgrade_policy/src/router/scored.rs
+++ b/crates/basilgrade_policy/src/router/scored.rs
@@ -48,8 +48,10 @@
                 continue;
             }
             let scored = scale.score(candidate);
-            // The exclusions are searched last, because few candidates come this far.
-            if scored.total >= lowest || call.excluded.contains(&candidate.index) {
+            // The exclusions are searched last, because few candidates come this far. A score that is
+            // not a number never wins.
+            let wins = scored.total < lowest && !call.excluded.contains(&candidate.index);
+            if !wins {
                 continue;
             }
             // An upstream of reduced weight gets that share of the calls it would have got.
--- a/crates/basilgrade_policy/src/share/bucket.rs
+++ b/crates/basilgrade_policy/src/share/bucket.rs
@@ -28,8 +28,8 @@
         let depth = (burst.max(1.0) * UNIT * 1000.0 / rate) as u64;
         let relaxed = atomic::Ordering::Relaxed;
         let next = |full: u64| {
-            let next = full.max(now) + step;
-            (next <= now + depth).then_some(next)
+            let next = full.max(now).saturating_add(step);
+            (next <= now.saturating_add(depth)).then_some(next)
         };
         self.full.fetch_update(relaxed, relaxed, next).is_ok()
     }
--- a/crates/basilgrade_policy/src/speed.rs
+++ b/crates/basilgrade_policy/src/speed.rs
@@ -65,6 +65,9 @@
     }
 
     fn store(&self, now: clock::Millis, factor: f32) {
+        if !factor.is_finite() {
+            return;
+        }
         self.ratio
             .store(factor.to_bits(), atomic::Ordering::Relaxed);
         self.changed.store(now.0, atomic::Ordering::Relaxed);
--- a/crates/basilgrade_policy/tests/prefix.rs
+++ b/crates/basilgrade_policy/tests/prefix.rs
@@ -76,6 +76,20 @@
     assert_eq!(found(&index, NOW, &chain, 0), 1);
 }
 
+/// Guards against ignoring all events of an upstream that restarted and counts from the start again.
+#[test]
+fn events_after_a_restart_are_applied() {
+    let index = index::PrefixIndex::new(1 << 16, 4);
+    let (old, new) = (chain(1, 1), chain(2, 1));
+    index.apply(NOW, 0, 900, change::Change::Added(old[0]));
+
+    index.restart(later(1), 0);
+    index.apply(later(2), 0, 0, change::Change::Added(new[0]));
+
+    assert_eq!(found(&index, later(60), &new, 0), 1);
+    assert_eq!(found(&index, later(60), &old, 0), 0);
+}
+
 /// Guards against trusting evidence for long when the removals in a gap were missed.
 #[test]
 fn a_gap_shortens_the_life_of_older_evidence() {
--- a/crates/basilgrade_policy/tests/properties.rs
+++ b/crates/basilgrade_policy/tests/properties.rs
@@ -10,6 +10,7 @@
 use basilgrade_policy::router::eligible;
 use basilgrade_policy::router::scored;
 use basilgrade_policy::share::bucket;
+use basilgrade_policy::speed;
 use basilgrade_types::clock;
 use proptest::prelude::*;
 use proptest::test_runner;
@@ -94,6 +95,57 @@
     });
 }
 
+/// Guards against one reading that is not a number and disables the comparison with all others.
+#[test]
+fn an_invalid_reading_is_ignored() {
+    let invalid = proptest::sample::select(vec![f32::NAN, f32::INFINITY, f32::NEG_INFINITY]);
+    check(&(invalid, 0..3usize), |(invalid, position)| {
+        let speed = speed::Speed::default();
+        speed.observe(NOW, 100.0, invalid);
+        speed.observe(NOW, invalid, 100.0);
+        speed.observe_pending(NOW, 100.0, invalid);
+        let usual = candidate::Candidate {
+            index: 0,
+            region: 0,
+            capacity: 8,
+            running: 1,
+            queued: 0,
+            reported: NOW,
+            sent: 0,
+            inflight: 0,
+            limit: 8,
+            service: 10.0,
+            prefill: 0.0,
+            decode: 0.0,
+            cached: 0,
+            weight: 1.0,
+            price: 0.0,
+        };
+        let mut list = [usual; 3];
+        for (index, candidate) in list.iter_mut().enumerate() {
+            candidate.index = index as u32;
+        }
+        list[position].service = f32::NAN;
+        let call = router::CallShape {
+            region: 0,
+            bytes: 0,
+            prices: Vec::new(),
+            latency: Vec::new(),
+            prompt: 0,
+            output: 0,
+            deadline: NOW + clock::Millis(100),
+            excluded: Vec::new(),
+        };
+        let mut rng = rngs::StdRng::seed_from_u64(1);
+
+        let chosen = scored::ScoredRouter::default().choose(NOW, &call, &list, &mut rng);
+
+        prop_assert!(speed.factor(NOW).is_finite());
+        prop_assert!(chosen.is_ok_and(|choice| choice.index as usize != position));
+        Ok(())
+    });
+}
+
 /// Guards against quantiles out of order or beyond what was observed.
 #[test]
 fn quantiles_are_ordered_and_inside_the_observations() {
@@ -125,7 +177,7 @@
             index.record(NOW, upstream % 8, &chain);
             for hash in &chain {
                 let change = basilgrade_policy::prefix::change::Change::Added(*hash);
-                index.apply(NOW, upstream, number / 2, change);
+                index.apply(NOW, upstream, number, change);
             }
 
             index.lookup(NOW, &chain, &mut hits);
@@ -163,6 +215,8 @@
 /// Guards against a bucket that gives more than its rate and burst.
 #[test]
 fn a_bucket_never_gives_more_than_rate_and_burst() {
+    let slow = bucket::Bucket::default();
+    let _ = (slow.take(NOW, 1e-30, 1.0), slow.take(NOW, 1e-30, 1e30));
     let gaps = proptest::collection::vec(0..200u64, 1..300);
     check(
         &(gaps, 0.1..200.0f32, 0.0..50.0f32),
