--- a/crates/basilgrade_claims/tests/availability.rs
+++ b/crates/basilgrade_claims/tests/availability.rs
@@ -132,3 +132,42 @@
         assert_eq!(busy, 0, "seed {seed}: {refusals:?}");
     }
 }
+
+/// Guards against claims or answers being lost when all VMs are replaced one after another: a key
+/// that ran gets its stored answer from a pair that did not exist when it ran.
+#[test]
+fn answers_survive_the_replacement_of_all_daemons() {
+    for seed in 0..5 {
+        let mut plan = plan(seed, 4, &[0, 1, 2, 3], &[]);
+        plan.faults = (0..4)
+            .map(|vm| (12_000 + 5_000 * vm as u64, Fault::Drain { vm }))
+            .collect();
+        plan.calls.truncate(50);
+        let repeat = |call: &Call| Call {
+            at: call.at + 23_000,
+            ..*call
+        };
+        let repeats: Vec<_> = plan.calls.iter().map(repeat).collect();
+        plan.calls.extend(repeats);
+
+        let world = sim::run(&plan, Safety::default());
+
+        assert_eq!(world.history.violation(), None);
+        let since = sim::START + 30_000;
+        let events = &world.history.events;
+        let ran = events
+            .iter()
+            .filter(|(at, _, _, event)| {
+                *at < since && matches!(event, Event::Answered { verdict: "ran" })
+            })
+            .count();
+        let answered = events.iter().filter(|(.., event)| {
+            let answered = |decision: &Decision| matches!(decision, Decision::Answered(_));
+            matches!(event, Event::Decided { decision } if answered(decision))
+        });
+        let starts = (0..4).filter_map(|vm| world.claims(vm));
+        println!("seed {seed}: {ran} ran, all of 50 repeated");
+        assert!(starts.map(|claims| claims.node().incarnation.0).min() > Some(sim::START + 12_000));
+        assert_eq!(answered.count(), ran, "seed {seed}");
+    }
+}
