Tell the claims of a new daemon the grants that it read before they started

Cause: the claims of a daemon start when it has joined. The control stream pulled before that was announced to claims that did not exist yet, and is announced again only when a record follows. A daemon that joined a domain whose slots were all held reported ready and answered `this failure domain holds no slot yet` to all keys.

Ruled out: readiness and the pull; `/readyz` was 200 and the revision was in force within 0.2 s of the start.

Change: the claims observe the control stream once when they start.

Conclusion: a new VM mints and claims keys without waiting for a record.

--- a/crates/basilgrade_server/src/background/gossip.rs
+++ b/crates/basilgrade_server/src/background/gossip.rs
@@ -50,6 +50,13 @@
             }
             let claims = claims::Claims::new(cluster.me(), domain.clone(), settings);
             ledger.start(claims);
+            // Records that were read before this start are not announced again, and there may be
+            // no new one for minutes.
+            streams.control.with(|fold| {
+                if fold.is_current() {
+                    ledger.observe(fold.state(), fold.next());
+                }
+            });
             started = true;
         }
         let view = streams.control.with(|fold| cluster.view(fold.state()));
