--- a/crates/basilgrade/tests/configuration.rs
+++ b/crates/basilgrade/tests/configuration.rs
@@ -98,7 +98,7 @@
 async fn revisions_never_fall() {
     let mut deployment = deployment::start(&["a", "a", "b"]).await;
     let stop = sync::Arc::new(atomic::AtomicBool::new(false));
-    let samplers: Vec<_> = deployment
+    let observers: Vec<_> = deployment
         .daemons
         .iter()
         .map(|daemon| tokio::spawn(sample(daemon.admin, sync::Arc::clone(&stop))))
@@ -129,8 +129,8 @@
     }
     stop.store(true, atomic::Ordering::Relaxed);
 
-    for (sampler, daemon) in samplers.into_iter().zip(&deployment.daemons) {
-        let samples = sampler.await.expect("the sampler ends");
+    for (observer, daemon) in observers.into_iter().zip(&deployment.daemons) {
+        let samples = observer.await.expect("the observer ends");
         assert!(!samples.is_empty(), "{}", daemon.name);
         let fallen = samples
             .windows(2)
--- a/crates/basilgrade/tests/replacement.rs
+++ b/crates/basilgrade/tests/replacement.rs
@@ -50,7 +50,7 @@
         };
         let key = uuid::Uuid::now_v7().to_string();
         let headers = [deployment::CUSTOMER, ("idempotency-key", key.as_str())];
-        let charge = turn % 4 != 0;
+        let charge = !turn.is_multiple_of(4);
         let response = if charge {
             caller::post(address, CHARGE, &headers, &key).await
         } else {
