Compare upstreams with their pool, notice restarted engines, measure idle processes

Cause: the policy's interface changed with its measurements; events of a restarted engine were ignored for ever, because its numbers begin again.

Ruled out: asking for events from the next number only; an engine without new events and a restarted one then look the same.

Change: the last event is read again each time; relative speed, the lesser of both weights, shares bind while any pool of the pipeline is busy; the benchmark of processes waits 10 s before it measures.

--- a/crates/basilgrade/benches/daemons.rs
+++ b/crates/basilgrade/benches/daemons.rs
@@ -15,6 +15,9 @@
 /// Numbers of daemons measured.
 const SIZES: [usize; 4] = [3, 7, 13, 19];
 
+/// Time in which the joins and the first grants are left behind.
+const WARM_UP: time::Duration = time::Duration::from_secs(10);
+
 /// Time measured after the daemons have settled.
 const SPAN: time::Duration = time::Duration::from_secs(20);
 
@@ -35,6 +38,7 @@
     for size in SIZES {
         let domains = vec!["a"; size];
         let deployment = deployment::start(&domains).await;
+        tokio::time::sleep(WARM_UP).await;
         let before = read(&deployment).await;
         tokio::time::sleep(SPAN).await;
         let after = read(&deployment).await;
--- a/crates/basilgrade_server/src/background/cache.rs
+++ b/crates/basilgrade_server/src/background/cache.rs
@@ -13,7 +13,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::core;
-use crate::view::entry;
 use crate::view::snapshot;
 
 /// Time between polls; events are late anyway, and own calls are evidence at once.
@@ -50,8 +49,18 @@
     stream::iter(engines)
         .for_each_concurrent(CONCURRENCY, |(index, entry)| async move {
             let from = lock(next).get(&entry.id).copied().unwrap_or_default();
-            match core.parts.upstream.cache_events(entry.address, from).await {
-                Ok(events) => apply(core, view, index as u32, entry, &events, next),
+            // The last event is read again: an engine that has none at that number has restarted.
+            let wanted = from.saturating_sub(1);
+            match core
+                .parts
+                .upstream
+                .cache_events(entry.address, wanted)
+                .await
+            {
+                Ok(events) => {
+                    let after = apply(core.now(), view, index as u32, from, &events);
+                    lock(next).insert(entry.id.clone(), after);
+                }
                 Err(error) => log::debug!(
                     "event=cache-events-failed upstream={} error={:?}",
                     entry.id,
@@ -62,25 +71,28 @@
         .await;
 }
 
+/// Applies the events of one engine and returns the number of the next one.
 fn apply(
-    core: &core::Core,
+    now: clock::Millis,
     view: &snapshot::Snapshot,
     index: u32,
-    entry: &entry::Entry,
+    from: u64,
     events: &[load::CacheEvent],
-    next: &sync::Mutex<IndexMap<id::UpstreamId, u64>>,
-) {
-    let now = core.now();
-    for event in events {
+) -> u64 {
+    let Some(last) = events.last() else {
+        if from > 0 {
+            view.prefixes.restart(now, index);
+        }
+        return 0;
+    };
+    for event in events.iter().filter(|event| event.seq >= from) {
         let change = match event.change {
             load::CacheChange::Stored => change::Change::Added(event.prefix),
             load::CacheChange::Evicted => change::Change::Removed(event.prefix),
         };
         view.prefixes.apply(now, index, event.seq, change);
     }
-    if let Some(last) = events.last() {
-        lock(next).insert(entry.id.clone(), last.seq + 1);
-    }
+    last.seq + 1
 }
 
 fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
--- a/crates/basilgrade_server/src/serve.rs
+++ b/crates/basilgrade_server/src/serve.rs
@@ -5,6 +5,7 @@
 
 use basilgrade_policy::share::pressure;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use basilgrade_types::request;
 use basilgrade_types::verdict;
 use bytes::Bytes;
@@ -163,25 +164,28 @@
     Ok(output.response(&context))
 }
 
-/// Holds the customer to its share while the pool that the request needs last is busy.
-///
-/// The last pool is the one that generates, which is where capacity is scarce.
+/// Holds the customer to its share while the busiest pool that the request needs is busy.
 fn admit(context: &context::Context, target: &target::Target) -> Result<(), failure::Failure> {
     let view = &context.view;
     let deployment = &view.deployment;
-    let pool = match target {
-        target::Target::Pipeline(name) => deployment
-            .pipelines
-            .get(name)
-            .and_then(|pipeline| pipeline.stages.last())
-            .map(|stage| &stage.pool),
-        target::Target::Service(pool, _) => Some(pool),
-        _ => None,
-    };
     let now = context.core.now();
-    let pressure = pool.map_or(pressure::Pressure::Spare, |pool| {
-        pressure::Pressure::of(&view.candidates(pool, now))
-    });
+    let busy = |pool: &id::PoolId| {
+        pressure::Pressure::of(&view.candidates(pool, now)) == pressure::Pressure::Busy
+    };
+    let any_busy = match target {
+        target::Target::Pipeline(name) => {
+            let pipeline = deployment.pipelines.get(name);
+            let stages = pipeline.map_or(&[][..], |pipeline| &pipeline.stages);
+            stages.iter().any(|stage| busy(&stage.pool))
+        }
+        target::Target::Service(pool, _) => busy(pool),
+        _ => false,
+    };
+    let pressure = if any_busy {
+        pressure::Pressure::Busy
+    } else {
+        pressure::Pressure::Spare
+    };
     let customer = deployment.customers.get_index_of(&context.customer);
     view.shares
         .admit(now, customer.unwrap_or(usize::MAX), pressure)
--- a/crates/basilgrade_server/src/view/entry.rs
+++ b/crates/basilgrade_server/src/view/entry.rs
@@ -46,8 +46,12 @@
             0 => now,
             at => clock::Millis(at),
         };
-        let factor = stats.speed.factor(now);
-        let weight = stats.connection.weight(now) * self.peers.outliers.weight(self.member);
+        let outliers = &self.peers.outliers;
+        let factor = outliers.relative(stats.speed.factor(now));
+        let weight = stats
+            .connection
+            .weight(now)
+            .min(outliers.weight(self.member));
         candidate::Candidate {
             index,
             region: self.region,
