Judge a suspect at the moment its silence reaches 3 s

Cause: a death was known in the whole domain after up to 3120 ms, above the target of 3 s, because silence was judged at the next regular tick.

Change: `Node::next_tick` names the moment at which the silence of a suspect reaches DEAD_AFTER. `Node::silence` returns a member's silence.

With the mechanism disabled a_tick_is_due_at_the_moment_of_death fails: dead at 3011 ms instead of 3000.

Conclusion: the target is met, if the daemon ticks when `next_tick` says.

--- a/crates/basilgrade_membership/src/node.rs
+++ b/crates/basilgrade_membership/src/node.rs
@@ -152,8 +152,16 @@
 
     /// When [`Node::tick`] should be called next, at the latest.
     pub fn next_tick(&self, now: clock::Millis) -> clock::Millis {
-        let regular = now.plus(timing::TICK);
-        self.urgent.map_or(regular, |at| at.max(now).min(regular))
+        let resumed = self.pause.resumed();
+        // With regular ticks alone, a death would be noticed up to a tick after the target.
+        let expiry = self
+            .others()
+            .filter(|(_, member)| member.status == status::Status::Suspect)
+            .map(|(_, member)| member.alive.max(resumed).plus(timing::DEAD_AFTER));
+        expiry
+            .chain(self.urgent)
+            .map(|at| at.max(now))
+            .fold(now.plus(timing::TICK), clock::Millis::min)
     }
 
     /// Handles a message that the authenticated daemon on `from` sent.
--- a/crates/basilgrade_membership/src/node/query.rs
+++ b/crates/basilgrade_membership/src/node/query.rs
@@ -64,6 +64,11 @@
             .or_else(|| self.hints.get(vm).map(|_| status::Status::Suspect))
     }
 
+    /// How long ago a member of the own domain last raised its version.
+    pub fn silence(&self, now: clock::Millis, vm: &id::VmId) -> Option<clock::Millis> {
+        self.member_of(vm).map(|member| now.since(member.alive))
+    }
+
     /// The members of the own domain with their status, this daemon among them.
     pub fn members(&self) -> impl Iterator<Item = (&record::Record, status::Status)> {
         self.members
--- a/crates/basilgrade_membership/tests/detection.rs
+++ b/crates/basilgrade_membership/tests/detection.rs
@@ -5,6 +5,7 @@
 use basilgrade_membership::contact;
 use basilgrade_membership::death;
 use basilgrade_membership::status;
+use basilgrade_membership::timing;
 use support::Cluster;
 use support::Process;
 use support::vm;
@@ -37,6 +38,31 @@
     }
 }
 
+/// Guards against a death that is noticed up to a tick after the target of 3 s.
+#[test]
+fn a_tick_is_due_at_the_moment_of_death() {
+    let mut cluster = Cluster::settled(6, 1, 3);
+    let (victim, observer) = (vm(0, 2), vm(0, 0));
+    cluster.set(&victim, Process::Killed);
+    cluster.run_until(5000, |cluster| {
+        cluster.status(&observer, &victim) == Some(status::Status::Suspect)
+    });
+    // The other survivor is silent too, but only this observer is driven from here on.
+    cluster.set(&vm(0, 1), Process::Paused);
+    let mut now = cluster.now;
+    let killed = now.0;
+    while cluster.status(&observer, &victim) == Some(status::Status::Suspect) {
+        let before = now;
+        now = cluster.nodes[&observer].next_tick(now);
+        assert!(now > before && now.0 < killed + 3000);
+        cluster.nodes[&observer].tick(now, &mut cluster.rng);
+    }
+
+    // The moment before, it was not dead yet: the tick came at the first moment at which it was.
+    let silent = cluster.nodes[&observer].silence(now, &victim);
+    assert_eq!(silent, Some(timing::DEAD_AFTER));
+}
+
 /// Guards against false deaths: over ten minutes without faults nobody is even suspected.
 #[test]
 fn nobody_is_suspected_without_faults() {
