Remove leftovers from the membership tests

Cause: two statements in tests had no effect on what they assert.

Ruled out: nothing; no assertion is changed.

Change: the unused binding and the pause of a daemon that is not driven any more are removed.

Conclusion: the tests say what they check.

--- a/crates/basilgrade_membership/tests/detection.rs
+++ b/crates/basilgrade_membership/tests/detection.rs
@@ -47,8 +47,7 @@
     cluster.run_until(5000, |cluster| {
         cluster.status(&observer, &victim) == Some(status::Status::Suspect)
     });
-    // The other survivor is silent too, but only this observer is driven from here on.
-    cluster.set(&vm(0, 1), Process::Paused);
+    // From here on, only the observer is driven.
     let mut now = cluster.now;
     let killed = now.0;
     while cluster.status(&observer, &victim) == Some(status::Status::Suspect) {
--- a/crates/basilgrade_membership/tests/incarnation.rs
+++ b/crates/basilgrade_membership/tests/incarnation.rs
@@ -9,7 +9,6 @@
 use basilgrade_membership::heartbeat;
 use basilgrade_membership::message;
 use basilgrade_membership::status;
-use basilgrade_types::incarnation;
 use support::Cluster;
 use support::Process;
 use support::record;
@@ -80,7 +79,6 @@
     };
     let bytes = codec::encode(&late).unwrap();
     let now = cluster.now;
-    // A call without effect brings the pause detector to the same time in both states.
     let message = codec::decode(&bytes).unwrap();
     cluster.node(&observer).receive(now, &restarted, message);
 
@@ -148,5 +146,4 @@
         cluster.nodes[&observer].newest_incarnation(&restarted),
         Some(new)
     );
-    let _: incarnation::Incarnation = new;
 }
