--- a/crates/basilgrade/tests/configuration.rs
+++ b/crates/basilgrade/tests/configuration.rs
@@ -93,7 +93,7 @@
 }
 
 /// Guards against a process that reverts to an older revision while daemons restart and the log is
-/// down, slow, loses answers or has dropped its old records.
+/// down, slow, loses answers, has dropped its old records or holds a late publication.
 #[tokio::test(flavor = "multi_thread")]
 async fn revisions_never_fall() {
     let mut deployment = deployment::start(&["a", "a", "b"]).await;
@@ -116,6 +116,8 @@
         let text = variant(&deployment, &format!("round-{round}"));
         deployment.platform.log_faults.set(fault);
         deployment::publish(&deployment.platform, base, &text);
+        // Comes late, against a base that is no longer in force.
+        deployment::publish(&deployment.platform, base - 1, &text);
         // The record before the newest is gone for a daemon that starts from now on.
         deployment.platform.expire("config", base);
         let killed = round % deployment.daemons.len();
