Write the placement of a failure domain under its lease

Cause: the daemon neither acquired the placement lease nor sent orders, and it chose engines without regard to the models they have loaded. Ruled out: a lease for each pool (one writer per failure domain is the design; one pool that ignores fencing numbers makes the writer wait for all); demand from load reports (they do not name models). Change: background/placement.rs acquires and renews the lease (ttl 15 s, margin 5 s) through the log, with the domain's log reader as candidate. It plans once a second, checks the lease again before each order, and logs each decision (event=placement). Load reports' models are kept with the upstream; an engine is considered only if it has the stage's model, and is asked for the version that it has. A leaving daemon gives the lease up. Each daemon counts its own calls by model; the writer multiplies by the live daemons of its domain. Tests: seen failing with the mechanism disabled: constant fencing number -> all tests of tests/placement.rs; no wait on engines that ignore numbers -> late_orders_are_corrected_on_engines_that_ignore_numbers; no filter by model, no former versions -> only_engines_with_the_model_are_considered; filter without reports -> engines_that_report_no_models_are_all_considered; own calls only -> demand_covers_all_daemons_of_the_domain; background task not started -> a_new_version_is_loaded_while_requests_are_served was stopped by a time-out of 200 s, build included, with its condition never met. The correction of late orders rests on repetition and on reconciliation; the stand-in test passes with repetition alone disabled, the test of the planner fails with both disabled.

--- a/crates/basilgrade_config/src/model/stage.rs
+++ b/crates/basilgrade_config/src/model/stage.rs
@@ -56,6 +56,17 @@
     pub degrade: Degrade,
 }
 
+impl Stage {
+    /// Whether calls of the stage or of its substitute ask for `model`.
+    pub fn uses(&self, model: &id::ModelId) -> bool {
+        let substitute = match &self.degrade {
+            Degrade::Substitute { model, .. } => model.as_ref(),
+            _ => None,
+        };
+        self.model.as_ref() == Some(model) || substitute == Some(model)
+    }
+}
+
 impl Idempotency {
     /// The text in a configuration.
     pub const fn as_str(self) -> &'static str {
--- a/crates/basilgrade_server/src/background.rs
+++ b/crates/basilgrade_server/src/background.rs
@@ -2,5 +2,6 @@
 
 pub mod gossip;
 pub mod load;
+pub mod placement;
 pub mod reader;
 pub mod vms;
--- a/crates/basilgrade_server/src/background/load.rs
+++ b/crates/basilgrade_server/src/background/load.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic;
 
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use basilgrade_upstream::load;
 use futures::StreamExt;
 use futures::stream;
@@ -65,6 +66,12 @@
     store(&stats.running, load.running);
     store(&stats.queued, load.queued);
     store(&stats.sent, 0);
+    // An engine cannot be asked for a model whose name is not valid.
+    let models = load.models.iter().filter_map(|name| name.parse().ok());
+    let models: Vec<id::ModelId> = models.collect();
+    if **stats.models.load() != models {
+        stats.models.store(sync::Arc::new(models));
+    }
     let reported = now.since(clock::Millis(load.age));
     stats.reported.store(reported.0, atomic::Ordering::Relaxed);
     if load.leaving {
--- /dev/null
+++ b/crates/basilgrade_server/src/background/placement/demands.rs
@@ -0,0 +1,85 @@
+//! Demand for models, from what this daemon's requests used.
+
+use basilgrade_config::model::deployment;
+use basilgrade_placement::demand;
+use basilgrade_placement::meter;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::rate;
+use indexmap::IndexMap;
+
+use crate::view::usages;
+
+/// Time of a call before any was seen.
+const INITIAL_SERVICE: clock::Millis = clock::Millis::from_secs(1);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Metered {
+    calls: meter::Meter,
+    finished: meter::Meter,
+    spent: meter::Meter,
+}
+
+/// Averages of the use of each declared model.
+#[derive(Clone, Debug, Default)]
+pub struct Demands {
+    metered: IndexMap<id::ModelId, Metered>,
+}
+
+impl Demands {
+    /// Demand in the failure domain if each of its `daemons` has as many calls as this one; the
+    /// platform's balancer spreads callers evenly.
+    pub fn update(
+        &mut self,
+        now: clock::Millis,
+        deployment: &deployment::Deployment,
+        usages: &usages::Usages,
+        daemons: usize,
+    ) -> IndexMap<id::ModelId, demand::Demand> {
+        self.metered
+            .retain(|model, _| deployment.models.contains_key(model));
+        let mut demands = IndexMap::new();
+        for model in deployment.models.values() {
+            let usage = usages.of(&model.id);
+            let metered = self.metered.entry(model.id.clone()).or_default();
+            let (finished, spent) = usage.finished();
+            metered.calls.observe(now, usage.started());
+            metered.finished.observe(now, finished);
+            metered.spent.observe(now, spent.0);
+            let deadline = deadline(deployment, &model.id);
+            let finished = metered.finished.rate().0;
+            let service = if finished > 0.0 {
+                clock::Millis((metered.spent.rate().0 / finished) as u64)
+            } else {
+                INITIAL_SERVICE
+            };
+            let mut upstreams = deployment.upstreams.values();
+            let engine = upstreams.find(|upstream| upstream.pool == model.pool);
+            let slots = deployment
+                .pools
+                .get(&model.pool)
+                .map_or(1, |pool| pool.slots);
+            let demand = demand::Demand {
+                rate: rate::RequestRate(metered.calls.rate().0 * daemons as f64),
+                // Waiting on a crowded engine counts as service here; the deadline bounds it.
+                service: service.min(deadline),
+                deadline,
+                // The models of an engine share its calls.
+                capacity: engine.map_or(1, |engine| (engine.capacity / slots).max(1)),
+            };
+            demands.insert(model.id.clone(), demand);
+        }
+        demands
+    }
+}
+
+/// The shortest time that a stage with the model has, if the stages of a pipeline share its
+/// deadline equally.
+fn deadline(deployment: &deployment::Deployment, model: &id::ModelId) -> clock::Millis {
+    let pipelines = deployment.pipelines.values();
+    pipelines
+        .filter(|pipeline| pipeline.stages.iter().any(|stage| stage.uses(model)))
+        .map(|pipeline| clock::Millis(pipeline.deadline.0 / pipeline.stages.len().max(1) as u64))
+        .min()
+        .unwrap_or(clock::Millis::MAX)
+}
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -17,6 +17,7 @@
 use crate::recent;
 use crate::view::registry;
 use crate::view::snapshot;
+use crate::view::usages;
 
 /// Whether the daemon takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,6 +56,8 @@
     pub current: snapshot::Current,
     /// Observed state of upstreams.
     pub registry: registry::Registry,
+    /// Use of models by this daemon's requests.
+    pub usage: usages::Usages,
     /// Latest decisions.
     pub recent: recent::Recent,
     /// Requests being worked on.
@@ -70,6 +73,7 @@
             parts,
             current: snapshot::Current::empty(),
             registry: registry::Registry::default(),
+            usage: usages::Usages::default(),
             recent: recent::Recent::default(),
             active: atomic::AtomicUsize::default(),
             draining: atomic::AtomicBool::default(),
@@ -99,6 +103,13 @@
     pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
         self.registry
             .retain(|upstream| deployment.upstreams.contains_key(upstream));
+        self.usage.retain(|model| {
+            let mut stages = deployment
+                .pipelines
+                .values()
+                .flat_map(|found| &found.stages);
+            stages.any(|stage| stage.uses(model))
+        });
         let before = self.current.load_full();
         let built = sync::Arc::new(snapshot::Snapshot::build(
             revision,
--- a/crates/basilgrade_server/src/daemon.rs
+++ b/crates/basilgrade_server/src/daemon.rs
@@ -225,6 +225,7 @@
         sync::Arc::clone(&reader.core),
         stop.clone(),
     ));
+    tokio::spawn(background::placement::run(reader.clone(), stop.clone()));
     tokio::spawn(reader.run(stop.clone()));
     Ok(())
 }
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -57,7 +57,7 @@
             return Err(failure::Failure::DeadlinePassed(self.verdict()));
         }
         let view = &self.context.view;
-        let candidates = view.candidates(&self.step.pool, now);
+        let candidates = view.candidates(&self.step.pool, self.step.model.as_ref(), now);
         let mut choice = self.ask_router(now, &candidates);
         if choice.is_err() && !self.tried.is_empty() {
             // Every other upstream is out of the question, so those tried before get another chance.
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use basilgrade_types::id;
 use basilgrade_types::size;
 use basilgrade_types::verdict;
 use basilgrade_upstream::call;
@@ -16,6 +17,7 @@
 use crate::exec::inflight;
 use crate::exec::output;
 use crate::exec::step;
+use crate::view::entry;
 
 /// Runs a generation step and sends each token once and in order to `sink`.
 ///
@@ -33,6 +35,10 @@
     let core = sync::Arc::clone(&context.core);
     let prompt = String::from_utf8_lossy(&step.input).into_owned();
     let mut attempts = attempts::Attempts::new(context, step);
+    let usage = step.model.as_ref().map(|model| core.usage.of(model));
+    if let Some(usage) = &usage {
+        usage.start();
+    }
     let mut received: Vec<String> = Vec::new();
     loop {
         let (entry, attempt) = attempts.choose()?;
@@ -41,7 +47,7 @@
         let _inflight = inflight::Inflight::start(&entry.stats);
         let mut tokens = core.parts.upstream.generate(call::Generation {
             call: attempts.call(entry, attempt),
-            model: step.model.clone(),
+            model: weights(context, entry, step),
             prompt: prompt.clone(),
             tokens: step.tokens,
             offset: size::TokenCount(before as u64),
@@ -52,7 +58,11 @@
             match tokens.next().await {
                 None => {
                     let count = (received.len() - before) as u64;
-                    entry.stats.observe(core.now().since(started), count);
+                    let spent = core.now().since(started);
+                    entry.stats.observe(spent, count);
+                    if let Some(usage) = &usage {
+                        usage.finish(spent);
+                    }
                     let bytes = received[before..].iter().map(String::len).sum();
                     attempts.finished(entry, attempt, bytes, verdict::Verdict::Ran);
                     return Ok(());
@@ -77,6 +87,23 @@
     }
 }
 
+/// The weights to ask an engine for: those it has loaded, or the ones that the configuration names
+/// if the engine does not report any.
+fn weights(
+    context: &context::Context,
+    entry: &entry::Entry,
+    step: &step::Step,
+) -> Option<id::ModelId> {
+    let model = step.model.as_ref()?;
+    let view = &context.view;
+    let loaded = view.weights(entry, model);
+    let declared = || {
+        let placed = view.deployment.models.get(model);
+        placed.map_or_else(|| model.clone(), |placed| placed.weights.clone())
+    };
+    Some(loaded.unwrap_or_else(declared))
+}
+
 /// Runs a generation step and returns its whole text.
 ///
 /// # Errors
--- a/crates/basilgrade_server/src/platform.rs
+++ b/crates/basilgrade_server/src/platform.rs
@@ -6,6 +6,7 @@
 use basilgrade_platform::http;
 use basilgrade_platform::log_service;
 use basilgrade_platform::vm_list;
+use basilgrade_platform::weight_store;
 
 /// Access to the platform.
 #[derive(Clone)]
@@ -14,6 +15,8 @@
     pub log: sync::Arc<dyn log_service::LogService>,
     /// The VM list.
     pub vms: sync::Arc<dyn vm_list::VmList>,
+    /// The weight store.
+    pub weights: sync::Arc<dyn weight_store::WeightStore>,
 }
 
 impl Platform {
@@ -22,7 +25,8 @@
         let settings = http::Settings::default();
         Self {
             log: sync::Arc::new(http::HttpLog::new(address, settings.clone())),
-            vms: sync::Arc::new(http::HttpVmList::new(address, settings)),
+            vms: sync::Arc::new(http::HttpVmList::new(address, settings.clone())),
+            weights: sync::Arc::new(http::HttpWeightStore::new(address, settings)),
         }
     }
 }
--- a/crates/basilgrade_server/src/view.rs
+++ b/crates/basilgrade_server/src/view.rs
@@ -5,3 +5,5 @@
 pub mod registry;
 pub mod snapshot;
 pub mod stats;
+pub mod usage;
+pub mod usages;
--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -126,16 +126,50 @@
     }
 
     /// Candidates of a pool at `now`; upstreams that are leaving are left out.
-    pub fn candidates(&self, pool: &id::PoolId, now: clock::Millis) -> Vec<candidate::Candidate> {
+    ///
+    /// If any upstream of the pool reports loaded models, those without `model` are left out, too.
+    pub fn candidates(
+        &self,
+        pool: &id::PoolId,
+        model: Option<&id::ModelId>,
+        now: clock::Millis,
+    ) -> Vec<candidate::Candidate> {
         let Some(indices) = self.pools.get(pool) else {
             return Vec::new();
         };
+        let entry = |index: &u32| self.entries.get(*index as usize);
+        let reports = |entry: &entry::Entry| !entry.stats.models.load().is_empty();
+        let model = model.filter(|_| indices.iter().filter_map(entry).any(reports));
         indices
             .iter()
+            .filter(|index| {
+                model.is_none_or(|model| {
+                    entry(index).is_some_and(|entry| self.weights(entry, model).is_some())
+                })
+            })
             .filter_map(|index| self.candidate(*index, now))
             .collect()
     }
 
+    /// The weights by which an upstream has `model` loaded, as last reported: the version to serve,
+    /// or a former one while versions change.
+    pub fn weights(&self, entry: &entry::Entry, model: &id::ModelId) -> Option<id::ModelId> {
+        let loaded = entry.stats.models.load();
+        let placed = self.deployment.models.get(model);
+        let wanted = placed.map_or(model, |placed| &placed.weights);
+        if loaded.contains(wanted) {
+            return Some(wanted.clone());
+        }
+        let placed = placed?;
+        let version = loaded.iter().find(|found| {
+            let owner = placed
+                .has_version(found)
+                .then(|| self.deployment.model_of(found));
+            owner.flatten().is_some_and(|owner| owner.id == *model)
+        });
+        version.cloned()
+    }
+
     fn candidate(&self, index: u32, now: clock::Millis) -> Option<candidate::Candidate> {
         let entry = self.entries.get(index as usize)?;
         if entry.stats.is_leaving(now) {
--- a/crates/basilgrade_server/src/view/stats.rs
+++ b/crates/basilgrade_server/src/view/stats.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic;
 
 use basilgrade_types::clock;
+use basilgrade_types::id;
 
 use crate::view::gauge;
 
@@ -22,6 +23,8 @@
     pub sent: atomic::AtomicU32,
     /// When the last report was made.
     pub reported: atomic::AtomicU64,
+    /// Models loaded as last reported.
+    pub models: arc_swap::ArcSwap<Vec<id::ModelId>>,
     /// Instant until which the upstream counts as leaving; 0 when it is not.
     pub leaving: atomic::AtomicU64,
     /// Time of a call without tokens, in milliseconds.
@@ -38,6 +41,7 @@
             queued: atomic::AtomicU32::default(),
             sent: atomic::AtomicU32::default(),
             reported: atomic::AtomicU64::default(),
+            models: arc_swap::ArcSwap::default(),
             leaving: atomic::AtomicU64::default(),
             service: gauge::Gauge::new(20.0),
             decode: gauge::Gauge::new(10.0),
