--- a/crates/basilgrade_placement/src/assignment.rs
+++ b/crates/basilgrade_placement/src/assignment.rs
@@ -19,10 +19,12 @@
     let mut assignment = current.clone();
     let mut open: Vec<&id::ModelId> = targets.keys().collect();
     loop {
-        open.retain(|model| replicas(&assignment, model) < target(targets, model));
+        let counts = counts(&assignment);
+        let replicas = |model: &id::ModelId| counts.get(model).copied().unwrap_or_default();
+        open.retain(|model| replicas(model) < target(targets, model));
         // The model with the smallest share of its target comes first.
         let next = open.iter().copied().min_by_key(|model| {
-            let share = replicas(&assignment, model) * 1000 / target(targets, model);
+            let share = replicas(model) * 1000 / target(targets, model);
             (share, (*model).clone())
         });
         let Some(model) = next else {
@@ -36,9 +38,16 @@
     }
 }
 
-fn replicas(assignment: &Assignment, model: &id::ModelId) -> u32 {
-    let engines = assignment.values();
-    engines.filter(|models| models.contains(model)).count() as u32
+fn counts(assignment: &Assignment) -> Targets {
+    let mut counts = Targets::new();
+    for model in assignment.values().flatten() {
+        if let Some(count) = counts.get_mut(model) {
+            *count += 1;
+        } else {
+            counts.insert(model.clone(), 1);
+        }
+    }
+    counts
 }
 
 fn target(targets: &Targets, model: &id::ModelId) -> u32 {
@@ -65,8 +74,10 @@
         models.insert(model.clone());
         return true;
     }
+    let counts = counts(assignment);
     let surplus = |found: &id::ModelId| {
-        let spare = replicas(assignment, found).saturating_sub(target(targets, found));
+        let replicas = counts.get(found).copied().unwrap_or_default();
+        let spare = replicas.saturating_sub(target(targets, found));
         (spare > 0).then_some(spare)
     };
     let victim = assignment
--- a/crates/basilgrade_placement/src/fleet.rs
+++ b/crates/basilgrade_placement/src/fleet.rs
@@ -28,6 +28,18 @@
     (model.pool == *pool).then_some(model)
 }
 
+/// Whether `weights` are a version of `model`, if engines of `pool` serve it.
+pub(crate) fn owns(
+    deployment: &deployment::Deployment,
+    pool: &id::PoolId,
+    model: &placed::PlacedModel,
+    weights: &id::ModelId,
+) -> bool {
+    // The prefix rules out most pairs, which spares the search among all models.
+    model.has_version(weights)
+        && owner(deployment, pool, weights).is_some_and(|found| found.id == model.id)
+}
+
 impl Fleet {
     /// The desired state of an engine.
     pub(crate) fn get(&self, engine: &id::UpstreamId) -> Option<&ordered::Ordered> {
@@ -91,7 +103,7 @@
         except: Option<&id::UpstreamId>,
     ) -> usize {
         self.count(engines, except, |engine, weights| {
-            owner(deployment, &engine.pool, weights).is_some_and(|found| found.id == model.id)
+            owns(deployment, &engine.pool, model, weights)
         })
     }
 
--- a/crates/basilgrade_placement/src/planner.rs
+++ b/crates/basilgrade_placement/src/planner.rs
@@ -96,7 +96,9 @@
             if pool.kind == pool::Kind::Engine {
                 let part = self.part(now, view, pool, &engines);
                 self.unload_old(deployment, &part, &mut decisions);
-                wanted.extend(self.wanted(deployment, &part));
+                if self.load.is_none() {
+                    wanted.extend(self.wanted(deployment, &part));
+                }
             }
         }
         self.start_load(now, view, &engines, wanted, &mut decisions);
@@ -196,10 +198,8 @@
     ) -> bool {
         let mut holders = engines.iter().filter_map(|engine| {
             let state = self.fleet.get(&engine.id)?;
-            let owns = |weights: &id::ModelId| {
-                let owner = fleet::owner(deployment, &engine.pool, weights);
-                owner.is_some_and(|owner| owner.id == model.id)
-            };
+            let owns =
+                |weights: &id::ModelId| fleet::owns(deployment, &engine.pool, model, weights);
             state.weights.iter().any(owns).then_some(state)
         });
         match (holders.next(), holders.next()) {
@@ -260,7 +260,8 @@
             .filter(|engine| !self.avoided.contains_key(&engine.id))
             .collect();
         let mut targets = part.targets.clone();
-        for (id, target) in &mut targets {
+        let reduced = eligible.len() < part.engines.len();
+        for (id, target) in targets.iter_mut().filter(|_| reduced) {
             // Replicas on engines that get no loads count towards the target.
             let model = deployment.models.get(id);
             let all = model.map_or(0, |model| {
@@ -314,7 +315,7 @@
         mut wanted: Vec<Wanted<'_>>,
         decisions: &mut Vec<decision::Decision>,
     ) {
-        if self.load.is_some() || wanted.is_empty() {
+        if wanted.is_empty() {
             return;
         }
         // Models with the fewest replicas come first; new versions wait for missing replicas.
