--- a/crates/basilgrade_server/src/background.rs
+++ b/crates/basilgrade_server/src/background.rs
@@ -4,5 +4,6 @@
 pub mod gossip;
 pub mod health;
 pub mod load;
+pub mod placement;
 pub mod reader;
 pub mod vms;
--- a/crates/basilgrade_server/src/core.rs
+++ b/crates/basilgrade_server/src/core.rs
@@ -18,6 +18,7 @@
 use crate::recent;
 use crate::view::registry;
 use crate::view::snapshot;
+use crate::view::usages;
 
 /// Whether the daemon takes new requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -56,6 +57,8 @@
     pub current: snapshot::Current,
     /// Observed state of upstreams.
     pub registry: registry::Registry,
+    /// Use of models by this daemon's requests.
+    pub usage: usages::Usages,
     /// Latest decisions.
     pub recent: recent::Recent,
     /// Requests being worked on.
@@ -74,6 +77,7 @@
             parts,
             current: snapshot::Current::empty(),
             registry: registry::Registry::default(),
+            usage: usages::Usages::default(),
             recent: recent::Recent::default(),
             active: atomic::AtomicUsize::default(),
             retries: budget::RetryBudget::default(),
@@ -145,6 +149,13 @@
     pub fn install(&self, revision: revision::Revision, deployment: &deployment::Deployment) {
         self.registry
             .retain(|upstream| deployment.upstreams.contains_key(upstream));
+        self.usage.retain(|model| {
+            let mut stages = deployment
+                .pipelines
+                .values()
+                .flat_map(|found| &found.stages);
+            stages.any(|stage| stage.uses(model))
+        });
         let before = self.current.load_full();
         let built = sync::Arc::new(self.build(revision, deployment, before.as_deref()));
         let newer =
--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -96,7 +96,7 @@
     /// cached.
     fn candidates(&self, now: clock::Millis) -> Vec<candidate::Candidate> {
         let view = &self.context.view;
-        let mut candidates = view.candidates(&self.step.pool, now);
+        let mut candidates = view.candidates(&self.step.pool, self.step.model.as_ref(), now);
         if self.step.blocks.is_empty() {
             return candidates;
         }
--- a/crates/basilgrade_server/src/exec/generation.rs
+++ b/crates/basilgrade_server/src/exec/generation.rs
@@ -4,6 +4,7 @@
 
 use basilgrade_policy::priority;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use basilgrade_types::size;
 use basilgrade_types::verdict;
 use basilgrade_upstream::call;
@@ -36,6 +37,10 @@
     let core = sync::Arc::clone(&context.core);
     let prompt = String::from_utf8_lossy(&step.input).into_owned();
     let mut attempts = attempts::Attempts::new(context, step);
+    let usage = step.model.as_ref().map(|model| core.usage.of(model));
+    if let Some(usage) = &usage {
+        usage.start();
+    }
     let mut received: Vec<String> = Vec::new();
     loop {
         let (entry, attempt) = attempts.choose()?;
@@ -45,7 +50,7 @@
         let _inflight = inflight::Inflight::start(&entry.stats);
         let mut tokens = core.parts.upstream.generate(call::Generation {
             call: attempts.call(entry, attempt),
-            model: step.model.clone(),
+            model: weights(context, entry, step),
             prompt: prompt.clone(),
             tokens: step.tokens,
             offset: size::TokenCount(before as u64),
@@ -57,7 +62,11 @@
                 None => {
                     let count = (received.len() - before) as u64;
                     let now = core.now();
-                    entry.answered(now, now.since(started), count);
+                    let spent = now.since(started);
+                    entry.answered(now, spent, count);
+                    if let Some(usage) = &usage {
+                        usage.finish(spent);
+                    }
                     let bytes = received[before..].iter().map(String::len).sum();
                     attempts.finished(entry, attempt, bytes, verdict::Verdict::Ran);
                     return Ok(());
@@ -97,6 +106,23 @@
     }
 }
 
+/// The weights to ask an engine for: those it has loaded, or the ones that the configuration names
+/// if the engine does not report any.
+fn weights(
+    context: &context::Context,
+    entry: &entry::Entry,
+    step: &step::Step,
+) -> Option<id::ModelId> {
+    let model = step.model.as_ref()?;
+    let view = &context.view;
+    let loaded = view.weights(entry, model);
+    let declared = || {
+        let placed = view.deployment.models.get(model);
+        placed.map_or_else(|| model.clone(), |placed| placed.weights.clone())
+    };
+    Some(loaded.unwrap_or_else(declared))
+}
+
 /// Runs a generation step and returns its whole text.
 ///
 /// # Errors
--- a/crates/basilgrade_server/src/serve.rs
+++ b/crates/basilgrade_server/src/serve.rs
@@ -169,16 +169,19 @@
     let view = &context.view;
     let deployment = &view.deployment;
     let now = context.core.now();
-    let busy = |pool: &id::PoolId| {
-        pressure::Pressure::of(&view.candidates(pool, now)) == pressure::Pressure::Busy
+    let busy = |pool: &id::PoolId, model: Option<&id::ModelId>| {
+        let candidates = view.candidates(pool, model, now);
+        pressure::Pressure::of(&candidates) == pressure::Pressure::Busy
     };
     let any_busy = match target {
         target::Target::Pipeline(name) => {
             let pipeline = deployment.pipelines.get(name);
             let stages = pipeline.map_or(&[][..], |pipeline| &pipeline.stages);
-            stages.iter().any(|stage| busy(&stage.pool))
+            stages
+                .iter()
+                .any(|stage| busy(&stage.pool, stage.model.as_ref()))
         }
-        target::Target::Service(pool, _) => busy(pool),
+        target::Target::Service(pool, _) => busy(pool, None),
         _ => false,
     };
     let pressure = if any_busy {
--- a/crates/basilgrade_server/src/view.rs
+++ b/crates/basilgrade_server/src/view.rs
@@ -6,3 +6,5 @@
 pub mod registry;
 pub mod snapshot;
 pub mod stats;
+pub mod usage;
+pub mod usages;
--- a/crates/basilgrade_server/src/view/stats.rs
+++ b/crates/basilgrade_server/src/view/stats.rs
@@ -5,6 +5,7 @@
 use basilgrade_policy::health::connection;
 use basilgrade_policy::speed;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 
 /// Counters of one upstream, shared by all requests; they outlive changes of configuration.
 #[derive(Debug, Default)]
@@ -19,6 +20,8 @@
     pub sent: atomic::AtomicU32,
     /// When the last report was made; 0 before the first.
     pub reported: atomic::AtomicU64,
+    /// Models loaded as last reported.
+    pub models: arc_swap::ArcSwap<Vec<id::ModelId>>,
     /// Instant until which the upstream counts as leaving by what it or the VM list said.
     pub leaving: atomic::AtomicU64,
     /// Instant until which it counts as leaving by what other daemons said.
