Count every sign of a leaving upstream

Ruled out: believing `not-run` on an answer without echo; it may belong to another call.

Change: the sign counts whichever call it answers, the verdict stays may-have-run; the executor marks the upstream for both kinds of refusals.

Figures: a_sign_counts_without_echo and the second case of a_leaving_upstream_gets_no_new_work fail without the change, pass with it.

--- a/crates/basilgrade_server/src/exec/attempts.rs
+++ b/crates/basilgrade_server/src/exec/attempts.rs
@@ -219,7 +219,7 @@
         let verdict = error.verdict();
         self.finished(entry, attempt, 0, verdict);
         self.worst = self.worst.max(Some(verdict));
-        if let call_error::CallError::Refused(_, true) = error {
+        if error.is_leaving() {
             let until = self.context.core.now().plus(LEAVING_SPAN);
             entry.stats.mark_leaving(until);
         }
--- a/crates/basilgrade_server/tests/executor.rs
+++ b/crates/basilgrade_server/tests/executor.rs
@@ -162,16 +162,22 @@
 /// Guards against new work for an upstream that said it is leaving.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_upstream_gets_no_new_work() {
-    let fixture = support::fixture();
-    fixture.upstream.set(1, Behaviour::Leave);
+    for does in [Behaviour::Leave, Behaviour::LeaveUnclear] {
+        let fixture = support::fixture();
+        fixture.upstream.set(1, does);
+        leaves(&fixture).await;
+    }
+}
+
+async fn leaves(fixture: &support::Fixture) {
     let told = |fixture: &support::Fixture| {
         let calls = fixture.upstream.calls();
         calls.iter().filter(|(port, _)| *port == 1).count()
     };
-    let answers = together(&fixture, &[]).await;
-    let signs = told(&fixture);
+    let answers = together(fixture, &[]).await;
+    let signs = told(fixture);
 
-    let later = together(&fixture, &[]).await;
+    let later = together(fixture, &[]).await;
 
     assert!(
         answers
@@ -180,5 +186,5 @@
             .all(|answer| answer.status == 200)
     );
     assert!(signs > 0, "the leaving upstream was never called");
-    assert_eq!(told(&fixture), signs);
+    assert_eq!(told(fixture), signs);
 }
--- a/crates/basilgrade_server/tests/support/fake_upstream.rs
+++ b/crates/basilgrade_server/tests/support/fake_upstream.rs
@@ -31,8 +31,10 @@
     Hang,
     /// Answers after this time.
     Late(clock::Millis),
-    /// Says that it is leaving.
+    /// Refuses because it is leaving.
     Leave,
+    /// Says that it is leaving, but not whether the call ran.
+    LeaveUnclear,
     /// Refuses the connection.
     Refuse,
 }
@@ -78,6 +80,7 @@
             ));
         }
         Behaviour::Leave => return Err(call_error::CallError::Refused(address, true)),
+        Behaviour::LeaveUnclear => return Err(call_error::CallError::Leaving(address)),
         Behaviour::Break => {
             sleep(clock::Millis(10)).await;
             return Err(call_error::CallError::Broken(address, "reset".to_owned()));
--- a/crates/basilgrade_upstream/src/client/exchange.rs
+++ b/crates/basilgrade_upstream/src/client/exchange.rs
@@ -171,16 +171,28 @@
     identity: &identity::Identity,
 ) -> Result<Answer, call_error::CallError> {
     let address = connection.address;
-    let echoed = identity
-        .check(address, response.headers())
-        .inspect_err(|error| {
+    let is = |name: &str, value: &str| {
+        response
+            .headers()
+            .get(name)
+            .is_some_and(|found| found.as_bytes() == value.as_bytes())
+    };
+    let status = response.status();
+    let unavailable = status == hyper::StatusCode::SERVICE_UNAVAILABLE;
+    let leaving = unavailable && is(identity::LEAVING, "true");
+    let echoed = match identity.check(address, response.headers()) {
+        Ok(echoed) => echoed,
+        // The sign concerns the upstream, whichever call it answers.
+        Err(_) if leaving => return Err(call_error::CallError::Leaving(address)),
+        Err(error) => {
             counters::increment(&shared.counting.mismatches);
             log::warn!(
                 "request={} dropped=mismatch error=\"{error}\"",
                 identity.request
             );
-        })?;
-    let status = response.status();
+            return Err(error);
+        }
+    };
     if status.is_informational() {
         let reason = format!("status {status} is not a final answer");
         return Err(call_error::CallError::Malformed(address, reason));
@@ -192,15 +204,7 @@
             echoed,
         });
     }
-    let is = |name: &str, value: &str| {
-        response
-            .headers()
-            .get(name)
-            .is_some_and(|found| found.as_bytes() == value.as_bytes())
-    };
-    let unavailable = status == hyper::StatusCode::SERVICE_UNAVAILABLE;
     let refused = unavailable && is(identity::VERDICT, "not-run");
-    let leaving = unavailable && is(identity::LEAVING, "true");
     if echoed && body::Body::is_end_stream(response.body()) {
         shared.pool.put(connection);
     }
