Refuse slots that do not exist when they are read from messages

Cause: a record or message could hold slot 64 to 255; the claims guarded against it, other code did not.

Ruled out: a check at each use.

--- a/crates/basilgrade_types/src/slot.rs
+++ b/crates/basilgrade_types/src/slot.rs
@@ -16,7 +16,7 @@
 
 /// One of the [`SLOT_COUNT`] parts of the space of request keys, owned by a pair of daemons.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(transparent)]
+#[serde(into = "u8", try_from = "u8")]
 pub struct Slot(u8);
 
 impl Slot {
@@ -62,3 +62,19 @@
             .ok_or_else(|| parse::ParseError::new(text, "a slot from `s00` to `s63`"))
     }
 }
+
+impl From<Slot> for u8 {
+    fn from(slot: Slot) -> Self {
+        slot.0
+    }
+}
+
+impl TryFrom<u8> for Slot {
+    type Error = parse::ParseError;
+
+    /// Refuses numbers of slots that do not exist, which a message or a record could hold.
+    fn try_from(number: u8) -> Result<Self, Self::Error> {
+        Self::new(number)
+            .ok_or_else(|| parse::ParseError::new(&number.to_string(), "a slot from 0 to 63"))
+    }
+}
