Rename the lease manager and the ownership of a slot

Cause: keeper and tenure are no terms of the field; a newcomer has to guess them.

Ruled out: nothing.

Change: LeaseManager and Ownership with their modules and messages.

--- a/crates/basilgrade_claims/src/claims.rs
+++ b/crates/basilgrade_claims/src/claims.rs
@@ -4,7 +4,7 @@
 
 use basilgrade_journal::control_state;
 use basilgrade_journal::node;
-use basilgrade_journal::tenure;
+use basilgrade_journal::ownership;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::offset;
@@ -93,8 +93,8 @@
         state: &control_state::ControlState,
         next: offset::Offset,
     ) {
-        for (slot, tenure) in state.slots() {
-            self.adopt(now, slot, tenure);
+        for (slot, ownership) in state.slots() {
+            self.adopt(now, slot, ownership);
         }
         self.proposer.read(next);
         self.run_local(now);
@@ -125,9 +125,9 @@
         self.answers.bytes()
     }
 
-    /// The tenure that this daemon knows of `slot`.
-    pub fn tenure(&self, slot: slot::Slot) -> Option<&tenure::Tenure> {
-        self.state(slot)?.tenure.as_ref()
+    /// The ownership that this daemon knows of `slot`.
+    pub fn ownership(&self, slot: slot::Slot) -> Option<&ownership::Ownership> {
+        self.state(slot)?.ownership.as_ref()
     }
 
     /// A slot in which a key minted now can be claimed: one of the own failure domain, preferably
@@ -205,7 +205,7 @@
                 epoch,
             } => self.on_settle(now, from, &claim, attempt, settlement, epoch),
             Message::Settled { attempt } => self.on_settled(attempt),
-            Message::Tenure { slot, tenure } => self.adopt(now, slot, &tenure),
+            Message::Ownership { slot, ownership } => self.adopt(now, slot, &ownership),
             Message::Behind { slot } => self.tell(from, slot),
             Message::Replicate {
                 slot,
@@ -237,14 +237,14 @@
 
     /// Tells `to` what is in force for `slot`.
     pub(crate) fn tell(&mut self, to: &node::Node, slot: slot::Slot) {
-        if let Some(tenure) = self.tenure(slot).cloned() {
-            self.send(to, message::Message::Tenure { slot, tenure });
+        if let Some(ownership) = self.ownership(slot).cloned() {
+            self.send(to, message::Message::Ownership { slot, ownership });
         }
     }
 
     /// Answers a message that was sent under `epoch` to the wrong member.
     pub(crate) fn redirect(&mut self, to: &node::Node, slot: slot::Slot, epoch: offset::Offset) {
-        let known = self.tenure(slot).map(|tenure| tenure.epoch);
+        let known = self.ownership(slot).map(|ownership| ownership.epoch);
         match known {
             Some(known) if known > epoch => self.tell(to, slot),
             Some(known) if known == epoch => {}
@@ -252,10 +252,10 @@
         }
     }
 
-    /// Takes a tenure into force if it is newer than the one known.
-    fn adopt(&mut self, now: clock::Millis, slot: slot::Slot, tenure: &tenure::Tenure) {
-        let is_old = |known: &tenure::Tenure| known.epoch >= tenure.epoch;
-        if self.tenure(slot).is_some_and(is_old) {
+    /// Takes an ownership into force if it is newer than the one known.
+    fn adopt(&mut self, now: clock::Millis, slot: slot::Slot, ownership: &ownership::Ownership) {
+        let is_old = |known: &ownership::Ownership| known.epoch >= ownership.epoch;
+        if self.ownership(slot).is_some_and(is_old) {
             return;
         }
         let me = self.me.clone();
@@ -268,7 +268,7 @@
             .values()
             .filter_map(|pending| pending.waiter.clone())
             .collect();
-        let kept = state.adopt(&me, tenure.clone());
+        let kept = state.adopt(&me, ownership.clone());
         if !sync_first {
             state.synced = state.pair();
         }
--- a/crates/basilgrade_claims/src/message.rs
+++ b/crates/basilgrade_claims/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons about claims.
 
-use basilgrade_journal::tenure;
+use basilgrade_journal::ownership;
 use basilgrade_types::clock;
 use basilgrade_types::offset;
 use basilgrade_types::slot;
@@ -53,11 +53,11 @@
         attempt: attempt_id::AttemptId,
     },
     /// What the sender knows to be in force for a slot.
-    Tenure {
+    Ownership {
         /// The slot.
         slot: slot::Slot,
         /// The newest effective record of the slot.
-        tenure: tenure::Tenure,
+        ownership: ownership::Ownership,
     },
     /// The sender knows no epoch of the slot as new as the message it answers.
     Behind {
--- a/crates/basilgrade_claims/src/proposer.rs
+++ b/crates/basilgrade_claims/src/proposer.rs
@@ -5,8 +5,8 @@
 use basilgrade_journal::grant;
 use basilgrade_journal::history;
 use basilgrade_journal::node;
+use basilgrade_journal::ownership;
 use basilgrade_journal::publication;
-use basilgrade_journal::tenure;
 use basilgrade_types::clock;
 use basilgrade_types::offset;
 use basilgrade_types::slot;
@@ -236,12 +236,12 @@
         renewing: bool,
     ) -> Option<Step> {
         let state = self.state(slot)?;
-        let tenure = state.tenure.as_ref()?;
-        let grant = tenure.grant.as_ref()?;
+        let ownership = state.ownership.as_ref()?;
+        let grant = ownership.grant.as_ref()?;
         let pick = |except: &[&node::Node]| roles.pick(view, slot, except);
         let successor = |primary: &node::Node, backup| {
             Some(Step::Grant(
-                self.kept(now, state, tenure, grant, primary, backup),
+                self.kept(now, state, ownership, grant, primary, backup),
             ))
         };
         if !state.is_synced() {
@@ -251,7 +251,7 @@
                 .is_none_or(|other| view.is_lost(other));
             let primary = grant.primary == self.me;
             return (primary || alone)
-                .then(|| self.lost(now, slot, Some(tenure), &self.me, pick(&[&self.me])))
+                .then(|| self.lost(now, slot, Some(ownership), &self.me, pick(&[&self.me])))
                 .map(Step::Grant);
         }
         if grant.primary != self.me {
@@ -260,7 +260,7 @@
                 .then(|| successor(&self.me, pick(&[&self.me, &grant.primary])))?;
         }
         if state.releasing.is_some() {
-            return Some(release(state, tenure, grant));
+            return Some(release(state, ownership, grant));
         }
         let usable = grant.backup.as_ref().filter(|backup| !view.is_lost(backup));
         if self.proposer.mode == Mode::Draining {
@@ -272,12 +272,12 @@
                 Some(_) => None,
                 None => match pick(&[&self.me]) {
                     Some(backup) => successor(&self.me, Some(backup)),
-                    None => Some(release(state, tenure, grant)),
+                    None => Some(release(state, ownership, grant)),
                 },
             };
         }
         if surplus {
-            return Some(release(state, tenure, grant));
+            return Some(release(state, ownership, grant));
         }
         match usable {
             Some(backup) if view.leaving.contains(backup) => {
@@ -345,8 +345,8 @@
         }
         let primary = roles.pick(view, slot, &[])?;
         let backup = roles.pick(view, slot, &[&primary]);
-        let tenure = self.state(slot)?.tenure.as_ref();
-        Some(self.lost(now, slot, tenure, &primary, backup))
+        let ownership = self.state(slot)?.ownership.as_ref();
+        Some(self.lost(now, slot, ownership, &primary, backup))
     }
 
     /// A grant whose primary has the claims.
@@ -354,7 +354,7 @@
         &self,
         now: clock::Millis,
         state: &slot_state::SlotState,
-        tenure: &tenure::Tenure,
+        ownership: &ownership::Ownership,
         grant: &grant::Grant,
         primary: &node::Node,
         backup: Option<node::Node>,
@@ -362,7 +362,7 @@
         let ceiling = grant.ceiling.max(now.plus(self.settings.autonomy));
         grant::Grant {
             slot: grant.slot,
-            prev: Some(tenure.epoch),
+            prev: Some(ownership.epoch),
             domain: grant.domain.clone(),
             primary: primary.clone(),
             backup,
@@ -377,14 +377,14 @@
         &self,
         now: clock::Millis,
         slot: slot::Slot,
-        tenure: Option<&tenure::Tenure>,
+        ownership: Option<&ownership::Ownership>,
         primary: &node::Node,
         backup: Option<node::Node>,
     ) -> grant::Grant {
-        let floor = tenure.map_or(clock::Millis::ZERO, |tenure| tenure.ceiling);
+        let floor = ownership.map_or(clock::Millis::ZERO, |ownership| ownership.ceiling);
         grant::Grant {
             slot,
-            prev: tenure.map(|tenure| tenure.epoch),
+            prev: ownership.map(|ownership| ownership.epoch),
             domain: self.domain.clone(),
             primary: primary.clone(),
             backup,
@@ -396,11 +396,15 @@
 }
 
 /// The release of a slot; its ceiling stays the same while it is proposed again.
-fn release(state: &slot_state::SlotState, tenure: &tenure::Tenure, grant: &grant::Grant) -> Step {
+fn release(
+    state: &slot_state::SlotState,
+    ownership: &ownership::Ownership,
+    grant: &grant::Grant,
+) -> Step {
     let newest = state.newest.plus(clock::Millis(1)).max(state.floor);
     Step::Release(control_record::SlotRelease {
         slot: grant.slot,
-        prev: tenure.epoch,
+        prev: ownership.epoch,
         ceiling: state.releasing.unwrap_or(newest.min(grant.ceiling)),
     })
 }
--- a/crates/basilgrade_claims/src/slot_state.rs
+++ b/crates/basilgrade_claims/src/slot_state.rs
@@ -3,7 +3,7 @@
 use basilgrade_journal::grant;
 use basilgrade_journal::history;
 use basilgrade_journal::node;
-use basilgrade_journal::tenure;
+use basilgrade_journal::ownership;
 use basilgrade_types::clock;
 use basilgrade_types::offset;
 use indexmap::IndexMap;
@@ -16,8 +16,8 @@
 /// What a daemon knows of one slot, in whatever role.
 #[derive(Debug, Default)]
 pub(crate) struct SlotState {
-    /// The newest tenure known.
-    pub(crate) tenure: Option<tenure::Tenure>,
+    /// The newest ownership known.
+    pub(crate) ownership: Option<ownership::Ownership>,
     /// The claims, if this daemon is a member.
     pub(crate) table: claim_table::ClaimTable,
     /// Keys created before this instant and not in the table never run.
@@ -45,21 +45,21 @@
 impl SlotState {
     /// The grant in force.
     pub(crate) fn grant(&self) -> Option<&grant::Grant> {
-        self.tenure
+        self.ownership
             .as_ref()
-            .and_then(|tenure| tenure.grant.as_ref())
+            .and_then(|ownership| ownership.grant.as_ref())
     }
 
     /// The epoch in force; 0 if none is known.
     pub(crate) fn epoch(&self) -> offset::Offset {
-        self.tenure
+        self.ownership
             .as_ref()
-            .map_or(offset::Offset(0), |tenure| tenure.epoch)
+            .map_or(offset::Offset(0), |ownership| ownership.epoch)
     }
 
     /// The pair in force.
     pub(crate) fn pair(&self) -> Option<offset::Offset> {
-        self.tenure.as_ref().map(|tenure| tenure.pair)
+        self.ownership.as_ref().map(|ownership| ownership.pair)
     }
 
     /// Whether `node` is the primary.
@@ -78,51 +78,51 @@
         self.synced.is_some() && self.synced == self.pair()
     }
 
-    /// Takes a newer tenure into force and says whether the claims were kept.
-    pub(crate) fn adopt(&mut self, me: &node::Node, tenure: tenure::Tenure) -> Kept {
-        let member = tenure
+    /// Takes a newer ownership into force and says whether the claims were kept.
+    pub(crate) fn adopt(&mut self, me: &node::Node, ownership: ownership::Ownership) -> Kept {
+        let member = ownership
             .grant
             .as_ref()
             .is_some_and(|grant| grant.has_member(me));
         let kept = if member {
-            self.join(me, &tenure)
+            self.join(me, &ownership)
         } else {
             Kept::No
         };
         if matches!(kept, Kept::No) {
             self.reset();
         }
-        if let Some(grant) = &tenure.grant {
+        if let Some(grant) = &ownership.grant {
             self.floor = self.floor.max(grant.floor);
-            if member && matches!(kept, Kept::No) && begins_empty(&tenure, grant) {
-                self.synced = Some(tenure.pair);
+            if member && matches!(kept, Kept::No) && begins_empty(&ownership, grant) {
+                self.synced = Some(ownership.pair);
             }
         }
         self.releasing = None;
         self.unowned = None;
-        self.tenure = Some(tenure);
+        self.ownership = Some(ownership);
         kept
     }
 
     /// Decides whether the claims at hand are those of the new pair.
-    fn join(&mut self, me: &node::Node, tenure: &tenure::Tenure) -> Kept {
+    fn join(&mut self, me: &node::Node, ownership: &ownership::Ownership) -> Kept {
         if !self.is_synced() {
             // A transfer under way goes on across a renewal.
-            return if self.pair() == Some(tenure.pair) {
+            return if self.pair() == Some(ownership.pair) {
                 Kept::Pair
             } else {
                 Kept::No
             };
         }
-        if self.synced == Some(tenure.pair) {
+        if self.synced == Some(ownership.pair) {
             return Kept::Pair;
         }
-        let grant = tenure.grant.as_ref();
+        let grant = ownership.grant.as_ref();
         let primary = grant.is_some_and(|grant| grant.primary == *me);
-        if !primary || tenure.former.is_none() || self.synced != tenure.former {
+        if !primary || ownership.former.is_none() || self.synced != ownership.former {
             return Kept::No;
         }
-        self.synced = Some(tenure.pair);
+        self.synced = Some(ownership.pair);
         self.backup = if grant.is_some_and(|grant| grant.backup.is_some()) {
             sync::Sync::START
         } else {
@@ -143,7 +143,7 @@
     }
 }
 
-/// What remained of a slot's claims when a tenure was adopted.
+/// What remained of a slot's claims when an ownership was adopted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Kept {
     /// Everything: the pair is unchanged.
@@ -154,7 +154,7 @@
     No,
 }
 
-/// Whether the pair began with this very tenure and without claims, so that its members have all.
-fn begins_empty(tenure: &tenure::Tenure, grant: &grant::Grant) -> bool {
-    grant.history == history::History::Lost && tenure.pair == tenure.epoch
+/// Whether the pair began with this very ownership and without claims, so that its members have all.
+fn begins_empty(ownership: &ownership::Ownership, grant: &grant::Grant) -> bool {
+    grant.history == history::History::Lost && ownership.pair == ownership.epoch
 }
--- a/crates/basilgrade_claims/tests/granting.rs
+++ b/crates/basilgrade_claims/tests/granting.rs
@@ -166,7 +166,7 @@
         let slot = claims
             .mint_slot(fleet.now, &mut rng)
             .expect("a slot of the domain");
-        let grant = claims.tenure(slot).and_then(|held| held.grant.as_ref());
+        let grant = claims.ownership(slot).and_then(|held| held.grant.as_ref());
         assert_eq!(grant.map(|grant| &grant.domain), Some(domain));
     }
 }
--- a/crates/basilgrade_claims/tests/messages.rs
+++ b/crates/basilgrade_claims/tests/messages.rs
@@ -63,7 +63,7 @@
             0 => format!(r#"{{"claim":{{"claim":{claim},"fingerprint":{bytes},"attempt":{bytes},"epoch":{pair}}}}}"#),
             1 => format!(r#"{{"settle":{{"claim":{claim},"attempt":{bytes},"settlement":"released","epoch":{pair}}}}}"#),
             2 => format!(
-                r#"{{"tenure":{{"slot":{slot},"tenure":{{"epoch":{pair},"pair":{pair},"former":null,"ceiling":{time},"grant":{{"slot":{slot},"prev":null,"domain":"d0","primary":{primary},"backup":{backup},"floor":0,"ceiling":{time},"history":"lost"}}}}}}}}"#
+                r#"{{"ownership":{{"slot":{slot},"ownership":{{"epoch":{pair},"pair":{pair},"former":null,"ceiling":{time},"grant":{{"slot":{slot},"prev":null,"domain":"d0","primary":{primary},"backup":{backup},"floor":0,"ceiling":{time},"history":"lost"}}}}}}}}"#
             ),
             3 => format!(r#"{{"behind":{{"slot":{slot}}}}}"#),
             4 => format!(r#"{{"replicate":{{"slot":{slot},"pair":{pair},"floor":{version},"records":[{record}]}}}}"#),
--- a/crates/basilgrade_claims/tests/pair.rs
+++ b/crates/basilgrade_claims/tests/pair.rs
@@ -309,7 +309,7 @@
     bench.deliver(&[0, 1]);
 
     assert_eq!(bench.decisions(1), Vec::<&Decision>::new());
-    let epoch = bench.daemons[0].tenure(slot()).map(|held| held.epoch);
+    let epoch = bench.daemons[0].ownership(slot()).map(|held| held.epoch);
     assert_eq!(epoch, Some(Offset(1)));
 }
 
--- a/crates/basilgrade_claims/tests/sim/mod.rs
+++ b/crates/basilgrade_claims/tests/sim/mod.rs
@@ -350,7 +350,7 @@
         for slot in slot::Slot::all() {
             let Some(grant) = process
                 .claims
-                .tenure(slot)
+                .ownership(slot)
                 .and_then(|held| held.grant.as_ref())
             else {
                 continue;
@@ -661,8 +661,8 @@
         }
     }
 
-    /// The effective tenures as a reader of the log from a running daemon's fold sees them.
-    pub(crate) fn tenures(&self, vm: usize) -> Option<&control_state::ControlState> {
+    /// The effective ownerships as a reader of the log from a running daemon's fold sees them.
+    pub(crate) fn ownerships(&self, vm: usize) -> Option<&control_state::ControlState> {
         self.processes[vm]
             .as_ref()
             .map(|process| process.fold.state())
--- a/crates/basilgrade_journal/src/control_record.rs
+++ b/crates/basilgrade_journal/src/control_record.rs
@@ -11,7 +11,7 @@
 use crate::grant;
 use crate::lease;
 use crate::node;
-use crate::tenure;
+use crate::ownership;
 
 /// The end of a slot's assignment, appended by its primary after it has stopped granting claims.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -63,7 +63,7 @@
         #[serde(default)]
         at: clock::Millis,
         /// What is in force for each slot.
-        slots: Vec<(slot::Slot, tenure::Tenure)>,
+        slots: Vec<(slot::Slot, ownership::Ownership)>,
         /// The lease in force in each failure domain.
         leases: Vec<lease::Lease>,
     },
--- a/crates/basilgrade_journal/src/control_state.rs
+++ b/crates/basilgrade_journal/src/control_state.rs
@@ -14,13 +14,13 @@
 use crate::grant;
 use crate::history;
 use crate::lease;
+use crate::ownership;
 use crate::replay;
-use crate::tenure;
 
 /// What a record of stream `control` did.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ControlEvent {
-    /// The tenure of a slot changed.
+    /// The ownership of a slot changed.
     Slot(slot::Slot),
     /// A grant or slot release of record `id` had no effect.
     SlotRefused(Uuid, slot::Slot),
@@ -33,19 +33,21 @@
 /// What is in force for each slot and each failure domain.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ControlState {
-    slots: IndexMap<slot::Slot, tenure::Tenure>,
+    slots: IndexMap<slot::Slot, ownership::Ownership>,
     leases: IndexMap<id::DomainId, lease::Lease>,
 }
 
 impl ControlState {
     /// What is in force for `slot`; `None` if it was never granted.
-    pub fn slot(&self, slot: slot::Slot) -> Option<&tenure::Tenure> {
+    pub fn slot(&self, slot: slot::Slot) -> Option<&ownership::Ownership> {
         self.slots.get(&slot)
     }
 
     /// All slots that were ever granted.
-    pub fn slots(&self) -> impl Iterator<Item = (slot::Slot, &tenure::Tenure)> {
-        self.slots.iter().map(|(slot, tenure)| (*slot, tenure))
+    pub fn slots(&self) -> impl Iterator<Item = (slot::Slot, &ownership::Ownership)> {
+        self.slots
+            .iter()
+            .map(|(slot, ownership)| (*slot, ownership))
     }
 
     /// The placement lease of `domain`.
@@ -86,14 +88,14 @@
             }
             _ => (offset, None),
         };
-        let tenure = tenure::Tenure {
+        let ownership = ownership::Ownership {
             epoch: offset,
             pair,
             former,
             ceiling: grant.ceiling,
             grant: Some(grant.clone()),
         };
-        self.slots.insert(grant.slot, tenure);
+        self.slots.insert(grant.slot, ownership);
         true
     }
 
@@ -107,7 +109,7 @@
         if held.epoch != release.prev || held.epoch >= offset {
             return false;
         }
-        *held = tenure::Tenure {
+        *held = ownership::Ownership {
             epoch: offset,
             pair: offset,
             former: None,
@@ -134,7 +136,7 @@
 /// Whether the contents of a grant are safe after what is in force.
 ///
 /// All readers check this, so a faulty proposer cannot put an unsafe grant in force.
-fn allowed(held: Option<&tenure::Tenure>, grant: &grant::Grant) -> bool {
+fn allowed(held: Option<&ownership::Ownership>, grant: &grant::Grant) -> bool {
     if grant.floor > grant.ceiling || grant.backup.as_ref() == Some(&grant.primary) {
         return false;
     }
@@ -236,9 +238,9 @@
     }
 
     fn follows(&self, earlier: &Self) -> bool {
-        earlier.slots.iter().all(|(slot, tenure)| {
+        earlier.slots.iter().all(|(slot, ownership)| {
             self.slot(*slot)
-                .is_some_and(|later| later.epoch >= tenure.epoch)
+                .is_some_and(|later| later.epoch >= ownership.epoch)
         }) && earlier.leases.iter().all(|(domain, lease)| {
             self.lease(domain)
                 .is_some_and(|later| later.offset >= lease.offset)
@@ -252,7 +254,7 @@
             slots: self
                 .slots
                 .iter()
-                .map(|(slot, tenure)| (*slot, tenure.clone()))
+                .map(|(slot, ownership)| (*slot, ownership.clone()))
                 .collect(),
             leases: self.leases.values().cloned().collect(),
         }
--- a/crates/basilgrade_journal/src/lease_keeper.rs
+++ b/crates/basilgrade_journal/src/lease_manager.rs
@@ -61,7 +61,7 @@
 /// The holder counts its time to live from before it appended the record, every other daemon from
 /// when it read the record, so the holder stops first whatever the clocks say.
 #[derive(Clone, Debug)]
-pub struct LeaseKeeper {
+pub struct LeaseManager {
     node: node::Node,
     domain: id::DomainId,
     fencing: Fencing,
@@ -71,8 +71,8 @@
     held: Option<Held>,
 }
 
-impl LeaseKeeper {
-    /// A keeper that holds nothing.
+impl LeaseManager {
+    /// A manager that holds nothing.
     pub const fn new(
         node: node::Node,
         domain: id::DomainId,
--- a/crates/basilgrade_journal/src/tenure.rs
+++ b/crates/basilgrade_journal/src/ownership.rs
@@ -9,7 +9,7 @@
 
 /// The newest effective record of a slot.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Tenure {
+pub struct Ownership {
     /// Offset of the record; the next record of the slot has to name it as `prev`.
     pub epoch: offset::Offset,
     /// Epoch since which the same two members have held the slot without interruption.
--- a/crates/basilgrade_journal/tests/leases.rs
+++ b/crates/basilgrade_journal/tests/leases.rs
@@ -6,9 +6,9 @@
 use basilgrade_journal::control_state::ControlState;
 use basilgrade_journal::entry::Entry;
 use basilgrade_journal::fold::Fold;
-use basilgrade_journal::lease_keeper::Fencing;
-use basilgrade_journal::lease_keeper::LeaseKeeper;
-use basilgrade_journal::lease_keeper::LeaseTimes;
+use basilgrade_journal::lease_manager::Fencing;
+use basilgrade_journal::lease_manager::LeaseManager;
+use basilgrade_journal::lease_manager::LeaseTimes;
 use basilgrade_journal::node::Node;
 use basilgrade_types::clock::Millis;
 use basilgrade_types::incarnation::Incarnation;
@@ -30,7 +30,7 @@
 }
 
 struct Daemon {
-    keeper: LeaseKeeper,
+    manager: LeaseManager,
     fold: Fold<ControlState>,
     paused_until: u64,
     skew: u64,
@@ -47,7 +47,7 @@
         retry: Millis(1_000),
     };
     Daemon {
-        keeper: LeaseKeeper::new(node, "d0".parse().expect("a name"), fencing, times),
+        manager: LeaseManager::new(node, "d0".parse().expect("a name"), fencing, times),
         fold: Fold::new(Arc::new(())),
         paused_until: 0,
         skew: rng.random_range(0..100_000),
@@ -98,18 +98,18 @@
                     entries,
                 };
                 daemon.fold.feed(local, &chunk);
-                daemon.keeper.observe(local, daemon.fold.state());
+                daemon.manager.observe(local, daemon.fold.state());
             }
             let id = Uuid::from_u128(rng.random());
             // Several candidates at once: daemons disagree on who should write.
-            if let Some(body) = daemon.keeper.propose(local, id, rng.random_bool(0.5))
+            if let Some(body) = daemon.manager.propose(local, id, rng.random_bool(0.5))
                 && now >= outage
             {
                 let slow = rng.random_bool(0.2);
                 let span = rng.random_range(0..if slow { 4_000 } else { 100 });
                 late.push((now + span, body));
             }
-            if let Some(fence) = daemon.keeper.fence(local) {
+            if let Some(fence) = daemon.manager.fence(local) {
                 orders.push(Order {
                     arrival: now + rng.random_range(0..=delay),
                     fence: fence.0,
--- a/crates/basilgrade_server/src/background/placement.rs
+++ b/crates/basilgrade_server/src/background/placement.rs
@@ -8,7 +8,7 @@
 
 use basilgrade_config::model::deployment;
 use basilgrade_config::model::pool;
-use basilgrade_journal::lease_keeper;
+use basilgrade_journal::lease_manager;
 use basilgrade_journal::stream;
 use basilgrade_membership::readiness;
 use basilgrade_membership::status;
@@ -77,7 +77,7 @@
 pub fn fencing(
     deployment: &deployment::Deployment,
     domain: &id::DomainId,
-) -> Option<lease_keeper::Fencing> {
+) -> Option<lease_manager::Fencing> {
     let pools = deployment
         .upstreams
         .values()
@@ -90,9 +90,9 @@
     let mut found = None;
     for pool in pools {
         if pool.fencing == pool::Fencing::Ignored {
-            return Some(lease_keeper::Fencing::Ignored);
+            return Some(lease_manager::Fencing::Ignored);
         }
-        found = Some(lease_keeper::Fencing::Checked);
+        found = Some(lease_manager::Fencing::Checked);
     }
     found
 }
--- a/crates/basilgrade_server/src/background/placement/writer.rs
+++ b/crates/basilgrade_server/src/background/placement/writer.rs
@@ -1,7 +1,7 @@
 //! The placement writer of a failure domain, without input and output.
 
 use basilgrade_journal::control_state;
-use basilgrade_journal::lease_keeper;
+use basilgrade_journal::lease_manager;
 use basilgrade_journal::node;
 use basilgrade_placement::plan;
 use basilgrade_placement::planner;
@@ -16,7 +16,7 @@
 ///
 /// A renewal is appended every 5 s; 20 failure domains append 4 records a second. Outages of the
 /// log of up to 10 s do not interrupt placement.
-pub const LEASE_TIMES: lease_keeper::LeaseTimes = lease_keeper::LeaseTimes {
+pub const LEASE_TIMES: lease_manager::LeaseTimes = lease_manager::LeaseTimes {
     ttl: clock::Millis::from_secs(15),
     margin: clock::Millis::from_secs(5),
     retry: clock::Millis::from_secs(2),
@@ -25,45 +25,45 @@
 /// Lease and decisions of one daemon; orders exist only while the lease permits them.
 #[derive(Clone, Debug)]
 pub struct Writer {
-    fencing: lease_keeper::Fencing,
-    keeper: lease_keeper::LeaseKeeper,
+    fencing: lease_manager::Fencing,
+    manager: lease_manager::LeaseManager,
     planner: planner::Planner,
 }
 
 impl Writer {
     /// A writer without lease.
-    pub fn new(node: node::Node, domain: id::DomainId, fencing: lease_keeper::Fencing) -> Self {
+    pub fn new(node: node::Node, domain: id::DomainId, fencing: lease_manager::Fencing) -> Self {
         Self {
             fencing,
-            keeper: lease_keeper::LeaseKeeper::new(node, domain, fencing, LEASE_TIMES),
+            manager: lease_manager::LeaseManager::new(node, domain, fencing, LEASE_TIMES),
             planner: planner::Planner::default(),
         }
     }
 
     /// What it assumes of the engines.
-    pub const fn fencing(&self) -> lease_keeper::Fencing {
+    pub const fn fencing(&self) -> lease_manager::Fencing {
         self.fencing
     }
 
     /// Takes note of the lease in force.
     pub fn observe(&mut self, now: clock::Millis, state: &control_state::ControlState) {
-        self.keeper.observe(now, state);
+        self.manager.observe(now, state);
     }
 
     /// The record to append now, if any.
     pub fn propose(&mut self, now: clock::Millis, id: Uuid, candidate: bool) -> Option<Bytes> {
-        self.keeper.propose(now, id, candidate)
+        self.manager.propose(now, id, candidate)
     }
 
     /// The record that gives up the lease, if it is held.
     pub fn give_up(&mut self, id: Uuid) -> Option<Bytes> {
         self.planner.suspend();
-        self.keeper.give_up(id)
+        self.manager.give_up(id)
     }
 
     /// The fencing number for an order sent now; `None` if no order may be sent.
     pub fn fence(&self, now: clock::Millis) -> Option<fence::Fence> {
-        self.keeper.fence(now)
+        self.manager.fence(now)
     }
 
     /// The orders to send now, if the lease permits any.
--- a/crates/basilgrade_server/src/cluster.rs
+++ b/crates/basilgrade_server/src/cluster.rs
@@ -340,7 +340,7 @@
 fn owners(control: &control_state::ControlState) -> IndexSet<journal_node::Node> {
     let grants = control
         .slots()
-        .filter_map(|(_, tenure)| tenure.grant.as_ref());
+        .filter_map(|(_, ownership)| ownership.grant.as_ref());
     grants
         .flat_map(|grant| {
             let backup = grant.backup.iter().cloned();
--- a/crates/basilgrade_server/src/operator.rs
+++ b/crates/basilgrade_server/src/operator.rs
@@ -10,7 +10,7 @@
 use basilgrade_admin::status::slot as held_slot;
 use basilgrade_config::settings::log::level;
 use basilgrade_journal::node;
-use basilgrade_journal::tenure;
+use basilgrade_journal::ownership;
 use basilgrade_membership::status as membership;
 use basilgrade_types::id;
 use basilgrade_types::request;
@@ -95,7 +95,7 @@
         self.streams.control.with(|fold| {
             fold.state()
                 .slots()
-                .filter_map(|(slot, tenure)| held(slot, tenure, me))
+                .filter_map(|(slot, ownership)| held(slot, ownership, me))
                 .collect()
         })
     }
@@ -110,8 +110,12 @@
     }
 }
 
-fn held(slot: slot::Slot, tenure: &tenure::Tenure, me: &node::Node) -> Option<held_slot::HeldSlot> {
-    let grant = tenure.grant.as_ref()?;
+fn held(
+    slot: slot::Slot,
+    ownership: &ownership::Ownership,
+    me: &node::Node,
+) -> Option<held_slot::HeldSlot> {
+    let grant = ownership.grant.as_ref()?;
     let role = if grant.primary == *me {
         held_slot::Role::Primary
     } else if grant.backup.as_ref() == Some(me) {
@@ -122,7 +126,7 @@
     Some(held_slot::HeldSlot {
         slot,
         role,
-        epoch: tenure.epoch,
+        epoch: ownership.epoch,
     })
 }
 
--- a/crates/basilgrade_server/tests/placement.rs
+++ b/crates/basilgrade_server/tests/placement.rs
@@ -7,7 +7,7 @@
 use basilgrade_journal::control_state;
 use basilgrade_journal::entry;
 use basilgrade_journal::fold;
-use basilgrade_journal::lease_keeper;
+use basilgrade_journal::lease_manager;
 use basilgrade_journal::node;
 use basilgrade_placement::engine;
 use basilgrade_placement::store;
@@ -65,7 +65,7 @@
     }
 }
 
-fn writer(vm: &str, fencing: lease_keeper::Fencing) -> writer::Writer {
+fn writer(vm: &str, fencing: lease_manager::Fencing) -> writer::Writer {
     let node = node::Node {
         vm: name(vm),
         incarnation: clock::Millis(1).into(),
@@ -175,7 +175,7 @@
 
 /// Lets one writer order, pauses it past its lease with an order in hand, and lets another one
 /// take over. Returns the number of refused orders and how far the second writer waited.
-async fn late_order(fixture: &Fixture, fencing: lease_keeper::Fencing) -> (usize, u64) {
+async fn late_order(fixture: &Fixture, fencing: lease_manager::Fencing) -> (usize, u64) {
     let mut log = Log::new();
     let (mut first, mut second) = (writer("vm-1", fencing), writer("vm-2", fencing));
     let start = clock::Millis::from_secs(1000);
@@ -254,7 +254,7 @@
 fn numbers_have_one_holder() {
     for seed in 0..64 {
         let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
-        let fencing = lease_keeper::Fencing::Checked;
+        let fencing = lease_manager::Fencing::Checked;
         let mut writers = ["vm-1", "vm-2", "vm-3"].map(|vm| writer(vm, fencing));
         let mut log = Log::new();
         let mut holders: IndexMap<fence::Fence, usize> = IndexMap::new();
