--- a/crates/basilctl/src/command/check.rs
+++ b/crates/basilctl/src/command/check.rs
@@ -6,9 +6,9 @@
 
 use crate::command::file;
 use crate::publish;
-use crate::report::Report;
+use crate::report;
 
-pub(crate) fn run(path: &path::Path) -> Report {
+pub(crate) fn run(path: &path::Path) -> report::Report {
     let deployment = match file::read(path) {
         Ok(deployment) => deployment,
         Err(report) => return report,
@@ -16,7 +16,7 @@
     if let Err(error) = publish::canonical(&deployment) {
         return error.report();
     }
-    Report::success(
+    report::Report::success(
         format!("`{}` is valid", path.display()),
         json!({"name": deployment.name, "problems": []}),
     )
--- a/crates/basilctl/src/command/diff.rs
+++ b/crates/basilctl/src/command/diff.rs
@@ -6,19 +6,19 @@
 use basilgrade_config::model::deployment;
 use serde_json::json;
 
-use crate::code::Code;
+use crate::code;
 use crate::command::file;
 use crate::command::platform;
 use crate::options::platform::Platform;
-use crate::report::Report;
+use crate::report;
 
-pub(crate) async fn run(platform: &Platform, path: &path::Path) -> Report {
+pub(crate) async fn run(platform: &Platform, path: &path::Path) -> report::Report {
     compare(platform, path)
         .await
         .unwrap_or_else(|report| report)
 }
 
-async fn compare(platform: &Platform, path: &path::Path) -> Result<Report, Report> {
+async fn compare(platform: &Platform, path: &path::Path) -> Result<report::Report, report::Report> {
     let new = file::read(path)?;
     let stream = platform::read(platform).await?;
     let revision = stream.revision();
@@ -28,7 +28,7 @@
         let name = format!("revision {revision}");
         config::parse(stream.text(), &name).map_err(|problems| {
             // Only a text that was not appended by `basilctl publish` gets here.
-            Report::failure(Code::Problem, problems.to_string())
+            report::Report::failure(code::Code::Problem, problems.to_string())
         })?
     };
     let found = config::diff(&old, &new);
@@ -38,5 +38,5 @@
         format!("difference to revision {revision}:\n{found}")
     };
     let json = json!({"revision": revision, "changes": found.changes});
-    Ok(Report::success(text, json))
+    Ok(report::Report::success(text, json))
 }
--- a/crates/basilctl/src/command/log_level.rs
+++ b/crates/basilctl/src/command/log_level.rs
@@ -3,21 +3,21 @@
 use basilgrade_config::settings::log::level;
 use serde_json::json;
 
-use crate::code::Code;
+use crate::code;
 use crate::command::daemon;
 use crate::options::daemon::Daemon;
-use crate::report::Report;
+use crate::report;
 
-pub(crate) async fn run(options: &Daemon, level: level::Level) -> Report {
+pub(crate) async fn run(options: &Daemon, level: level::Level) -> report::Report {
     let client = match daemon::connect(options).await {
         Ok(client) => client,
         Err(report) => return report,
     };
     match client.set_level(level).await {
-        Ok(()) => Report::success(
+        Ok(()) => report::Report::success(
             format!("`{}` logs at level `{level}`", options.admin),
             json!({"level": level}),
         ),
-        Err(error) => daemon::failure(&error, Code::Unknown),
+        Err(error) => daemon::failure(&error, code::Code::Unknown),
     }
 }
--- a/crates/basilctl/src/command/platform.rs
+++ b/crates/basilctl/src/command/platform.rs
@@ -3,20 +3,20 @@
 use basilgrade_platform::error;
 use basilgrade_platform::http;
 
-use crate::code::Code;
-use crate::options::platform::Platform;
-use crate::report::Report;
-use crate::stream::Stream;
+use crate::code;
+use crate::options::platform;
+use crate::report;
+use crate::stream;
 use crate::stream::error::StreamError;
 
 /// A client of the platform.
-pub(super) fn client(platform: &Platform) -> http::HttpLog {
+pub(super) fn client(platform: &platform::Platform) -> http::HttpLog {
     http::HttpLog::new(platform.platform, http::Settings::default())
 }
 
 /// Reads stream `config` up to its end.
-pub(super) async fn read(platform: &Platform) -> Result<Stream, Report> {
-    let mut stream = Stream::default();
+pub(super) async fn read(platform: &platform::Platform) -> Result<stream::Stream, report::Report> {
+    let mut stream = stream::Stream::default();
     stream
         .catch_up(&client(platform))
         .await
@@ -25,10 +25,10 @@
 }
 
 /// The report of a stream that could not be read.
-pub(super) fn failure(error: &StreamError) -> Report {
+pub(super) fn failure(error: &StreamError) -> report::Report {
     let code = match error {
-        StreamError::Read(error::ReadError::Unavailable(_)) => Code::Unreachable,
-        _ => Code::Problem,
+        StreamError::Read(error::ReadError::Unavailable(_)) => code::Code::Unreachable,
+        _ => code::Code::Problem,
     };
-    Report::failure(code, error.to_string())
+    report::Report::failure(code, error.to_string())
 }
--- a/crates/basilctl/src/command/publish.rs
+++ b/crates/basilctl/src/command/publish.rs
@@ -8,13 +8,13 @@
 use crate::command::platform;
 use crate::options::platform::Platform;
 use crate::publish;
-use crate::report::Report;
+use crate::report;
 
 pub(crate) async fn run(
     options: &Platform,
     base: Option<revision::Revision>,
     path: &path::Path,
-) -> Report {
+) -> report::Report {
     let deployment = match file::read(path) {
         Ok(deployment) => deployment,
         Err(report) => return report,
--- a/crates/basilctl/src/command/status.rs
+++ b/crates/basilctl/src/command/status.rs
@@ -5,19 +5,19 @@
 use basilgrade_admin::status;
 use serde_json::json;
 
-use crate::code::Code;
+use crate::code;
 use crate::command::daemon;
 use crate::options::daemon::Daemon;
-use crate::report::Report;
+use crate::report;
 
-pub(crate) async fn run(options: &Daemon) -> Report {
+pub(crate) async fn run(options: &Daemon) -> report::Report {
     let client = match daemon::connect(options).await {
         Ok(client) => client,
         Err(report) => return report,
     };
     match client.status().await {
-        Ok(status) => Report::success(describe(&status), json!(status)),
-        Err(error) => daemon::failure(&error, Code::Problem),
+        Ok(status) => report::Report::success(describe(&status), json!(status)),
+        Err(error) => daemon::failure(&error, code::Code::Problem),
     }
 }
 
--- a/crates/basilctl/src/publish.rs
+++ b/crates/basilctl/src/publish.rs
@@ -10,14 +10,11 @@
 use basilgrade_config::model::deployment;
 use basilgrade_journal::config_record;
 use basilgrade_journal::publication;
-use basilgrade_journal::publication::Outcome;
 use basilgrade_journal::stream;
-use basilgrade_platform::error::AppendError;
+use basilgrade_platform::error as platform_error;
 use basilgrade_platform::log_service;
 use basilgrade_types::revision;
 
-use crate::publish::error::PublishError;
-use crate::publish::published::Published;
 use crate::stream::Stream;
 
 /// How long the outcome is awaited; longer than the 9 s within which a configuration
@@ -38,35 +35,42 @@
     log: &dyn log_service::LogService,
     deployment: &deployment::Deployment,
     base: Option<revision::Revision>,
-) -> Result<Published, PublishError> {
+) -> Result<published::Published, error::PublishError> {
     let text = canonical(deployment)?;
     let mut stream = Stream::default();
-    stream.catch_up(log).await.map_err(PublishError::Read)?;
+    stream
+        .catch_up(log)
+        .await
+        .map_err(error::PublishError::Read)?;
     let revision = stream.revision();
     if base.is_some_and(|base| base != revision) {
-        return Err(PublishError::Lost(revision));
+        return Err(error::PublishError::Lost(revision));
     }
     check_name(&stream, deployment)?;
     if stream.text() == text {
-        return Ok(Published::Unchanged(revision));
+        return Ok(published::Published::Unchanged(revision));
     }
     let id = uuid::Uuid::now_v7();
     let change = smaller(stream.text(), text);
     let (mut publication, body) = publication::Publication::new(id, revision, change);
     let appended = match log.append(stream::CONFIG, body).await {
         Ok(offset) => publication::Appended::At(offset),
-        Err(AppendError::NotAppended(reason)) => return Err(PublishError::NotAppended(reason)),
-        Err(AppendError::Unknown(_)) => publication::Appended::Unknown,
+        Err(platform_error::AppendError::NotAppended(reason)) => {
+            return Err(error::PublishError::NotAppended(reason));
+        }
+        Err(platform_error::AppendError::Unknown(_)) => publication::Appended::Unknown,
     };
     publication.appended(appended);
     let resolved =
         tokio::time::timeout(OUTCOME_TIMEOUT, resolve(log, &mut stream, &publication)).await;
     match resolved {
-        Ok(Outcome::Won(revision)) => Ok(Published::InForce(revision)),
-        Ok(Outcome::Lost(revision)) => Err(PublishError::Lost(revision)),
-        Ok(Outcome::Rejected(revision)) => Err(PublishError::Rejected(revision)),
+        Ok(publication::Outcome::Won(revision)) => Ok(published::Published::InForce(revision)),
+        Ok(publication::Outcome::Lost(revision)) => Err(error::PublishError::Lost(revision)),
+        Ok(publication::Outcome::Rejected(revision)) => {
+            Err(error::PublishError::Rejected(revision))
+        }
         // The time is up, or the stream has moved on too far.
-        _ => Err(PublishError::Unknown(id, revision)),
+        _ => Err(error::PublishError::Unknown(id, revision)),
     }
 }
 
@@ -75,22 +79,25 @@
 /// # Errors
 ///
 /// If the text is too long for the log, or does not say the same.
-pub fn canonical(deployment: &deployment::Deployment) -> Result<String, PublishError> {
+pub fn canonical(deployment: &deployment::Deployment) -> Result<String, error::PublishError> {
     let text = config::print(deployment);
     if text.len() > limits::PUBLISHED {
-        return Err(PublishError::TooLong(text.len()));
+        return Err(error::PublishError::TooLong(text.len()));
     }
     match config::parse(&text, "canonical text") {
         Ok(again) if again == *deployment => Ok(text),
-        _ => Err(PublishError::Print),
+        _ => Err(error::PublishError::Print),
     }
 }
 
 /// Refuses to replace one deployment's configuration by another's.
-fn check_name(stream: &Stream, deployment: &deployment::Deployment) -> Result<(), PublishError> {
+fn check_name(
+    stream: &Stream,
+    deployment: &deployment::Deployment,
+) -> Result<(), error::PublishError> {
     // A text in force that cannot be read has to be replaceable.
     match config::parse(stream.text(), "") {
-        Ok(old) if old.name != deployment.name => Err(PublishError::Name(
+        Ok(old) if old.name != deployment.name => Err(error::PublishError::Name(
             old.name.to_string(),
             deployment.name.to_string(),
         )),
@@ -113,12 +120,12 @@
     log: &dyn log_service::LogService,
     stream: &mut Stream,
     publication: &publication::Publication,
-) -> Outcome {
+) -> publication::Outcome {
     loop {
         // A log that cannot be read now may be readable in time.
         let read = stream.catch_up(log).await;
         let outcome = stream.outcome(publication);
-        if read.is_ok() && outcome != Outcome::Pending {
+        if read.is_ok() && outcome != publication::Outcome::Pending {
             return outcome;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/basilctl/src/publish/error.rs
+++ b/crates/basilctl/src/publish/error.rs
@@ -7,8 +7,8 @@
 use basilgrade_platform::error::ReadError;
 use basilgrade_types::revision;
 
-use crate::code::Code;
-use crate::report::Report;
+use crate::code;
+use crate::report;
 use crate::stream::error::StreamError;
 
 /// Why a configuration was not published.
@@ -34,21 +34,21 @@
 
 impl PublishError {
     /// What the exit code says.
-    pub const fn code(&self) -> Code {
+    pub const fn code(&self) -> code::Code {
         match self {
-            Self::Lost(_) => Code::Lost,
+            Self::Lost(_) => code::Code::Lost,
             Self::NotAppended(_) | Self::Read(StreamError::Read(ReadError::Unavailable(_))) => {
-                Code::Unreachable
+                code::Code::Unreachable
             }
             Self::Name(..) | Self::Print | Self::Read(_) | Self::Rejected(_) | Self::TooLong(_) => {
-                Code::Problem
+                code::Code::Problem
             }
-            Self::Unknown(..) => Code::Unknown,
+            Self::Unknown(..) => code::Code::Unknown,
         }
     }
 
-    pub(crate) fn report(&self) -> Report {
-        Report::failure(self.code(), self.to_string())
+    pub(crate) fn report(&self) -> report::Report {
+        report::Report::failure(self.code(), self.to_string())
     }
 }
 
--- a/crates/basilctl/src/publish/published.rs
+++ b/crates/basilctl/src/publish/published.rs
@@ -3,7 +3,7 @@
 use basilgrade_types::revision;
 use serde_json::json;
 
-use crate::report::Report;
+use crate::report;
 
 /// What was achieved.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -15,13 +15,13 @@
 }
 
 impl Published {
-    pub(crate) fn report(self) -> Report {
+    pub(crate) fn report(self) -> report::Report {
         match self {
-            Self::InForce(revision) => Report::success(
+            Self::InForce(revision) => report::Report::success(
                 format!("published as revision {revision}"),
                 json!({"revision": revision, "changed": true}),
             ),
-            Self::Unchanged(revision) => Report::success(
+            Self::Unchanged(revision) => report::Report::success(
                 format!("already in force as revision {revision}"),
                 json!({"revision": revision, "changed": false}),
             ),
--- a/crates/basilctl/src/report.rs
+++ b/crates/basilctl/src/report.rs
@@ -3,14 +3,14 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::code::Code;
-use crate::options::format::Format;
+use crate::code;
+use crate::options::format;
 
 /// The result of a command in both forms.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Report {
     /// What the exit code says.
-    pub(crate) code: Code,
+    pub(crate) code: code::Code,
     /// For people.
     pub(crate) text: String,
     /// For programs.
@@ -21,27 +21,27 @@
     /// The report of a command that has done its work.
     pub(crate) fn success(text: impl Into<String>, json: Value) -> Self {
         Self {
-            code: Code::Success,
+            code: code::Code::Success,
             text: text.into(),
             json,
         }
     }
 
     /// The report of a command that has failed.
-    pub(crate) fn failure(code: Code, text: impl Into<String>) -> Self {
+    pub(crate) fn failure(code: code::Code, text: impl Into<String>) -> Self {
         let text = text.into();
         let json = json!({"code": code.number(), "error": text});
         Self { code, text, json }
     }
 
     /// Prints the report: JSON always to standard output, text of failures to standard error.
-    pub(crate) fn print(&self, format: Format) {
+    pub(crate) fn print(&self, format: format::Format) {
         let text = self.text.trim_end();
         match format {
-            Format::Json => println!("{}", self.json),
-            Format::Plain if text.is_empty() => {}
-            Format::Plain if self.code == Code::Success => println!("{text}"),
-            Format::Plain => eprintln!("{text}"),
+            format::Format::Json => println!("{}", self.json),
+            format::Format::Plain if text.is_empty() => {}
+            format::Format::Plain if self.code == code::Code::Success => println!("{text}"),
+            format::Format::Plain => eprintln!("{text}"),
         }
     }
 }
--- a/crates/basilctl/src/run.rs
+++ b/crates/basilctl/src/run.rs
@@ -4,13 +4,11 @@
 
 use bpaf::Args;
 
-use crate::code::Code;
+use crate::code;
 use crate::command;
 use crate::options;
-use crate::options::Command;
-use crate::options::Source;
-use crate::options::format::Format;
-use crate::report::Report;
+use crate::options::format;
+use crate::report;
 
 /// The width of help texts.
 const WIDTH: usize = 100;
@@ -22,8 +20,8 @@
         Err(failure) => {
             failure.print_message(WIDTH);
             return match failure.exit_code() {
-                0 => Code::Success.into(),
-                _ => Code::Usage.into(),
+                0 => code::Code::Success.into(),
+                _ => code::Code::Usage.into(),
             };
         }
     };
@@ -34,46 +32,49 @@
         // Cap'n Proto RPC is single-threaded and needs a local set.
         Ok(runtime) => tokio::task::LocalSet::new().block_on(&runtime, run(options.command)),
         Err(error) => {
-            let report = Report::failure(Code::Problem, format!("cannot start: {error}"));
-            (Format::Plain, report)
+            let report =
+                report::Report::failure(code::Code::Problem, format!("cannot start: {error}"));
+            (format::Format::Plain, report)
         }
     };
     report.print(format);
     report.code.into()
 }
 
-async fn run(command: Command) -> (Format, Report) {
+async fn run(command: options::Command) -> (format::Format, report::Report) {
     match command {
-        Command::Check { format, file } => (format, command::check::run(&file)),
-        Command::Diff {
+        options::Command::Check { format, file } => (format, command::check::run(&file)),
+        options::Command::Diff {
             format,
             platform,
             file,
         } => (format, command::diff::run(&platform, &file).await),
-        Command::Drain { format, daemon } => (format, command::drain::run(&daemon).await),
-        Command::Explain {
+        options::Command::Drain { format, daemon } => (format, command::drain::run(&daemon).await),
+        options::Command::Explain {
             format,
             daemon,
             request,
         } => (format, command::explain::run(&daemon, request).await),
-        Command::LogLevel {
+        options::Command::LogLevel {
             format,
             daemon,
             level,
         } => (format, command::log_level::run(&daemon, level).await),
-        Command::Publish {
+        options::Command::Publish {
             format,
             platform,
             base,
             file,
         } => (format, command::publish::run(&platform, base, &file).await),
-        Command::Show { format, source } => {
+        options::Command::Show { format, source } => {
             let report = match source {
-                Source::Daemon(daemon) => command::show::from_daemon(&daemon).await,
-                Source::Log(platform) => command::show::from_log(&platform).await,
+                options::Source::Daemon(daemon) => command::show::from_daemon(&daemon).await,
+                options::Source::Log(platform) => command::show::from_log(&platform).await,
             };
             (format, report)
         }
-        Command::Status { format, daemon } => (format, command::status::run(&daemon).await),
+        options::Command::Status { format, daemon } => {
+            (format, command::status::run(&daemon).await)
+        }
     }
 }
--- a/crates/basilctl/src/stream.rs
+++ b/crates/basilctl/src/stream.rs
@@ -12,15 +12,13 @@
 use basilgrade_journal::merge;
 use basilgrade_journal::publication;
 use basilgrade_journal::stream;
-use basilgrade_platform::error::ReadError;
+use basilgrade_platform::error as platform_error;
 use basilgrade_platform::log_service;
 use basilgrade_types::clock;
 use basilgrade_types::clock::Clock;
 use basilgrade_types::offset;
 use basilgrade_types::revision;
 
-use crate::stream::error::StreamError;
-
 /// Records asked for in one read.
 const BATCH: usize = 256;
 
@@ -46,11 +44,16 @@
     /// # Errors
     ///
     /// If the log cannot be read, or retention has removed what is needed.
-    pub async fn catch_up(&mut self, log: &dyn log_service::LogService) -> Result<(), StreamError> {
+    pub async fn catch_up(
+        &mut self,
+        log: &dyn log_service::LogService,
+    ) -> Result<(), error::StreamError> {
         loop {
             let from = self.fold.wanted();
             let batch = match log.read(stream::CONFIG, from, BATCH).await {
-                Err(ReadError::Expired(first)) => log.read(stream::CONFIG, first, BATCH).await?,
+                Err(platform_error::ReadError::Expired(first)) => {
+                    log.read(stream::CONFIG, first, BATCH).await?
+                }
                 answer => answer?,
             };
             let done = batch.records.is_empty();
@@ -59,7 +62,7 @@
                 return Ok(());
             }
             if done {
-                return Err(StreamError::Incomplete);
+                return Err(error::StreamError::Incomplete);
             }
         }
     }
--- a/crates/basilgrade_admin/src/client.rs
+++ b/crates/basilgrade_admin/src/client.rs
@@ -16,7 +16,6 @@
 use tokio_util::compat::TokioAsyncWriteCompatExt;
 
 use crate::admin_capnp;
-use crate::client::error::ClientError;
 use crate::configuration;
 use crate::handshake;
 use crate::status;
@@ -41,22 +40,24 @@
     pub async fn connect(
         address: net::SocketAddr,
         secret: &secret::Secret,
-    ) -> Result<Self, ClientError> {
+    ) -> Result<Self, error::ClientError> {
         let connect = async {
             let mut stream = tokio::net::TcpStream::connect(address)
                 .await
-                .map_err(|error| ClientError::Unreachable(address, error.to_string()))?;
+                .map_err(|error| error::ClientError::Unreachable(address, error.to_string()))?;
             stream
                 .set_nodelay(true)
-                .map_err(|error| ClientError::Unreachable(address, error.to_string()))?;
+                .map_err(|error| error::ClientError::Unreachable(address, error.to_string()))?;
             handshake::connect(&mut stream, secret.as_bytes())
                 .await
-                .map_err(|error| ClientError::handshake(address, &error))?;
-            Ok::<_, ClientError>(stream)
+                .map_err(|error| error::ClientError::handshake(address, &error))?;
+            Ok::<_, error::ClientError>(stream)
         };
         let stream = tokio::time::timeout(CALL_TIMEOUT, connect)
             .await
-            .map_err(|_| ClientError::Unreachable(address, "no answer in time".to_owned()))??;
+            .map_err(|_| {
+                error::ClientError::Unreachable(address, "no answer in time".to_owned())
+            })??;
         let (reader, writer) = stream.into_split();
         let mut options = message::ReaderOptions::new();
         options.traversal_limit_in_words(Some(MESSAGE_WORDS));
@@ -77,7 +78,7 @@
     /// # Errors
     ///
     /// If the daemon does not answer or its answer is malformed.
-    pub async fn status(&self) -> Result<status::Status, ClientError> {
+    pub async fn status(&self) -> Result<status::Status, error::ClientError> {
         let response = answer(self.admin.status_request().send().promise).await?;
         Ok(wire::read_status(response.get()?.get_status()?)?)
     }
@@ -90,7 +91,7 @@
     pub async fn explain(
         &self,
         request: request::RequestId,
-    ) -> Result<Option<Vec<String>>, ClientError> {
+    ) -> Result<Option<Vec<String>>, error::ClientError> {
         let mut call = self.admin.explain_request();
         call.get().set_request(request.to_string().as_str());
         let response = answer(call.send().promise).await?;
@@ -110,7 +111,7 @@
     /// # Errors
     ///
     /// If the daemon does not answer; it may be draining then.
-    pub async fn drain(&self) -> Result<(), ClientError> {
+    pub async fn drain(&self) -> Result<(), error::ClientError> {
         answer(self.admin.drain_request().send().promise).await?;
         Ok(())
     }
@@ -120,7 +121,7 @@
     /// # Errors
     ///
     /// If the daemon does not answer.
-    pub async fn set_level(&self, level: level::Level) -> Result<(), ClientError> {
+    pub async fn set_level(&self, level: level::Level) -> Result<(), error::ClientError> {
         let mut call = self.admin.set_level_request();
         call.get().set_level(level.as_str());
         answer(call.send().promise).await?;
@@ -132,7 +133,9 @@
     /// # Errors
     ///
     /// If the daemon does not answer or its answer is malformed.
-    pub async fn configuration(&self) -> Result<Option<configuration::Configuration>, ClientError> {
+    pub async fn configuration(
+        &self,
+    ) -> Result<Option<configuration::Configuration>, error::ClientError> {
         let response = answer(self.admin.configuration_request().send().promise).await?;
         let found = response.get()?;
         let revision = revision::Revision(found.get_revision());
@@ -146,9 +149,9 @@
 
 async fn answer<T>(
     promise: impl Future<Output = Result<T, capnp::Error>>,
-) -> Result<T, ClientError> {
+) -> Result<T, error::ClientError> {
     match tokio::time::timeout(CALL_TIMEOUT, promise).await {
         Ok(answer) => Ok(answer?),
-        Err(_) => Err(ClientError::Failed("no answer in time".to_owned())),
+        Err(_) => Err(error::ClientError::Failed("no answer in time".to_owned())),
     }
 }
--- a/crates/basilgrade_admin/src/status.rs
+++ b/crates/basilgrade_admin/src/status.rs
@@ -12,10 +12,6 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
-use crate::status::member::Member;
-use crate::status::phase::Phase;
-use crate::status::slot::HeldSlot;
-
 /// The state of a daemon at one moment.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Status {
@@ -30,15 +26,15 @@
     /// How far it has read stream `control`.
     pub offset: offset::Offset,
     /// Whether it takes requests.
-    pub phase: Phase,
+    pub phase: phase::Phase,
     /// The daemons that it knows, itself included.
-    pub members: Vec<Member>,
+    pub members: Vec<member::Member>,
     /// Upstreams that are leaving.
     pub leaving: Vec<id::UpstreamId>,
     /// Upstreams that are ejected as outliers.
     pub ejected: Vec<id::UpstreamId>,
     /// Slots that it holds.
-    pub slots: Vec<HeldSlot>,
+    pub slots: Vec<slot::HeldSlot>,
     /// Counters by name, as in `/metrics`.
     pub counters: IndexMap<CompactString, u64>,
 }
--- a/crates/basilgrade_admin/src/wire.rs
+++ b/crates/basilgrade_admin/src/wire.rs
@@ -8,13 +8,13 @@
 use compact_str::CompactString;
 
 use crate::admin_capnp;
-use crate::status::Status;
+use crate::status;
 use crate::status::member;
 use crate::status::phase;
 use crate::status::slot as held;
 
 /// Writes a status into a message.
-pub(crate) fn write_status(status: &Status, mut out: admin_capnp::status::Builder<'_>) {
+pub(crate) fn write_status(status: &status::Status, mut out: admin_capnp::status::Builder<'_>) {
     out.set_vm(status.vm.as_str());
     out.set_domain(status.domain.as_str());
     out.set_incarnation(status.incarnation.0);
@@ -74,13 +74,15 @@
 }
 
 /// Reads a status from a message.
-pub(crate) fn read_status(from: admin_capnp::status::Reader<'_>) -> Result<Status, capnp::Error> {
+pub(crate) fn read_status(
+    from: admin_capnp::status::Reader<'_>,
+) -> Result<status::Status, capnp::Error> {
     let slots = from.get_slots()?.iter().map(read_slot);
     let counters = from.get_counters()?.iter().map(|counter| {
         let name = CompactString::new(counter.get_name()?.to_str()?);
         Ok((name, counter.get_value()))
     });
-    Ok(Status {
+    Ok(status::Status {
         vm: read_id(from.get_vm()?)?,
         domain: read_id(from.get_domain()?)?,
         incarnation: incarnation::Incarnation(from.get_incarnation()),
--- a/crates/basilgrade_claims/src/backup_role.rs
+++ b/crates/basilgrade_claims/src/backup_role.rs
@@ -5,12 +5,12 @@
 use basilgrade_types::offset;
 use basilgrade_types::slot;
 
-use crate::claims::Claims;
+use crate::claims;
 use crate::message;
 use crate::record;
 use crate::slot_state;
 
-impl Claims {
+impl claims::Claims {
     pub(crate) fn on_replicate(
         &mut self,
         from: &node::Node,
--- a/crates/basilgrade_claims/src/claims.rs
+++ b/crates/basilgrade_claims/src/claims.rs
@@ -22,7 +22,6 @@
 use crate::safety;
 use crate::settings;
 use crate::slot_state;
-use crate::slot_state::Kept;
 
 /// The claims of one daemon in all its roles.
 ///
@@ -272,7 +271,7 @@
         if !sync_first {
             state.synced = state.pair();
         }
-        if kept == Kept::No {
+        if kept == slot_state::Kept::No {
             self.answers.remove_slot(slot);
             for waiter in waiters.iter().filter(|waiter| **waiter != me) {
                 self.tell(waiter, slot);
--- a/crates/basilgrade_claims/src/entry_role.rs
+++ b/crates/basilgrade_claims/src/entry_role.rs
@@ -5,9 +5,8 @@
 
 use crate::attempt_id;
 use crate::claim_key;
-use crate::claims::Claims;
-use crate::decision::Decision;
-use crate::decision::Refusal;
+use crate::claims;
+use crate::decision;
 use crate::fingerprint;
 use crate::message;
 use crate::output;
@@ -36,11 +35,12 @@
     },
 }
 
-impl Claims {
+impl claims::Claims {
     /// Claims a key for a request of this daemon.
     ///
     /// [`output::Output::Decide`] follows exactly once, at the latest at the first tick after
-    /// `deadline`. After [`Decision::Granted`] the daemon calls [`Claims::settle`] once, and may
+    /// `deadline`. After [`decision::Decision::Granted`] the daemon calls
+    /// [`claims::Claims::settle`] once, and may
     /// send the call, under this key only, any number of times as long as each earlier sending is
     /// known as `not run`.
     pub fn claim(
@@ -52,14 +52,14 @@
         deadline: clock::Millis,
     ) {
         let refusal = if self.attempts.len() >= self.settings.attempt_limit {
-            Some(Refusal::Busy)
+            Some(decision::Refusal::Busy)
         } else if self.claim_from(&claim).is_none() {
-            Some(Refusal::NoOwner)
+            Some(decision::Refusal::NoOwner)
         } else {
             None
         };
         if let Some(refusal) = refusal {
-            self.conclude(attempt, Decision::NotRun(refusal));
+            self.conclude(attempt, decision::Decision::NotRun(refusal));
             return;
         }
         self.attempts.insert(
@@ -78,7 +78,7 @@
     /// Reports how the call of a granted claim ended.
     ///
     /// A call whose outcome is unknown is not reported: its claim stays, and repeats are answered
-    /// `may have run`; use [`Claims::forget`].
+    /// `may have run`; use [`claims::Claims::forget`].
     pub fn settle(
         &mut self,
         now: clock::Millis,
@@ -108,7 +108,7 @@
         }
     }
 
-    fn conclude(&mut self, attempt: attempt_id::AttemptId, decision: Decision) {
+    fn conclude(&mut self, attempt: attempt_id::AttemptId, decision: decision::Decision) {
         self.outputs
             .push_back(output::Output::Decide { attempt, decision });
     }
@@ -165,7 +165,7 @@
         &mut self,
         now: clock::Millis,
         attempt: attempt_id::AttemptId,
-        decision: Decision,
+        decision: decision::Decision,
     ) {
         let Some(held) = self.attempts.get_mut(&attempt) else {
             return;
@@ -175,11 +175,13 @@
             return;
         }
         match decision {
-            Decision::Granted => held.phase = Phase::Granted,
-            Decision::NotRun(_) => {
+            decision::Decision::Granted => held.phase = Phase::Granted,
+            decision::Decision::NotRun(_) => {
                 self.abandon(now, attempt);
             }
-            Decision::Answered(_) | Decision::MayHaveRun | Decision::Mismatch => {
+            decision::Decision::Answered(_)
+            | decision::Decision::MayHaveRun
+            | decision::Decision::Mismatch => {
                 self.attempts.swap_remove(&attempt);
             }
         }
@@ -249,7 +251,10 @@
         });
         for attempt in expired {
             self.abandon(now, attempt);
-            self.conclude(attempt, Decision::NotRun(Refusal::Timeout));
+            self.conclude(
+                attempt,
+                decision::Decision::NotRun(decision::Refusal::Timeout),
+            );
         }
         for attempt in ask {
             self.ask(now, attempt);
--- a/crates/basilgrade_claims/src/primary_role.rs
+++ b/crates/basilgrade_claims/src/primary_role.rs
@@ -7,21 +7,19 @@
 
 use crate::attempt_id;
 use crate::claim_key;
-use crate::claims::Claims;
-use crate::decision::Decision;
-use crate::decision::Refusal;
+use crate::claims;
+use crate::decision;
 use crate::fingerprint;
 use crate::message;
 use crate::pending;
 use crate::record;
-use crate::record::Stage;
 use crate::settlement;
 use crate::sync;
 
 /// The most bytes of records in one message; a quarter of the frame limit of 1 MiB.
 const BATCH_BYTES: usize = 256 << 10;
 
-impl Claims {
+impl claims::Claims {
     pub(crate) fn on_claim(
         &mut self,
         now: clock::Millis,
@@ -41,19 +39,29 @@
             return;
         }
         if !state.is_synced() || state.releasing.is_some() {
-            self.decide(from, attempt, Decision::NotRun(Refusal::NoOwner));
+            self.decide(
+                from,
+                attempt,
+                decision::Decision::NotRun(decision::Refusal::NoOwner),
+            );
             return;
         }
         match state.table.get(key).copied() {
-            Some(held) if held.stage == Stage::Released => match held.version.checked_add(1) {
-                _ if held.attempt == attempt => {
-                    self.decide(from, attempt, Decision::NotRun(Refusal::Released));
-                }
-                Some(version) => {
-                    self.record(now, from, slot, key, fingerprint, attempt, version);
+            Some(held) if held.stage == record::Stage::Released => {
+                match held.version.checked_add(1) {
+                    _ if held.attempt == attempt => {
+                        self.decide(
+                            from,
+                            attempt,
+                            decision::Decision::NotRun(decision::Refusal::Released),
+                        );
+                    }
+                    Some(version) => {
+                        self.record(now, from, slot, key, fingerprint, attempt, version);
+                    }
+                    None => self.decide(from, attempt, decision::Decision::MayHaveRun),
                 }
-                None => self.decide(from, attempt, Decision::MayHaveRun),
-            },
+            }
             Some(held) => self.repeat(from, slot, key, &held, fingerprint, attempt),
             None => match self.admit(slot, key) {
                 Ok(()) => self.record(now, from, slot, key, fingerprint, attempt, 1),
@@ -63,21 +71,21 @@
     }
 
     /// Whether a key without a claim may be claimed.
-    fn admit(&self, slot: slot::Slot, key: claim_key::TableKey) -> Result<(), Decision> {
+    fn admit(&self, slot: slot::Slot, key: claim_key::TableKey) -> Result<(), decision::Decision> {
         let Some((state, grant)) = self
             .state(slot)
             .and_then(|state| Some((state, state.grant()?)))
         else {
-            return Err(Decision::NotRun(Refusal::NoOwner));
+            return Err(decision::Decision::NotRun(decision::Refusal::NoOwner));
         };
         if self.safety.floor && key.created() < state.floor {
-            return Err(Decision::MayHaveRun);
+            return Err(decision::Decision::MayHaveRun);
         }
         if self.safety.ceiling && key.created() >= grant.ceiling {
-            return Err(Decision::NotRun(Refusal::Ahead));
+            return Err(decision::Decision::NotRun(decision::Refusal::Ahead));
         }
         if state.pending.len() >= self.settings.pending_limit {
-            return Err(Decision::NotRun(Refusal::Busy));
+            return Err(decision::Decision::NotRun(decision::Refusal::Busy));
         }
         Ok(())
     }
@@ -97,7 +105,7 @@
             fingerprint,
             attempt,
             version,
-            stage: Stage::Claimed,
+            stage: record::Stage::Claimed,
         };
         self.change(now, slot, key, claim, from);
     }
@@ -113,15 +121,15 @@
         attempt: attempt_id::AttemptId,
     ) {
         let decision = if held.fingerprint != fingerprint {
-            Decision::Mismatch
-        } else if held.stage == Stage::Finished {
+            decision::Decision::Mismatch
+        } else if held.stage == record::Stage::Finished {
             self.answers
                 .get(slot, key)
-                .map_or(Decision::MayHaveRun, |answer| {
-                    Decision::Answered(answer.clone())
+                .map_or(decision::Decision::MayHaveRun, |answer| {
+                    decision::Decision::Answered(answer.clone())
                 })
         } else if held.attempt != attempt {
-            Decision::MayHaveRun
+            decision::Decision::MayHaveRun
         } else {
             let pending = self
                 .state_mut(slot)
@@ -130,7 +138,7 @@
                 pending.waiter = Some(from.clone());
                 return;
             }
-            Decision::Granted
+            decision::Decision::Granted
         };
         self.decide(from, attempt, decision);
     }
@@ -160,16 +168,16 @@
         let released = settlement == settlement::Settlement::Released;
         let settled = match held {
             Some(held)
-                if held.stage == Stage::Claimed
+                if held.stage == record::Stage::Claimed
                     && held.version < u32::MAX
                     && (held.attempt == attempt || !self.safety.attempt_match) =>
             {
                 Some(record::Claim {
                     version: held.version + 1,
                     stage: if released {
-                        Stage::Released
+                        record::Stage::Released
                     } else {
-                        Stage::Finished
+                        record::Stage::Finished
                     },
                     ..held
                 })
@@ -179,7 +187,7 @@
                 fingerprint: fingerprint::Fingerprint::UNKNOWN,
                 attempt,
                 version: 1,
-                stage: Stage::Released,
+                stage: record::Stage::Released,
             }),
             _ => None,
         };
@@ -204,7 +212,7 @@
         claim: record::Claim,
         waiter: &node::Node,
     ) {
-        let wait = self.safety.backup_ack || claim.stage != Stage::Claimed;
+        let wait = self.safety.backup_ack || claim.stage != record::Stage::Claimed;
         let Some(state) = self.state_mut(slot) else {
             return;
         };
@@ -237,14 +245,19 @@
     /// Tells an entry daemon that a change of its claim is recorded by both members.
     fn acknowledge(&mut self, waiter: &node::Node, claim: &record::Claim) {
         let attempt = claim.attempt;
-        if claim.stage == Stage::Claimed {
-            self.decide(waiter, attempt, Decision::Granted);
+        if claim.stage == record::Stage::Claimed {
+            self.decide(waiter, attempt, decision::Decision::Granted);
         } else {
             self.send(waiter, message::Message::Settled { attempt });
         }
     }
 
-    fn decide(&mut self, to: &node::Node, attempt: attempt_id::AttemptId, decision: Decision) {
+    fn decide(
+        &mut self,
+        to: &node::Node,
+        attempt: attempt_id::AttemptId,
+        decision: decision::Decision,
+    ) {
         self.send(to, message::Message::Decided { attempt, decision });
     }
 
--- a/crates/basilgrade_claims/src/proposer.rs
+++ b/crates/basilgrade_claims/src/proposer.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use uuid::Uuid;
 
-use crate::claims::Claims;
+use crate::claims;
 use crate::output;
 use crate::placement;
 use crate::slot_state;
@@ -71,7 +71,7 @@
     Release(control_record::SlotRelease),
 }
 
-impl Claims {
+impl claims::Claims {
     /// Reports the answer to an append.
     ///
     /// After an unknown answer nothing is repeated: the next proposal is made from what the stream
@@ -95,7 +95,7 @@
         }
     }
 
-    /// Begins to hand over all slots; see [`Claims::is_drained`].
+    /// Begins to hand over all slots; see [`claims::Claims::is_drained`].
     pub fn drain(&mut self) {
         self.proposer.mode = Mode::Draining;
     }
--- a/crates/basilgrade_config/src/delta.rs
+++ b/crates/basilgrade_config/src/delta.rs
@@ -24,8 +24,6 @@
 mod sequence;
 mod steps;
 
-use crate::delta::error::DeltaError;
-use crate::delta::steps::Step;
 use crate::digest;
 use crate::limits;
 
@@ -53,30 +51,30 @@
 /// # Errors
 ///
 /// If the delta is malformed, was made for another base, or gives another result than recorded.
-pub fn merge(base: &str, delta: &str) -> Result<String, DeltaError> {
+pub fn merge(base: &str, delta: &str) -> Result<String, error::DeltaError> {
     let rest = delta
         .strip_prefix(FORMAT)
         .and_then(|rest| rest.strip_prefix('\n'))
-        .ok_or(DeltaError::Malformed("the format line"))?;
+        .ok_or(error::DeltaError::Malformed("the format line"))?;
     let (expected, rest) = read_digest(rest, "base ")?;
     let (result, mut rest) = read_digest(rest, "result ")?;
     let found = digest::Digest::of(base);
     if found != expected {
-        return Err(DeltaError::WrongBase(expected, found));
+        return Err(error::DeltaError::WrongBase(expected, found));
     }
     let chunks = chunks::split(base);
     let mut remaining = &chunks[..];
     let mut text = String::with_capacity(base.len());
     while !rest.is_empty() {
-        let (step, after) = Step::read(rest)?;
+        let (step, after) = steps::Step::read(rest)?;
         rest = after;
         remaining = step.apply(remaining, &mut text)?;
         if text.len() > limits::TEXT {
-            return Err(DeltaError::TooLong);
+            return Err(error::DeltaError::TooLong);
         }
     }
     if !remaining.is_empty() || digest::Digest::of(&text) != result {
-        return Err(DeltaError::WrongResult);
+        return Err(error::DeltaError::WrongResult);
     }
     Ok(text)
 }
@@ -85,8 +83,8 @@
 fn read_digest<'a>(
     text: &'a str,
     word: &'static str,
-) -> Result<(digest::Digest, &'a str), DeltaError> {
-    let malformed = || DeltaError::Malformed("a digest line");
+) -> Result<(digest::Digest, &'a str), error::DeltaError> {
+    let malformed = || error::DeltaError::Malformed("a digest line");
     let (line, rest) = text.split_once('\n').ok_or_else(malformed)?;
     let digest = line.strip_prefix(word).ok_or_else(malformed)?;
     Ok((digest.parse().map_err(|_| malformed())?, rest))
--- a/crates/basilgrade_config/src/delta/steps.rs
+++ b/crates/basilgrade_config/src/delta/steps.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use crate::delta::error::DeltaError;
+use crate::delta::error;
 use crate::delta::sequence;
 
 /// One step over the sections of the base.
@@ -59,16 +59,18 @@
     }
 
     /// Reads the first step of `text` and gives the text after it.
-    pub(super) fn read(text: &'a str) -> Result<(Self, &'a str), DeltaError> {
-        let malformed = || DeltaError::Malformed("`keep`, `drop` or `add` with a number");
+    pub(super) fn read(text: &'a str) -> Result<(Self, &'a str), error::DeltaError> {
+        let malformed = || error::DeltaError::Malformed("`keep`, `drop` or `add` with a number");
         let (line, rest) = text.split_once('\n').ok_or_else(malformed)?;
         let (word, number) = line.split_once(' ').ok_or_else(malformed)?;
         let number: usize = number.parse().map_err(|_| malformed())?;
         match word {
             "add" => {
-                let (section, rest) = rest
-                    .split_at_checked(number)
-                    .ok_or(DeltaError::Malformed("as many bytes as `add` counts"))?;
+                let (section, rest) =
+                    rest.split_at_checked(number)
+                        .ok_or(error::DeltaError::Malformed(
+                            "as many bytes as `add` counts",
+                        ))?;
                 Ok((Self::Add(vec![section]), rest))
             }
             "drop" => Ok((Self::Drop(number), rest)),
@@ -82,10 +84,12 @@
         &self,
         base: &'b [&'b str],
         text: &mut String,
-    ) -> Result<&'b [&'b str], DeltaError> {
+    ) -> Result<&'b [&'b str], error::DeltaError> {
         let split = |count: usize| {
             base.split_at_checked(count)
-                .ok_or(DeltaError::Malformed("no more sections than the base has"))
+                .ok_or(error::DeltaError::Malformed(
+                    "no more sections than the base has",
+                ))
         };
         match self {
             Self::Add(sections) => {
--- a/crates/basilgrade_config/src/diff.rs
+++ b/crates/basilgrade_config/src/diff.rs
@@ -8,7 +8,6 @@
 use indexmap::IndexMap;
 use serde::Serialize;
 
-use crate::diff::change::Change;
 use crate::model::deployment;
 use crate::print;
 use crate::section;
@@ -18,7 +17,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Diff {
     /// Changed and removed sections in the order of the old text, then added ones.
-    pub changes: Vec<Change>,
+    pub changes: Vec<change::Change>,
 }
 
 impl Diff {
@@ -49,12 +48,14 @@
             Some(_) => change::Kind::Changed,
             None => change::Kind::Removed,
         };
-        Change::between(header, kind, keys, after.unwrap_or(&none))
+        change::Change::between(header, kind, keys, after.unwrap_or(&none))
     });
     let added = new
         .iter()
         .filter(|(header, _)| !old.contains_key(*header))
-        .filter_map(|(header, keys)| Change::between(header, change::Kind::Added, &none, keys));
+        .filter_map(|(header, keys)| {
+            change::Change::between(header, change::Kind::Added, &none, keys)
+        });
     Diff {
         changes: kept.chain(added).collect(),
     }
--- a/crates/basilgrade_config/src/parse.rs
+++ b/crates/basilgrade_config/src/parse.rs
@@ -16,7 +16,6 @@
 mod whole;
 
 use crate::model::deployment;
-use crate::parse::names::Names;
 use crate::problem;
 use crate::source;
 
@@ -28,7 +27,7 @@
 pub fn parse(text: &str, file: &str) -> Result<deployment::Deployment, problem::Problems> {
     let mut source = source::Source::scan(text, file);
     let sections = headers::check(&mut source);
-    let names = Names::collect(&sections);
+    let names = names::Names::collect(&sections);
     let mut deployment = whole::read(&sections, &mut source);
     deployment.domains = domains::read(&sections, &mut source);
     let prices = prices::read(&sections, &mut source);
--- a/crates/basilgrade_config/src/parse/customers.rs
+++ b/crates/basilgrade_config/src/parse/customers.rs
@@ -7,7 +7,7 @@
 use crate::limits;
 use crate::model::customer;
 use crate::parse::headers;
-use crate::parse::names::Names;
+use crate::parse::names;
 use crate::reader;
 use crate::section;
 use crate::source;
@@ -16,7 +16,7 @@
 pub(super) fn read(
     sections: &[section::Section],
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
 ) -> IndexMap<id::CustomerId, customer::Customer> {
     headers::of(sections, "customer")
         .filter_map(|section| read_one(section, source, names))
@@ -35,7 +35,7 @@
 fn read_one(
     section: &section::Section,
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
 ) -> Option<customer::Customer> {
     let mut reader = reader::Reader::new(section, source);
     let rate = reader.required("rate", rate);
--- a/crates/basilgrade_config/src/parse/models.rs
+++ b/crates/basilgrade_config/src/parse/models.rs
@@ -9,7 +9,7 @@
 use crate::model::placed;
 use crate::model::pool;
 use crate::parse::headers;
-use crate::parse::names::Names;
+use crate::parse::names;
 use crate::reader;
 use crate::section;
 use crate::source;
@@ -18,7 +18,7 @@
 pub(super) fn read(
     sections: &[section::Section],
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
 ) -> IndexMap<id::ModelId, placed::PlacedModel> {
     let models = headers::of(sections, "model")
@@ -32,7 +32,7 @@
 fn read_one(
     section: &section::Section,
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
 ) -> Option<placed::PlacedModel> {
     let mut reader = reader::Reader::new(section, source);
--- a/crates/basilgrade_config/src/parse/pipelines.rs
+++ b/crates/basilgrade_config/src/parse/pipelines.rs
@@ -12,7 +12,7 @@
 use crate::model::pool;
 use crate::model::stage;
 use crate::parse::headers;
-use crate::parse::names::Names;
+use crate::parse::names;
 use crate::parse::stages;
 use crate::reader;
 use crate::section;
@@ -24,7 +24,7 @@
 pub(super) fn read(
     sections: &[section::Section],
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
 ) -> IndexMap<id::PipelineId, pipeline::Pipeline> {
     let mut declared = Declared::new();
@@ -94,7 +94,7 @@
     section: &section::Section,
     source: &mut source::Source,
     pipeline: &str,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
 ) {
     if names.pipelines.contains(pipeline) {
         return;
@@ -109,7 +109,7 @@
 fn report_unlisted(
     sections: &[section::Section],
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     listed: &HashSet<(&str, String)>,
 ) {
     // A pipeline whose list cannot be read has been reported already.
--- a/crates/basilgrade_config/src/parse/services.rs
+++ b/crates/basilgrade_config/src/parse/services.rs
@@ -6,7 +6,7 @@
 use crate::model::pool;
 use crate::model::service;
 use crate::parse::headers;
-use crate::parse::names::Names;
+use crate::parse::names;
 use crate::reader;
 use crate::section;
 use crate::source;
@@ -15,7 +15,7 @@
 pub(super) fn read(
     sections: &[section::Section],
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
 ) -> IndexMap<id::PoolId, service::Service> {
     headers::of(sections, "service")
@@ -27,7 +27,7 @@
 fn read_one(
     section: &section::Section,
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
 ) -> Option<service::Service> {
     let mut reader = reader::Reader::new(section, source);
@@ -51,7 +51,7 @@
 fn check_pool(
     section: &section::Section,
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pool: &id::PoolId,
     declared: Option<&pool::Pool>,
 ) {
--- a/crates/basilgrade_config/src/parse/stages.rs
+++ b/crates/basilgrade_config/src/parse/stages.rs
@@ -8,7 +8,7 @@
 use crate::model::pool;
 use crate::model::stage;
 use crate::parse::headers;
-use crate::parse::names::Names;
+use crate::parse::names;
 use crate::reader;
 use crate::section;
 use crate::source;
@@ -18,7 +18,7 @@
 pub(super) fn read(
     section: &section::Section,
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
 ) -> Option<stage::Stage> {
     let mut reader = reader::Reader::new(section, source);
@@ -67,7 +67,7 @@
 
 fn read_degrade(
     reader: &mut reader::Reader<'_>,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     pools: &IndexMap<id::PoolId, pool::Pool>,
     pool: Option<&pool::Pool>,
     tokens: Option<size::TokenCount>,
--- a/crates/basilgrade_config/src/parse/upstreams.rs
+++ b/crates/basilgrade_config/src/parse/upstreams.rs
@@ -9,7 +9,7 @@
 use crate::limits;
 use crate::model::upstream;
 use crate::parse::headers;
-use crate::parse::names::Names;
+use crate::parse::names;
 use crate::reader;
 use crate::section;
 use crate::source;
@@ -18,7 +18,7 @@
 pub(super) fn read(
     sections: &[section::Section],
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
 ) -> IndexMap<id::UpstreamId, upstream::Upstream> {
     let mut addresses = HashMap::new();
     headers::of(sections, "upstream")
@@ -30,7 +30,7 @@
 fn read_one<'a>(
     section: &'a section::Section,
     source: &mut source::Source,
-    names: &Names<'_>,
+    names: &names::Names<'_>,
     addresses: &mut HashMap<net::SocketAddr, &'a str>,
 ) -> Option<upstream::Upstream> {
     let mut reader = reader::Reader::new(section, source);
--- a/crates/basilgrade_config/src/print.rs
+++ b/crates/basilgrade_config/src/print.rs
@@ -12,7 +12,6 @@
 use crate::model::placed;
 use crate::model::pool;
 use crate::model::stage;
-use crate::print::printer::Printer;
 
 /// The canonical text of a configuration.
 ///
@@ -20,7 +19,7 @@
 /// texts and a change of one section changes only its own lines. Reading the text gives an equal
 /// configuration.
 pub fn print(deployment: &deployment::Deployment) -> String {
-    let mut out = Printer::default();
+    let mut out = printer::Printer::default();
     out.header("deployment");
     out.key("name", &deployment.name);
     out.header("weights");
@@ -71,7 +70,7 @@
     items
 }
 
-fn print_pool(out: &mut Printer, pool: &pool::Pool) {
+fn print_pool(out: &mut printer::Printer, pool: &pool::Pool) {
     out.header(&format!("pool {}", pool.id));
     out.key("kind", pool.kind);
     out.key("fencing", pool.fencing);
@@ -82,7 +81,7 @@
     out.key("price", pool.price);
 }
 
-fn print_model(out: &mut Printer, model: &placed::PlacedModel) {
+fn print_model(out: &mut printer::Printer, model: &placed::PlacedModel) {
     out.header(&format!("model {}", model.id));
     out.key("pool", &model.pool);
     if let Some(version) = model.version() {
@@ -91,7 +90,7 @@
     out.key("least", model.least);
 }
 
-fn print_pipeline(out: &mut Printer, pipeline: &pipeline::Pipeline) {
+fn print_pipeline(out: &mut printer::Printer, pipeline: &pipeline::Pipeline) {
     out.header(&format!("pipeline {}", pipeline.id));
     out.key("deadline", pipeline.deadline);
     out.key(
@@ -104,7 +103,7 @@
     }
 }
 
-fn print_stage(out: &mut Printer, stage: &stage::Stage) {
+fn print_stage(out: &mut printer::Printer, stage: &stage::Stage) {
     out.key("pool", &stage.pool);
     if let Some(model) = &stage.model {
         out.key("model", model);
@@ -126,7 +125,7 @@
     }
 }
 
-fn print_customer(out: &mut Printer, customer: &customer::Customer) {
+fn print_customer(out: &mut printer::Printer, customer: &customer::Customer) {
     out.header(&format!("customer {}", customer.id));
     out.key("rate", customer.rate);
     out.key("burst", customer.burst);
--- a/crates/basilgrade_config/src/settings/peers.rs
+++ b/crates/basilgrade_config/src/settings/peers.rs
@@ -3,7 +3,6 @@
 use std::net;
 
 use crate::reader;
-use crate::settings::peers::secret::Secret;
 use crate::value;
 
 pub mod secret;
@@ -12,7 +11,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peers {
     /// `secret`: known to every daemon and to `basilctl`.
-    pub secret: Secret,
+    pub secret: secret::Secret,
     /// `seeds`: peer addresses to ask first; the VM list adds to them. Default: none.
     pub seeds: Vec<net::SocketAddr>,
 }
--- a/crates/basilgrade_journal/src/config_state.rs
+++ b/crates/basilgrade_journal/src/config_state.rs
@@ -9,8 +9,7 @@
 use serde::Serialize;
 use uuid::Uuid;
 
-use crate::config_record::Change;
-use crate::config_record::ConfigRecord;
+use crate::config_record;
 use crate::merge;
 use crate::replay;
 
@@ -79,14 +78,16 @@
         merger: &dyn merge::Merge,
         id: Uuid,
         base: revision::Revision,
-        change: Change,
+        change: config_record::Change,
     ) -> Result<revision::Revision, Rejection> {
         if base != self.revision {
             return Err(Rejection::Base);
         }
         let text = match change {
-            Change::Text(text) => text,
-            Change::Delta(delta) => merger.merge(&self.text, &delta).map_err(Rejection::Merge)?,
+            config_record::Change::Text(text) => text,
+            config_record::Change::Delta(delta) => {
+                merger.merge(&self.text, &delta).map_err(Rejection::Merge)?
+            }
         };
         self.text = text;
         self.revision = base.next();
@@ -99,7 +100,7 @@
 }
 
 impl replay::Replay for ConfigState {
-    type Record = ConfigRecord;
+    type Record = config_record::ConfigRecord;
     type Event = ConfigEvent;
     type Context = dyn merge::Merge;
 
@@ -107,10 +108,10 @@
         &mut self,
         context: &Self::Context,
         _offset: offset::Offset,
-        record: ConfigRecord,
+        record: config_record::ConfigRecord,
         events: &mut Vec<ConfigEvent>,
     ) {
-        let ConfigRecord::Publish { id, base, change } = record else {
+        let config_record::ConfigRecord::Publish { id, base, change } = record else {
             return;
         };
         events.push(match self.publish(context, id, base, change) {
@@ -124,10 +125,10 @@
     }
 
     fn restore(
-        record: ConfigRecord,
-    ) -> Result<(offset::Offset, clock::Millis, Self), ConfigRecord> {
+        record: config_record::ConfigRecord,
+    ) -> Result<(offset::Offset, clock::Millis, Self), config_record::ConfigRecord> {
         match record {
-            ConfigRecord::Snapshot {
+            config_record::ConfigRecord::Snapshot {
                 revision,
                 through,
                 at,
@@ -142,7 +143,7 @@
                     recent: recent.into_iter().take(RECENT_LIMIT).collect(),
                 },
             )),
-            record @ ConfigRecord::Publish { .. } => Err(record),
+            record @ config_record::ConfigRecord::Publish { .. } => Err(record),
         }
     }
 
@@ -150,8 +151,8 @@
         self.revision >= earlier.revision
     }
 
-    fn restate(&self, through: offset::Offset, at: clock::Millis) -> ConfigRecord {
-        ConfigRecord::Snapshot {
+    fn restate(&self, through: offset::Offset, at: clock::Millis) -> config_record::ConfigRecord {
+        config_record::ConfigRecord::Snapshot {
             revision: self.revision,
             through,
             at,
--- a/crates/basilgrade_journal/src/control_state.rs
+++ b/crates/basilgrade_journal/src/control_state.rs
@@ -9,8 +9,7 @@
 use serde::Serialize;
 use uuid::Uuid;
 
-use crate::control_record::ControlRecord;
-use crate::control_record::SlotRelease;
+use crate::control_record;
 use crate::grant;
 use crate::history;
 use crate::lease;
@@ -99,7 +98,7 @@
         true
     }
 
-    fn release(&mut self, offset: offset::Offset, release: &SlotRelease) -> bool {
+    fn release(&mut self, offset: offset::Offset, release: &control_record::SlotRelease) -> bool {
         let Some(held) = self.slots.get_mut(&release.slot) else {
             return false;
         };
@@ -157,7 +156,7 @@
 }
 
 impl replay::Replay for ControlState {
-    type Record = ControlRecord;
+    type Record = control_record::ControlRecord;
     type Event = ControlEvent;
     type Context = ();
 
@@ -165,11 +164,11 @@
         &mut self,
         _context: &(),
         offset: offset::Offset,
-        record: ControlRecord,
+        record: control_record::ControlRecord,
         events: &mut Vec<ControlEvent>,
     ) {
         match record {
-            ControlRecord::Grants { id, grants } => {
+            control_record::ControlRecord::Grants { id, grants } => {
                 for grant in grants {
                     let slot = grant.slot;
                     events.push(if self.grant(offset, &grant) {
@@ -179,7 +178,7 @@
                     });
                 }
             }
-            ControlRecord::Release { id, slots } => {
+            control_record::ControlRecord::Release { id, slots } => {
                 for release in slots {
                     events.push(if self.release(offset, &release) {
                         ControlEvent::Slot(release.slot)
@@ -188,7 +187,7 @@
                     });
                 }
             }
-            ControlRecord::Lease {
+            control_record::ControlRecord::Lease {
                 id,
                 domain,
                 holder,
@@ -209,15 +208,15 @@
                     ControlEvent::LeaseRefused(id, domain)
                 });
             }
-            ControlRecord::Snapshot { .. } => {}
+            control_record::ControlRecord::Snapshot { .. } => {}
         }
     }
 
     fn restore(
-        record: ControlRecord,
-    ) -> Result<(offset::Offset, clock::Millis, Self), ControlRecord> {
+        record: control_record::ControlRecord,
+    ) -> Result<(offset::Offset, clock::Millis, Self), control_record::ControlRecord> {
         match record {
-            ControlRecord::Snapshot {
+            control_record::ControlRecord::Snapshot {
                 through,
                 at,
                 slots,
@@ -247,8 +246,8 @@
         })
     }
 
-    fn restate(&self, through: offset::Offset, at: clock::Millis) -> ControlRecord {
-        ControlRecord::Snapshot {
+    fn restate(&self, through: offset::Offset, at: clock::Millis) -> control_record::ControlRecord {
+        control_record::ControlRecord::Snapshot {
             through,
             at,
             slots: self
--- a/crates/basilgrade_server/src/background/placement.rs
+++ b/crates/basilgrade_server/src/background/placement.rs
@@ -26,8 +26,6 @@
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
-use crate::background::placement::demands::Demands;
-use crate::background::placement::writer::Writer;
 use crate::background::reader;
 use crate::view::entry;
 use crate::view::snapshot;
@@ -48,8 +46,8 @@
 /// State of the task.
 struct Placement {
     reader: reader::Reader,
-    writer: Option<Writer>,
-    demands: Demands,
+    writer: Option<writer::Writer>,
+    demands: demands::Demands,
     store: Option<store::Store>,
     store_due: clock::Millis,
 }
@@ -59,7 +57,7 @@
     let mut placement = Placement {
         reader,
         writer: None,
-        demands: Demands::default(),
+        demands: demands::Demands::default(),
         store: None,
         store_due: clock::Millis::ZERO,
     };
@@ -121,10 +119,10 @@
         let Some(fencing) = wanted.filter(|_| self.reader.cluster.has_joined()) else {
             return;
         };
-        if self.writer.as_ref().map(Writer::fencing) != Some(fencing) {
+        if self.writer.as_ref().map(writer::Writer::fencing) != Some(fencing) {
             // A lease taken under the other assumption is not used; it expires.
             let me = self.reader.cluster.me();
-            self.writer = Some(Writer::new(me, domain.clone(), fencing));
+            self.writer = Some(writer::Writer::new(me, domain.clone(), fencing));
         }
         let daemons = self.daemons();
         let demand = self
