--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -193,11 +193,12 @@
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
-        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
-            self.note_last();
-            return Some(Ok(Bytes::from(first)));
-        }
         loop {
+            // The first events of a source were read when it was opened.
+            if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+                self.note_last();
+                return Some(Ok(Bytes::from(first)));
+            }
             let Some(source) = &mut self.source else {
                 return self.fail("no upstream continues the stream");
             };
