Free stage results at the first event of a stream

Cause: the room for results at the upstreams of the first stage limited calls to 2.8 of 8 pieces, because resumable streams held their inputs until they ended. Ruled out: the batch limit and the number of upstreams (calls of other pools were fuller).

--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -90,11 +90,8 @@
         request: sync::Arc<request::Request>,
         active: core::Active,
     ) -> Result<Response<body::Body>, failure::Failure> {
-        let mut results = results::Results::new(sync::Arc::clone(&self.pieces));
-        if !request.route.stages.is_empty() && !request.head.pieces.is_empty() {
-            self.admit(&request)?;
-            results = stages::run(&self, &request, results).await?;
-        }
+        self.admit(&request)?;
+        let results = stages::run(&self, &request).await?;
         if request.route.kind.is_stream() {
             return stream::serve(&self, request, results, active).await;
         }
@@ -103,6 +100,9 @@
 
     /// Refuses a request whose stages cannot end in time.
     fn admit(&self, request: &request::Request) -> Result<(), failure::Failure> {
+        if request.route.stages.is_empty() {
+            return Ok(());
+        }
         let arrival = admission::Arrival {
             left: request.left(self.core.now()),
             stages: self.longest_path(&request.route, &request.head.pieces),
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -23,6 +23,7 @@
 use crate::serve::body;
 use crate::serve::request;
 use crate::serve::results;
+use crate::serve::stages;
 use crate::serve::stream as opening;
 use crate::serve::whole;
 
@@ -111,7 +112,6 @@
     request: sync::Arc<request::Request>,
     source: Option<Source>,
     first: Option<Vec<u8>>,
-    results: results::Results,
     sends: whole::Sends,
     last: Option<u64>,
     outcome: &'static str,
@@ -160,17 +160,14 @@
         active: core::Active,
     ) -> Self {
         let started = service.core.now();
-        let mut results = results;
-        if !request.route.kind.is_repeatable() {
-            // The engine has read them, and no other one will.
-            results = results::Results::new(sync::Arc::clone(&service.pieces));
-        }
+        // The engine has read them. Their room is short, so they are made again for the few streams
+        // that go on elsewhere.
+        drop(results);
         Self {
             service,
             request,
             source: Some(source),
             first: Some(first),
-            results,
             sends,
             last: None,
             outcome: "caller-left",
@@ -250,12 +247,22 @@
                 .record(core.now(), health::Outcome::Broken);
             self.sends.note_failed(&self.request, &source.entry, reason);
         }
+        if !self.sends.may_repeat(&core, &self.request) {
+            return false;
+        }
+        let results = match stages::run(&self.service, &self.request).await {
+            Ok(results) => results,
+            Err(failure) => {
+                self.request.log(&core, &failure);
+                return false;
+            }
+        };
         loop {
-            let Some(entry) = self.sends.next(&core, &self.request, &self.results) else {
+            let Some(entry) = self.sends.next(&core, &self.request, &results) else {
                 return false;
             };
             let extras = attempt::Extras {
-                results: self.results.of(self.request.route.last_stages()),
+                results: results.of(self.request.route.last_stages()),
                 last_event: self.last.or(self.request.head.last_event),
             };
             let left = self.request.left(core.now());
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -31,8 +31,11 @@
 pub async fn run(
     service: &serve::Service,
     request: &request::Request,
-    mut results: results::Results,
 ) -> Result<results::Results, failure::Failure> {
+    let mut results = results::Results::new(std::sync::Arc::clone(&service.pieces));
+    if request.route.stages.is_empty() || request.head.pieces.is_empty() {
+        return Ok(results);
+    }
     for _ in 0..=RERUNS {
         match run_once(service, request, &mut results).await {
             Ok(()) => return Ok(results),
--- a/crates/basilgrade_edge/src/serve/whole.rs
+++ b/crates/basilgrade_edge/src/serve/whole.rs
@@ -218,13 +218,7 @@
         request: &request::Request,
         results: &results::Results,
     ) -> Option<sync::Arc<upstream::Upstream>> {
-        if self.has_failed && !request.route.kind.is_repeatable() {
-            return None;
-        }
-        if self.runs >= request.route.attempts || self.refusals >= REFUSALS {
-            return None;
-        }
-        if request.left(core.now()) == clock::Millis::ZERO {
+        if !self.may_repeat(core, request) {
             return None;
         }
         let entry = attempt::choose(core, request, results, &self.tried);
@@ -244,6 +238,15 @@
         Some(entry)
     }
 
+    /// Whether the request may be sent once more.
+    pub fn may_repeat(&self, core: &core::Core, request: &request::Request) -> bool {
+        let is_allowed = !self.has_failed || request.route.kind.is_repeatable();
+        is_allowed
+            && self.runs < request.route.attempts
+            && self.refusals < REFUSALS
+            && request.left(core.now()) > clock::Millis::ZERO
+    }
+
     /// Records a send that ran nothing.
     pub fn note_refused(
         &mut self,
