Make large results that run beside other stages last

Cause: the first stage of chats ran beside a chain of three and its 1.5 MB results took up room until the chain ended.

--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -4,6 +4,7 @@
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
+use basilgrade_types::size;
 use futures::StreamExt;
 use futures::stream;
 
@@ -15,6 +16,9 @@
 /// Times that the stages are run again because a result was gone.
 const RERUNS: usize = 1;
 
+/// Results of at least this size are made as late as possible.
+const LARGE: size::ByteCount = size::ByteCount(200_000);
+
 /// Why the stages of a request ended without results.
 enum Failed {
     /// A result expired, or its holder ended.
@@ -65,7 +69,7 @@
                 .after
                 .iter()
                 .all(|after| done.get(*after) != Some(&false));
-            if started[place] || !is_ready {
+            if started[place] || !is_ready || can_wait(request, place, &started) {
                 continue;
             }
             started[place] = true;
@@ -79,7 +83,9 @@
         // A stage without pieces is done at once, and may be what another one waited for.
         let is_stuck = (0..count).any(|place| {
             let after = &request.route.stages[place].after;
-            !started[place] && after.iter().all(|after| done.get(*after) != Some(&false))
+            !started[place]
+                && after.iter().all(|after| done.get(*after) != Some(&false))
+                && !can_wait(request, place, &started)
         });
         if is_stuck {
             continue;
@@ -95,6 +101,20 @@
     }
 }
 
+/// Whether a stage with large results should wait for other stages to start.
+///
+/// Its results would take up scarce room while the request waits for the others.
+fn can_wait(request: &request::Request, place: usize, started: &[bool]) -> bool {
+    let stages = &request.route.stages;
+    if stages[place].bytes < LARGE || !request.route.last_stages().any(|last| last == place) {
+        return false;
+    }
+    let is_due = |other: usize| {
+        other != place && !started[other] && pieces(request, other) > 0 && stages[other].bytes < LARGE
+    };
+    (0..stages.len()).any(is_due)
+}
+
 fn pieces(request: &request::Request, place: usize) -> u32 {
     request.head.pieces.get(place).copied().unwrap_or(0)
 }
