--- a/crates/basilgrade_edge/src/gather/releases.rs
+++ b/crates/basilgrade_edge/src/gather/releases.rs
@@ -11,9 +11,9 @@
 
 use crate::core;
 
-/// Results are freed together after this time. They take up room meanwhile, for about a third of
-/// the time of a call.
-const COLLECT: clock::Millis = clock::Millis(120);
+/// Results are freed together after this time, which collects those of one call. They take up room
+/// meanwhile.
+const COLLECT: clock::Millis = clock::Millis(25);
 
 /// Time for the call that frees results; they expire by themselves if it fails.
 const CALL_LIMIT: clock::Millis = clock::Millis(1000);
