Let one daemon of each failure domain read the store for the others

The wait is now 1.2 s. To pay for that, the others follow the reader of their failure domain, and read for themselves when it does not answer.

--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -5,7 +5,6 @@
 use std::sync;
 use std::time as std_time;
 
-use basilgrade_adapter::store;
 use basilgrade_fleet::placement;
 use basilgrade_types::clock;
 use tokio::net;
@@ -118,11 +117,7 @@
         let socket = bind(address).await?;
         tokio::spawn(readiness::run_metrics(sync::Arc::clone(&core), socket));
     }
-    for topic in [
-        store::Topic::Operators,
-        store::Topic::Upstreams,
-        store::Topic::Daemons,
-    ] {
+    for topic in state::TOPICS {
         let reader = reader::Reader::new(sync::Arc::clone(&core), sync::Arc::clone(&state), topic);
         tokio::spawn(reader.run());
     }
@@ -130,7 +125,12 @@
         sync::Arc::clone(&core),
         sync::Arc::clone(&state),
     ));
-    tokio::spawn(copies::run(sync::Arc::clone(&core), state, links));
+    let follower = copies::Follower {
+        core: sync::Arc::clone(&core),
+        state,
+        links,
+    };
+    tokio::spawn(follower.run());
     tokio::spawn(pieces.beat());
     tokio::spawn(reload(sync::Arc::clone(&core), file, hangup));
     tokio::spawn(sweep(sync::Arc::clone(&core)));
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 
 use crate::core;
+use crate::follow::mirror;
 use crate::follow::state;
 use crate::http::pool;
 
@@ -18,8 +19,14 @@
 /// Each read is billed. Two reads and an answer fit the shortest bound on leaving upstreams, 2.5 s.
 const UPSTREAM_PAUSE: clock::Millis = clock::Millis(1000);
 
-/// How long a read of a quiet topic waits for a record.
-const QUIET_WAIT: clock::Millis = clock::Millis(10_000);
+/// How long a read of the configuration waits for a record.
+///
+/// The store has been seen to leave a waiting read without a record that was appended as the read
+/// arrived, so the wait has to end well within the shortest bound on configurations, 2.5 s.
+const CONFIGURATION_WAIT: clock::Millis = clock::Millis(1200);
+
+/// How long a read of the daemons waits for a record; nothing is bound to their changes.
+const DAEMON_WAIT: clock::Millis = clock::Millis(10_000);
 
 /// Time for an answer beyond the wait. A slow store takes up to half a second.
 const ANSWER_LIMIT: clock::Millis = clock::Millis(900);
@@ -47,14 +54,23 @@
         Self { core, state, topic }
     }
 
-    /// Follows the topic; never returns.
+    /// Follows the topic while this daemon is a reader; never returns.
     pub async fn run(self) {
+        let mut reading = self.state.reading();
         loop {
-            if let Err(reason) = self.load().await {
+            if reading.wait_for(|is_reader| *is_reader).await.is_err() {
+                return;
+            }
+            if self.state.position(self.topic).is_none()
+                && let Err(reason) = self.load().await
+            {
                 self.fail(&reason).await;
                 continue;
             }
-            self.follow().await;
+            tokio::select! {
+                () = self.follow() => {}
+                _ = reading.wait_for(|is_reader| !is_reader) => {}
+            }
         }
     }
 
@@ -102,38 +118,44 @@
             self.topic.as_str(),
             records.len()
         );
-        let changes = state::Changes::All(records);
-        self.state
-            .change(self.topic, position, changes, state::Origin::Store);
+        self.state.read(mirror::Update {
+            topic: self.topic,
+            position,
+            changes: mirror::Changes::All(records),
+        });
         Ok(())
     }
 
-    /// Reads what is added until records are missing.
+    /// Reads what is added; loads the newest records when some are missing.
     async fn follow(&self) {
-        let is_quiet = self.topic != store::Topic::Upstreams;
-        let wait = if is_quiet {
-            QUIET_WAIT
-        } else {
-            clock::Millis::ZERO
+        let wait = match self.topic {
+            store::Topic::Operators => CONFIGURATION_WAIT,
+            store::Topic::Upstreams => clock::Millis::ZERO,
+            store::Topic::Daemons => DAEMON_WAIT,
         };
+        let is_waiting = wait > clock::Millis::ZERO;
         let mut kicks = self.state.kicks();
         loop {
             kicks.mark_unchanged();
             let read = self.read(wait);
             let outcome = tokio::select! {
                 outcome = read => outcome,
-                _ = kicks.changed(), if is_quiet => continue,
+                _ = kicks.changed(), if is_waiting => continue,
             };
-            match outcome {
-                Ok(true) => self.state.reached(),
-                Ok(false) => return,
-                Err(reason) => {
-                    self.fail(&reason).await;
-                    continue;
-                }
+            let outcome = match outcome {
+                Ok(true) => Ok(()),
+                Ok(false) => self.load().await,
+                Err(reason) => Err(reason),
+            };
+            if let Err(reason) = outcome {
+                self.fail(&reason).await;
+                continue;
             }
-            if !is_quiet {
-                self.state.expire_missing();
+            self.state.reached();
+            if !is_waiting {
+                if !self.state.is_uncertain() {
+                    self.state.expire_missing();
+                }
                 tokio::time::sleep(UPSTREAM_PAUSE.duration()).await;
             }
         }
@@ -172,9 +194,11 @@
                 .flatten()
                 .map(|record| (record.key, record.value))
                 .collect();
-            let changes = state::Changes::Some(records);
-            self.state
-                .change(self.topic, next, changes, state::Origin::Store);
+            self.state.read(mirror::Update {
+                topic: self.topic,
+                position: next,
+                changes: mirror::Changes::Some(records),
+            });
         }
         Ok(true)
     }
--- a/crates/basilgrade_edge/src/follow/state.rs
+++ b/crates/basilgrade_edge/src/follow/state.rs
@@ -15,6 +15,7 @@
 
 use crate::core;
 use crate::follow::mirror;
+use crate::follow::mirror::Changes;
 use crate::view;
 
 /// How long entries that lapsed while the store was away may be missing after its return.
@@ -43,25 +44,25 @@
     }
 }
 
-/// Changes to a topic.
-#[derive(Debug)]
-pub enum Changes {
-    /// All newest records.
-    All(Vec<(CompactString, Bytes)>),
-    /// Records that were added; without a value, the key is removed.
-    Some(Vec<(CompactString, Option<Bytes>)>),
-}
-
 /// The mirrors of all topics.
 pub struct State {
     core: sync::Arc<core::Core>,
-    mirrors: sync::Mutex<[Option<mirror::Mirror>; 3]>,
+    mirrors: sync::Mutex<[mirror::Mirror; 3]>,
     daemons: sync::Mutex<Vec<daemon::Daemon>>,
     is_reached: atomic::AtomicBool,
     regained: atomic::AtomicU64,
     kick: tokio::sync::watch::Sender<u64>,
+    changed: tokio::sync::watch::Sender<u64>,
+    reading: tokio::sync::watch::Sender<bool>,
 }
 
+/// All topics, in the order of positions.
+pub const TOPICS: [store::Topic; 3] = [
+    store::Topic::Operators,
+    store::Topic::Upstreams,
+    store::Topic::Daemons,
+];
+
 const fn place(topic: store::Topic) -> usize {
     match topic {
         store::Topic::Operators => 0,
@@ -75,15 +76,17 @@
     pub fn new(core: sync::Arc<core::Core>) -> Self {
         Self {
             core,
-            mirrors: sync::Mutex::default(),
+            mirrors: sync::Mutex::new(TOPICS.map(mirror::Mirror::new)),
             daemons: sync::Mutex::default(),
             is_reached: atomic::AtomicBool::new(false),
             regained: atomic::AtomicU64::new(0),
             kick: tokio::sync::watch::Sender::new(0),
+            changed: tokio::sync::watch::Sender::new(0),
+            reading: tokio::sync::watch::Sender::new(true),
         }
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, [Option<mirror::Mirror>; 3]> {
+    fn lock(&self) -> sync::MutexGuard<'_, [mirror::Mirror; 3]> {
         self.mirrors
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
@@ -91,25 +94,44 @@
 
     /// Offset up to which a topic is known.
     pub fn position(&self, topic: store::Topic) -> Option<u64> {
-        let mirrors = self.lock();
-        mirrors[place(topic)].as_ref().map(|mirror| mirror.position)
+        self.lock()[place(topic)].position()
     }
 
-    /// Copies that are newer than `positions`, which are in the order operators, upstreams, daemons.
-    pub fn newer(&self, positions: [Option<u64>; 3]) -> Vec<mirror::Mirror> {
+    /// What daemons lack that know the topics up to `positions`.
+    pub fn since(&self, positions: [Option<u64>; 3]) -> Vec<mirror::Update> {
         let mirrors = self.lock();
-        let is_newer = |mirror: &&mirror::Mirror| {
-            positions[place(mirror.topic)].is_none_or(|position| mirror.position > position)
-        };
-        mirrors.iter().flatten().filter(is_newer).cloned().collect()
+        let pairs = mirrors.iter().zip(positions);
+        pairs
+            .filter_map(|(mirror, known)| mirror.since(known))
+            .collect()
     }
 
-    /// Positions in the order operators, upstreams, daemons.
+    /// Positions, in the order of [`TOPICS`].
     pub fn positions(&self) -> [Option<u64>; 3] {
-        let mirrors = self.lock();
-        mirrors
-            .each_ref()
-            .map(|mirror| mirror.as_ref().map(|mirror| mirror.position))
+        self.lock().each_ref().map(mirror::Mirror::position)
+    }
+
+    /// Wakes with each change of a topic.
+    pub fn changes(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Whether this daemon reads the store for the others of its failure domain.
+    pub fn is_reader(&self) -> bool {
+        *self.reading.borrow()
+    }
+
+    /// Wakes when this daemon starts or stops reading the store.
+    pub fn reading(&self) -> tokio::sync::watch::Receiver<bool> {
+        self.reading.subscribe()
+    }
+
+    /// Starts or stops reading the store.
+    pub fn set_reader(&self, is_reader: bool, reason: &str) {
+        let changes = |known: &mut bool| std::mem::replace(known, is_reader) != is_reader;
+        if self.reading.send_if_modified(changes) {
+            log::info!("event=reader-changed reads_store={is_reader} reason={reason:?}");
+        }
     }
 
     /// Whether the store answered last time.
@@ -142,53 +164,43 @@
     }
 
     /// Whether missing entries may be those of living upstreams.
-    fn is_uncertain(&self, now: clock::Millis) -> bool {
+    pub fn is_uncertain(&self) -> bool {
         let regained = clock::Millis(self.regained.load(atomic::Ordering::Relaxed));
-        !self.is_reached() || now < regained.plus(RETURN_GRACE)
+        !self.is_reached() || self.core.now() < regained.plus(RETURN_GRACE)
     }
 
-    /// Takes a copy that another daemon has, if it is newer.
-    pub fn adopt(&self, copy: mirror::Mirror) {
-        let known = self.position(copy.topic);
-        if known.is_some_and(|position| position >= copy.position) {
+    /// Applies what another daemon has read, unless it is known.
+    ///
+    /// `is_uncertain` tells whether missing entries may be those of living upstreams.
+    pub fn adopt(&self, update: mirror::Update, is_uncertain: bool) {
+        let known = self.position(update.topic);
+        if known.is_some_and(|position| position >= update.position) {
             return;
         }
-        let records = copy.records.into_iter().collect();
-        self.change(
-            copy.topic,
-            copy.position,
-            Changes::All(records),
-            Origin::Peer,
-        );
+        self.change(update, Origin::Peer, is_uncertain);
     }
 
-    /// Applies what was read of `topic` up to `position`.
-    pub fn change(&self, topic: store::Topic, position: u64, changes: Changes, origin: Origin) {
-        {
-            let mut mirrors = self.lock();
-            let mirror = mirrors[place(topic)].get_or_insert_with(|| mirror::Mirror::new(topic));
-            // Another daemon's copy may have been taken while the read was under way.
-            if mirror.position > position {
-                return;
-            }
-            mirror.position = position;
-            match &changes {
-                Changes::All(records) => mirror.records = records.iter().cloned().collect(),
-                Changes::Some(records) => {
-                    for (key, value) in records {
-                        match value {
-                            Some(value) => mirror.records.insert(key.clone(), value.clone()),
-                            None => mirror.records.swap_remove(key),
-                        };
-                    }
-                }
-            }
+    /// Applies what was read from the store.
+    pub fn read(&self, update: mirror::Update) {
+        self.change(update, Origin::Store, self.is_uncertain());
+    }
+
+    fn change(&self, update: mirror::Update, origin: Origin, is_uncertain: bool) {
+        let mirror::Update {
+            topic,
+            position,
+            changes,
+        } = update;
+        // Another daemon's copy may have been taken while a read was under way.
+        if !self.lock()[place(topic)].apply(position, &changes) {
+            return;
         }
         match topic {
             store::Topic::Operators => self.change_configuration(&changes, origin),
-            store::Topic::Upstreams => self.change_upstreams(changes, origin),
+            store::Topic::Upstreams => self.change_upstreams(changes, origin, is_uncertain),
             store::Topic::Daemons => self.change_daemons(),
         }
+        self.changed.send_modify(|count| *count += 1);
     }
 
     fn change_configuration(&self, changes: &Changes, origin: Origin) {
@@ -238,8 +250,7 @@
         });
     }
 
-    fn change_upstreams(&self, changes: Changes, origin: Origin) {
-        let now = self.core.now();
+    fn change_upstreams(&self, changes: Changes, origin: Origin, is_uncertain: bool) {
         let mut directory = directory::Directory::clone(&self.core.view.load().directory);
         let mut has_changed = false;
         let records = match changes {
@@ -255,7 +266,7 @@
             }
         };
         for (key, value) in records {
-            has_changed |= self.change_upstream(&mut directory, now, &key, value, origin);
+            has_changed |= self.change_upstream(&mut directory, &key, value, origin, is_uncertain);
         }
         if has_changed || !self.core.view.load().has_upstreams {
             self.publish(directory);
@@ -265,10 +276,10 @@
     fn change_upstream(
         &self,
         directory: &mut directory::Directory,
-        now: clock::Millis,
         key: &str,
         value: Option<Bytes>,
         origin: Origin,
+        is_uncertain: bool,
     ) -> bool {
         let Ok(id) = key.parse() else {
             self.core.metrics.unreadable.add();
@@ -278,13 +289,12 @@
             if directory.get(&id).is_none() {
                 return false;
             }
-            let is_uncertain = self.is_uncertain(now);
             log::info!(
                 "event=upstream-gone upstream={id} uncertain={is_uncertain} origin={}",
                 origin.as_str()
             );
             if is_uncertain {
-                directory.mark_missing(&id, now);
+                directory.mark_missing(&id);
             } else {
                 directory.remove(&id);
             }
@@ -337,11 +347,11 @@
     /// Removes upstreams that did not come back after the store's return.
     pub fn expire_missing(&self) {
         let view = self.core.view.load_full();
-        if !view.directory.has_missing() || self.is_uncertain(self.core.now()) {
+        if !view.directory.has_missing() {
             return;
         }
         let mut directory = directory::Directory::clone(&view.directory);
-        for id in directory.expire(clock::Millis::MAX) {
+        for id in directory.expire() {
             log::info!("event=upstream-expired upstream={id}");
         }
         self.publish(directory);
@@ -349,10 +359,7 @@
 
     fn change_daemons(&self) {
         let now = self.core.now();
-        let records = match &self.lock()[place(store::Topic::Daemons)] {
-            Some(mirror) => mirror.records.clone(),
-            None => return,
-        };
+        let records = self.lock()[place(store::Topic::Daemons)].records().clone();
         let mut daemons = Vec::new();
         for (key, value) in &records {
             match registration::decode(key, value) {
--- a/crates/basilgrade_edge/src/peers/server.rs
+++ b/crates/basilgrade_edge/src/peers/server.rs
@@ -6,6 +6,7 @@
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::model::handle;
 use basilgrade_peer::postcard_format;
+use basilgrade_types::clock;
 use basilgrade_types::id;
 use futures::StreamExt;
 use tarpc::context;
@@ -15,7 +16,6 @@
 use tokio_util::codec;
 
 use crate::core;
-use crate::follow::mirror;
 use crate::follow::state;
 use crate::gather::gatherers;
 use crate::http::socket;
@@ -62,8 +62,26 @@
         pools.iter().map(|pool| self.gatherers.load(pool)).collect()
     }
 
-    async fn newer(self, _: context::Context, positions: [Option<u64>; 3]) -> Vec<mirror::Mirror> {
-        self.state.newer(positions)
+    async fn follow(
+        self,
+        _: context::Context,
+        positions: [Option<u64>; 3],
+        wait: clock::Millis,
+    ) -> service::Updates {
+        let mut changes = self.state.changes();
+        let mut updates = self.state.since(positions);
+        if updates.is_empty() && self.state.is_reached() {
+            // Whether a change came or the wait is over, the answer is what is known then.
+            let _ = tokio::time::timeout(wait.duration(), changes.changed()).await;
+            updates = self.state.since(positions);
+        }
+        service::Updates {
+            is_reached: self.state.is_reached()
+                && self.state.is_reader()
+                && !self.core.is_draining(),
+            is_uncertain: self.state.is_uncertain(),
+            updates,
+        }
     }
 }
 
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -7,6 +7,7 @@
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::model::handle;
+use basilgrade_types::clock;
 use basilgrade_types::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -22,6 +23,17 @@
     Leaving,
 }
 
+/// News of the topics.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Updates {
+    /// Whether the store answers the daemon that tells them.
+    pub is_reached: bool,
+    /// Whether missing entries may be those of living upstreams.
+    pub is_uncertain: bool,
+    /// What changed.
+    pub updates: Vec<mirror::Update>,
+}
+
 /// Calls between daemons. Each is safe to repeat: pieces may be made again, copies carry offsets.
 #[tarpc::service]
 pub trait Peer {
@@ -31,6 +43,6 @@
     async fn release(pool: id::PoolId, handles: Vec<handle::Handle>, bytes: u64);
     /// How busy the upstreams of `pools` are; also shows that the daemon is alive.
     async fn loads(pools: Vec<id::PoolId>) -> Vec<load::Load>;
-    /// Copies of topics that are newer than the positions of operators, upstreams and daemons.
-    async fn newer(positions: [Option<u64>; 3]) -> Vec<mirror::Mirror>;
+    /// What the caller lacks that knows the topics up to `positions`; waits up to `wait` for it.
+    async fn follow(positions: [Option<u64>; 3], wait: clock::Millis) -> Updates;
 }
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -110,7 +110,10 @@
         return false;
     }
     let is_due = |other: usize| {
-        other != place && !started[other] && pieces(request, other) > 0 && stages[other].bytes < LARGE
+        other != place
+            && !started[other]
+            && pieces(request, other) > 0
+            && stages[other].bytes < LARGE
     };
     (0..stages.len()).any(is_due)
 }
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -1,10 +1,11 @@
 //! The upstreams that have registered themselves.
 
+use std::mem;
 use std::sync;
 
-use basilgrade_types::clock;
 use basilgrade_types::id;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 pub mod upstream;
 
@@ -12,8 +13,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: IndexMap<id::UpstreamId, sync::Arc<upstream::Upstream>>,
-    /// Upstreams whose entries are missing since a time; removed when the grace has passed.
-    missing: IndexMap<id::UpstreamId, clock::Millis>,
+    /// Upstreams whose entries are missing, but may come back.
+    missing: IndexSet<id::UpstreamId>,
 }
 
 impl Directory {
@@ -37,22 +38,21 @@
         self.upstreams.swap_remove(id);
     }
 
-    /// Marks an upstream as missing from `now` on, instead of removing it.
+    /// Marks an upstream as missing, instead of removing it.
     ///
     /// Entries lapse while the log is away and come back soon after it, so a missing entry is no
     /// sign of death until then.
-    pub fn mark_missing(&mut self, id: &id::UpstreamId, now: clock::Millis) {
+    pub fn mark_missing(&mut self, id: &id::UpstreamId) {
         if self.upstreams.contains_key(id) {
-            self.missing.entry(id.clone()).or_insert(now);
+            self.missing.insert(id.clone());
         }
     }
 
-    /// Removes upstreams that have been missing since before `since`.
-    pub fn expire(&mut self, since: clock::Millis) -> Vec<id::UpstreamId> {
-        let old = |(id, at): (&id::UpstreamId, &clock::Millis)| (*at < since).then(|| id.clone());
-        let gone: Vec<_> = self.missing.iter().filter_map(old).collect();
+    /// Removes the upstreams that are missing, and returns them.
+    pub fn expire(&mut self) -> IndexSet<id::UpstreamId> {
+        let gone = mem::take(&mut self.missing);
         for id in &gone {
-            self.remove(id);
+            self.upstreams.swap_remove(id);
         }
         gone
     }
