--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -5,6 +5,7 @@
 
 use basilgrade_adapter::head;
 use basilgrade_fleet::model::customer;
+use basilgrade_fleet::model::rank;
 use basilgrade_fleet::model::route;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -57,10 +58,10 @@
         self.arrived.plus(self.route.aim) - now
     }
 
-    /// Rank in queues: the customer's rank goes before that of the route.
-    pub fn rank(&self) -> u8 {
-        let own = self.customer.as_ref().and_then(|customer| customer.rank);
-        own.unwrap_or(self.route.rank)
+    /// Urgency in queues and at engines.
+    pub fn rank(&self) -> rank::Rank {
+        let customer = self.customer.as_ref().and_then(|customer| customer.rank);
+        rank::Rank::new(customer, self.route.rank)
     }
 
     /// Records that an upstream may begin to work on it.
--- a/crates/basilgrade_fleet/src/batch/job.rs
+++ b/crates/basilgrade_fleet/src/batch/job.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::model::handle;
+use crate::model::rank;
 
 /// Pieces that have to be made.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -20,8 +21,8 @@
     pub pieces: u32,
     /// What the pieces are made from.
     pub source: Source,
-    /// Rank of the request, 0 the highest.
-    pub rank: u8,
+    /// Urgency of the request.
+    pub rank: rank::Rank,
     /// Time until the result is late for the route's aim.
     pub aim: clock::Millis,
     /// Time until the result is of no use.
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -265,7 +265,7 @@
                 let is_late = now.plus(call) > entry.aim_at;
                 let turn = entry
                     .since
-                    .plus(clock::Millis(RANK_STEP.0 * u64::from(entry.job.rank)));
+                    .plus(clock::Millis(RANK_STEP.0 * u64::from(entry.job.rank.0)));
                 (is_late, turn, *id)
             })
             .collect();
--- a/crates/basilgrade_fleet/src/model.rs
+++ b/crates/basilgrade_fleet/src/model.rs
@@ -7,6 +7,7 @@
 pub mod limits;
 pub mod pool;
 pub mod prompt;
+pub mod rank;
 pub mod route;
 pub mod stage;
 pub mod target;
