Let a rank outweigh 1500 ms of waiting

Cause: under load, requests of the highest rank waited as long as the others less 400 ms, and were late.

--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -18,8 +18,9 @@
 
 /// Each rank waits as long as a request of the rank above that came this much later.
 ///
-/// About one call, so that a burst of a high rank goes first without starving the others.
-const RANK_STEP: clock::Millis = clock::Millis(400);
+/// Above the usual waits, so that a burst of a high rank goes first, and below the deadlines, so that
+/// it does not starve the others.
+const RANK_STEP: clock::Millis = clock::Millis(1500);
 
 /// A call is sent this long before the running one ends, when a full call waits: a round trip
 /// between regions and the delay of timers.
