Free inputs once fetched, and give back room of results that were not made

Cause: the queue of a pool took room for results that failed, that were dropped with their job, or that nobody used, as taken until they would have expired, so that calls held 8 of 26 pieces while 2.3 s of work waited. Inputs were also kept until the stage that fetched them had ended. Ruled out: real lack of room; no piece was refused for it in that time.

--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -9,6 +9,7 @@
 use basilgrade_types::clock;
 use tokio::net;
 use tokio::signal::unix;
+use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use crate::core;
@@ -94,7 +95,8 @@
     let core = sync::Arc::new(core::Core::new(settings.clone(), first_view(&settings)));
     let state = sync::Arc::new(state::State::new(sync::Arc::clone(&core)));
     let links = sync::Arc::new(links::Links::default());
-    let gatherers = sync::Arc::new(gatherers::Gatherers::new(sync::Arc::clone(&core)));
+    let (spent, is_spent) = mpsc::unbounded_channel();
+    let gatherers = sync::Arc::new(gatherers::Gatherers::new(sync::Arc::clone(&core), spent));
     let pieces = sync::Arc::new(client::Client::new(
         sync::Arc::clone(&core),
         sync::Arc::clone(&state),
@@ -131,6 +133,7 @@
         links,
     };
     tokio::spawn(follower.run());
+    tokio::spawn(sync::Arc::clone(&pieces).free_spent(is_spent));
     tokio::spawn(pieces.beat());
     tokio::spawn(reload(sync::Arc::clone(&core), file, hangup));
     tokio::spawn(sweep(sync::Arc::clone(&core)));
--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -5,11 +5,13 @@
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
+use basilgrade_fleet::batch::queue;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use indexmap::IndexMap;
+use tokio::sync::mpsc;
 
 use crate::core;
 use crate::follow::state;
@@ -192,6 +194,16 @@
         });
     }
 
+    /// Frees inputs that queues of this daemon no longer need; returns when the queues are gone.
+    pub async fn free_spent(
+        self: sync::Arc<Self>,
+        mut spent: mpsc::UnboundedReceiver<queue::Spent>,
+    ) {
+        while let Some(spent) = spent.recv().await {
+            self.release(&spent.inputs.pool, spent.handles, spent.inputs.bytes.0);
+        }
+    }
+
     /// Asks the gatherers in use for their load, which also shows that they are alive.
     pub async fn beat(self: sync::Arc<Self>) {
         loop {
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -16,6 +16,7 @@
 use basilgrade_types::id;
 use basilgrade_types::verdict;
 use indexmap::IndexMap;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::core;
@@ -37,6 +38,7 @@
     pool: id::PoolId,
     inner: sync::Mutex<Inner>,
     wake: tokio::sync::Notify,
+    spent: mpsc::UnboundedSender<queue::Spent>,
 }
 
 /// Cancels a job when the one who waits for it has gone.
@@ -62,6 +64,7 @@
         releases: sync::Arc<releases::Releases>,
         pool: id::PoolId,
         work: pool::Pieces,
+        spent: mpsc::UnboundedSender<queue::Spent>,
     ) -> Self {
         let inner = Inner {
             queue: queue::Queue::new(work),
@@ -74,6 +77,7 @@
             pool,
             inner: sync::Mutex::new(inner),
             wake: tokio::sync::Notify::new(),
+            spent,
         }
     }
 
@@ -173,6 +177,10 @@
             }
         }
         self.releases.add(inner.queue.take_orphans());
+        for spent in inner.queue.take_spent() {
+            // The receiver ends only with the process.
+            let _ = self.spent.send(spent);
+        }
         for call in calls {
             let gatherer = sync::Arc::clone(self);
             tokio::spawn(gatherer.send(call));
@@ -205,11 +213,15 @@
             inner.queue.load(now).wait
         };
         log::info!(
-            "event=pieces-made pool={} upstream={} pieces={} outcome={} span={} wait={waiting}",
+            "event=pieces-made pool={} upstream={} pieces={} outcome={} no_room={} input_gone={} \
+             failed={} span={} wait={waiting}",
             self.pool,
             call.upstream,
             call.items.len(),
             label(&outcome),
+            count(&outcome, &outcome::PieceOutcome::NoRoom),
+            count(&outcome, &outcome::PieceOutcome::InputGone),
+            count(&outcome, &outcome::PieceOutcome::Failed),
             now - started
         );
         self.wake.notify_one();
@@ -240,6 +252,13 @@
     }
 }
 
+fn count(outcome: &outcome::CallOutcome, kind: &outcome::PieceOutcome) -> usize {
+    let outcome::CallOutcome::Answered(outcomes) = outcome else {
+        return 0;
+    };
+    outcomes.iter().filter(|outcome| *outcome == kind).count()
+}
+
 const fn label(outcome: &outcome::CallOutcome) -> &'static str {
     match outcome {
         outcome::CallOutcome::Answered(_) => "answered",
--- a/crates/basilgrade_edge/src/gather/gatherers.rs
+++ b/crates/basilgrade_edge/src/gather/gatherers.rs
@@ -5,10 +5,12 @@
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
+use basilgrade_fleet::batch::queue;
 use basilgrade_fleet::model::handle;
 use basilgrade_fleet::model::pool;
 use basilgrade_types::id;
 use indexmap::IndexMap;
+use tokio::sync::mpsc;
 
 use crate::core;
 use crate::gather::gatherer;
@@ -19,15 +21,17 @@
     core: sync::Arc<core::Core>,
     releases: sync::Arc<releases::Releases>,
     queues: sync::Mutex<IndexMap<id::PoolId, sync::Arc<gatherer::Gatherer>>>,
+    spent: mpsc::UnboundedSender<queue::Spent>,
 }
 
 impl Gatherers {
-    /// No queue yet.
-    pub fn new(core: sync::Arc<core::Core>) -> Self {
+    /// No queue yet; inputs that are no longer needed are sent to `spent`.
+    pub fn new(core: sync::Arc<core::Core>, spent: mpsc::UnboundedSender<queue::Spent>) -> Self {
         Self {
             releases: sync::Arc::new(releases::Releases::new(sync::Arc::clone(&core))),
             core,
             queues: sync::Mutex::default(),
+            spent,
         }
     }
 
@@ -50,6 +54,7 @@
             sync::Arc::clone(&self.releases),
             pool.clone(),
             work,
+            self.spent.clone(),
         ));
         tokio::spawn(sync::Arc::clone(&queue).run());
         queues.insert(pool.clone(), sync::Arc::clone(&queue));
--- a/crates/basilgrade_edge/src/serve/results.rs
+++ b/crates/basilgrade_edge/src/serve/results.rs
@@ -67,6 +67,11 @@
             .release(&stage.pool, stage.handles, stage.bytes.0);
     }
 
+    /// Leaves the results of the stage at `place` to the daemon that fetched them last.
+    pub fn leave(&mut self, place: usize) {
+        self.stages.retain(|stage| stage.place != place);
+    }
+
     /// Results of the stages at `places`, in the order of `places`.
     pub fn of(&self, places: impl Iterator<Item = usize>) -> Vec<handle::Handle> {
         places
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -131,12 +131,37 @@
             .zip(done)
             .filter(|(stage, _)| stage.after.contains(&place))
             .peekable();
-        if users.peek().is_some() && users.all(|(_, is_done)| *is_done) {
-            results.free(place);
+        if users.peek().is_none() || !users.all(|(_, is_done)| *is_done) {
+            continue;
+        }
+        match only_input(request, place) {
+            // They were freed when they had been fetched.
+            Some(_) => results.leave(place),
+            None => results.free(place),
         }
     }
 }
 
+/// The only stage that needs the results of the stage at `place`, if it needs no others.
+fn only_input(request: &request::Request, place: usize) -> Option<usize> {
+    let stages = &request.route.stages;
+    let mut users = (0..stages.len()).filter(|user| stages[*user].after.contains(&place));
+    let user = users.next()?;
+    (users.next().is_none() && stages[user].after.len() == 1).then_some(user)
+}
+
+/// The pool that holds the inputs of the stage at `place`, if nothing else needs them.
+fn own_inputs(request: &request::Request, place: usize) -> Option<job::Inputs> {
+    let stages = &request.route.stages;
+    let before = *stages[place].after.first()?;
+    only_input(request, before)?;
+    let maker = stages.get(before)?;
+    Some(job::Inputs {
+        pool: maker.pool.clone(),
+        bytes: maker.bytes,
+    })
+}
+
 async fn run_stage(
     service: &serve::Service,
     request: &request::Request,
@@ -168,6 +193,7 @@
         left: request.left(now) - rest,
         bytes: stage.bytes,
         domain: service.core.settings.load().domain.clone(),
+        inputs: own_inputs(request, place),
     };
     match service.pieces.make(&stage.pool, job).await {
         outcome::JobOutcome::Made(handles) => {
--- a/crates/basilgrade_fleet/src/batch/job.rs
+++ b/crates/basilgrade_fleet/src/batch/job.rs
@@ -31,6 +31,17 @@
     pub bytes: size::ByteCount,
     /// Failure domain of the caller, preferred for large results.
     pub domain: id::DomainId,
+    /// The pool that holds the inputs, if nothing else needs them.
+    pub inputs: Option<Inputs>,
+}
+
+/// Results that are freed as soon as they have been fetched for a job.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Inputs {
+    /// The pool whose upstreams hold them.
+    pub pool: id::PoolId,
+    /// Approximate size of each.
+    pub bytes: size::ByteCount,
 }
 
 /// What pieces are made from.
--- a/crates/basilgrade_fleet/src/batch/outcome.rs
+++ b/crates/basilgrade_fleet/src/batch/outcome.rs
@@ -27,7 +27,9 @@
     Late,
     /// A result that it needs no longer exists.
     InputGone,
-    /// The upstream had no room for its result, or failed.
+    /// The upstream had no room for its result.
+    NoRoom,
+    /// The upstream failed.
     Failed,
 }
 
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -46,6 +46,10 @@
 /// Wait that is told when no upstream is known.
 const NO_UPSTREAM_WAIT: clock::Millis = clock::Millis(2000);
 
+/// An upstream has fetched the inputs of a call this long after the turn of the call: a round trip
+/// between regions twice, and the transfer.
+const FETCH: clock::Millis = clock::Millis(130);
+
 /// Identifies a job in its queue.
 pub type JobId = u64;
 
@@ -90,16 +94,30 @@
     end_at: clock::Millis,
     made: Vec<Option<handle::Handle>>,
     waiting: Vec<u32>,
+    /// Pieces whose inputs have been fetched.
+    fetched: u32,
     repeats: u32,
 }
 
 #[derive(Debug)]
 struct Running {
     maker: id::UpstreamId,
-    pieces: Vec<(JobId, u32)>,
+    /// Job, number and approximate size of the result of each piece.
+    pieces: Vec<(JobId, u32, u64)>,
     sent: clock::Millis,
     nominal: clock::Millis,
     bytes: u64,
+    /// When the inputs have been fetched, if the call's turn has come and they have not been yet.
+    fetched_at: Option<clock::Millis>,
+}
+
+/// Inputs that are no longer needed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Spent {
+    /// Where they are held.
+    pub inputs: job::Inputs,
+    /// The inputs.
+    pub handles: Vec<handle::Handle>,
 }
 
 /// The queue of one pool.
@@ -111,6 +129,7 @@
     running: IndexMap<CallId, Running>,
     finished: Vec<(JobId, outcome::JobOutcome)>,
     orphans: Vec<handle::Handle>,
+    spent: Vec<Spent>,
     next: u64,
 }
 
@@ -124,6 +143,7 @@
             running: IndexMap::new(),
             finished: Vec::new(),
             orphans: Vec::new(),
+            spent: Vec::new(),
             next: 0,
         }
     }
@@ -157,6 +177,7 @@
             end_at: now.plus(job.left),
             made: vec![None; job.pieces as usize],
             waiting: (0..job.pieces).collect(),
+            fetched: 0,
             repeats: 0,
             job,
         };
@@ -166,9 +187,25 @@
 
     /// Drops a job that nobody waits for any more.
     pub fn cancel(&mut self, id: JobId) {
-        if let Some(entry) = self.jobs.swap_remove(&id) {
-            self.orphans.extend(entry.made.into_iter().flatten());
+        self.remove(id);
+    }
+
+    /// Removes a job; results that were made for it are of no use.
+    fn remove(&mut self, id: JobId) -> bool {
+        let Some(entry) = self.jobs.swap_remove(&id) else {
+            return false;
+        };
+        for handle in entry.made.into_iter().flatten() {
+            self.give_up(handle, entry.job.bytes.0);
         }
+        true
+    }
+
+    fn give_up(&mut self, handle: handle::Handle, bytes: u64) {
+        if let Some(holder) = handle.holder() {
+            self.release(holder, bytes);
+        }
+        self.orphans.push(handle);
     }
 
     /// Jobs that have ended since the last call.
@@ -181,6 +218,11 @@
         mem::take(&mut self.orphans)
     }
 
+    /// Inputs that have been fetched for all pieces of their jobs.
+    pub fn take_spent(&mut self) -> Vec<Spent> {
+        mem::take(&mut self.spent)
+    }
+
     /// Notes that results of about `bytes` held by `address` were freed.
     pub fn release(&mut self, address: net::SocketAddr, bytes: u64) {
         let held = |maker: &&mut maker::Maker| maker.upstream.address == address;
@@ -210,9 +252,11 @@
 
     /// When [`Queue::dispatch`] should be called again at the latest.
     pub fn wake(&self, now: clock::Millis) -> Option<clock::Millis> {
+        let fetches = self.running.values().filter_map(|call| call.fetched_at);
+        let fetched = fetches.map(|at| at.max(now)).min();
         let waits = self.jobs.values().any(|entry| !entry.waiting.is_empty());
         if !waits {
-            return None;
+            return fetched;
         }
         let free = self.makers.values().map(|maker| {
             let lead = maker.free_at(now) - LEAD;
@@ -221,12 +265,14 @@
         let ends = self.jobs.values().map(|entry| entry.end_at);
         let next = free.chain(ends).filter(|at| *at > now).min();
         // An upstream that is overdue wakes the queue by its answer or its timeout.
-        Some(next.unwrap_or(clock::Millis::MAX).min(now.plus(RECHECK)))
+        let next = next.unwrap_or(clock::Millis::MAX).min(now.plus(RECHECK));
+        Some(fetched.map_or(next, |at| at.min(next)))
     }
 
     /// Ends jobs that are out of time, and returns the calls to send now.
     pub fn dispatch(&mut self, now: clock::Millis) -> Vec<Call> {
         self.expire(now);
+        self.note_fetched(now);
         let mut order = self.order(now);
         let mut calls = Vec::new();
         let mut skipped: Vec<id::UpstreamId> = Vec::new();
@@ -243,6 +289,30 @@
         calls
     }
 
+    /// Notes the inputs that have been fetched by now.
+    fn note_fetched(&mut self, now: clock::Millis) {
+        let is_due = |call: &&mut Running| call.fetched_at.is_some_and(|at| at <= now);
+        for call in self.running.values_mut().filter(is_due) {
+            call.fetched_at = None;
+            for (job, _, _) in &call.pieces {
+                let Some(entry) = self.jobs.get_mut(job) else {
+                    continue;
+                };
+                entry.fetched += 1;
+                if entry.fetched < entry.job.pieces {
+                    continue;
+                }
+                let job::Source::Results(handles) = &entry.job.source else {
+                    continue;
+                };
+                if let Some(inputs) = entry.job.inputs.take() {
+                    let handles = handles.clone();
+                    self.spent.push(Spent { inputs, handles });
+                }
+            }
+        }
+    }
+
     fn expire(&mut self, now: clock::Millis) {
         let least = self.pieces.span(1);
         let late = |(id, entry): (&JobId, &Entry)| {
@@ -321,7 +391,7 @@
     ) -> Option<Call> {
         let limit = self.pieces.batch.max(1) as usize;
         let mut room = self.makers.get_mut(id)?.room(now, self.pieces.room);
-        let mut chosen: Vec<(JobId, u32)> = Vec::new();
+        let mut chosen: Vec<(JobId, u32, u64)> = Vec::new();
         let mut bytes = 0;
         // A slow upstream is tried with the work that can wait longest.
         let is_probe = self.makers[id].is_slow();
@@ -343,7 +413,7 @@
                 continue;
             }
             let count = fits.min(entry.waiting.len());
-            chosen.extend(entry.waiting.drain(..count).map(|piece| (job, piece)));
+            chosen.extend(entry.waiting.drain(..count).map(|piece| (job, piece, size)));
             room -= size * count as u64;
             bytes += size * count as u64;
         }
@@ -358,7 +428,7 @@
         &mut self,
         now: clock::Millis,
         id: &id::UpstreamId,
-        chosen: Vec<(JobId, u32)>,
+        chosen: Vec<(JobId, u32, u64)>,
         bytes: u64,
     ) -> Call {
         self.next += 1;
@@ -369,12 +439,13 @@
         let expected = maker.expected(&self.pieces, count);
         let end = maker.free_at(now).plus(expected);
         let wait = end - now;
+        let is_first = maker.calls.is_empty();
         maker.start(now, call, end);
         maker.hold(end.plus(self.pieces.kept), bytes);
         let address = maker.upstream.address;
         let items = chosen
             .iter()
-            .map(|(job, piece)| {
+            .map(|(job, piece, _)| {
                 let entry = &self.jobs[job];
                 Item {
                     request: entry.job.request.clone(),
@@ -391,6 +462,7 @@
             sent: now.max(end - expected),
             nominal,
             bytes,
+            fetched_at: is_first.then(|| now.plus(FETCH)),
         };
         self.running.insert(call, running);
         Call {
@@ -407,6 +479,7 @@
         let Some(running) = self.running.swap_remove(&id) else {
             return;
         };
+        self.note_turn(now, &running.maker);
         match outcome {
             outcome::CallOutcome::Answered(outcomes) => {
                 if let Some(maker) = self.makers.get_mut(&running.maker) {
@@ -431,12 +504,19 @@
         }
     }
 
+    /// Notes that the turn of the next call of `maker` has come.
+    fn note_turn(&mut self, now: clock::Millis, maker: &id::UpstreamId) {
+        if let Some(next) = self.running.values_mut().find(|call| call.maker == *maker) {
+            next.fetched_at = Some(now.plus(FETCH));
+        }
+    }
+
     fn give_back(&mut self, running: Running, note: impl FnOnce(&mut maker::Maker)) {
         if let Some(maker) = self.makers.get_mut(&running.maker) {
             maker.release(running.bytes);
             note(maker);
         }
-        for (job, piece) in running.pieces {
+        for (job, piece, _) in running.pieces {
             self.repeat(job, piece);
         }
     }
@@ -446,6 +526,7 @@
             return;
         };
         entry.waiting.push(piece);
+        entry.fetched = entry.fetched.saturating_sub(1);
         entry.repeats += 1;
         if entry.repeats > REPEATS * entry.job.pieces.max(1) {
             self.finish(job, outcome::JobOutcome::Failed);
@@ -453,21 +534,28 @@
     }
 
     fn settle(&mut self, running: Running, outcomes: Vec<outcome::PieceOutcome>) {
-        for ((job, piece), outcome) in running.pieces.into_iter().zip(outcomes) {
+        for ((job, piece, bytes), outcome) in running.pieces.into_iter().zip(outcomes) {
+            if !matches!(outcome, outcome::PieceOutcome::Made(_))
+                && let Some(maker) = self.makers.get_mut(&running.maker)
+            {
+                maker.release(bytes);
+            }
             match outcome {
-                outcome::PieceOutcome::Made(handle) => self.made(job, piece, handle),
+                outcome::PieceOutcome::Made(handle) => self.made(job, piece, handle, bytes),
                 outcome::PieceOutcome::Late => self.finish(job, outcome::JobOutcome::Late),
                 outcome::PieceOutcome::InputGone => {
                     self.finish(job, outcome::JobOutcome::InputGone);
                 }
-                outcome::PieceOutcome::Failed => self.repeat(job, piece),
+                outcome::PieceOutcome::NoRoom | outcome::PieceOutcome::Failed => {
+                    self.repeat(job, piece)
+                }
             }
         }
     }
 
-    fn made(&mut self, job: JobId, piece: u32, handle: handle::Handle) {
+    fn made(&mut self, job: JobId, piece: u32, handle: handle::Handle, bytes: u64) {
         let Some(entry) = self.jobs.get_mut(&job) else {
-            self.orphans.push(handle);
+            self.give_up(handle, bytes);
             return;
         };
         let Some(place) = entry.made.get_mut(piece as usize) else {
@@ -481,8 +569,7 @@
     }
 
     fn finish(&mut self, id: JobId, outcome: outcome::JobOutcome) {
-        if let Some(entry) = self.jobs.swap_remove(&id) {
-            self.orphans.extend(entry.made.into_iter().flatten());
+        if self.remove(id) {
             self.finished.push((id, outcome));
         }
     }
