--- a/crates/basilgrade_fleet/src/batch/maker.rs
+++ b/crates/basilgrade_fleet/src/batch/maker.rs
@@ -24,6 +24,9 @@
 /// Wait after a full upstream, about a third of a call.
 const FULL_REST: clock::Millis = clock::Millis(120);
 
+/// How long room stays doubtful after a result found none; others expire within some seconds.
+const NO_ROOM_MEMORY: clock::Millis = clock::Millis(1000);
+
 /// One upstream with its calls.
 #[derive(Debug)]
 pub(super) struct Maker {
@@ -111,6 +114,15 @@
         self.failures += 1;
     }
 
+    /// Records that results found no room: others than this queue have filled it.
+    ///
+    /// Half of what seemed to be left counts as taken for a while.
+    pub(super) fn no_room(&mut self, now: clock::Millis, whole: size::ByteCount) {
+        let left = self.room(now, whole);
+        self.hold(now.plus(NO_ROOM_MEMORY), left / 2);
+        self.rest_until = now.plus(FULL_REST);
+    }
+
     /// Room left for results, as far as this queue knows.
     pub(super) fn room(&mut self, now: clock::Millis, whole: size::ByteCount) -> u64 {
         while self.held.front().is_some_and(|held| held.0 <= now) {
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -485,7 +485,7 @@
                 if let Some(maker) = self.makers.get_mut(&running.maker) {
                     maker.answered(id, now - running.sent, running.nominal);
                 }
-                self.settle(running, outcomes);
+                self.settle(now, running, outcomes);
             }
             outcome::CallOutcome::Full => self.give_back(running, |maker| maker.full(now, id)),
             outcome::CallOutcome::WrongUpstream => {
@@ -533,7 +533,17 @@
         }
     }
 
-    fn settle(&mut self, running: Running, outcomes: Vec<outcome::PieceOutcome>) {
+    fn settle(
+        &mut self,
+        now: clock::Millis,
+        running: Running,
+        outcomes: Vec<outcome::PieceOutcome>,
+    ) {
+        if outcomes.contains(&outcome::PieceOutcome::NoRoom)
+            && let Some(maker) = self.makers.get_mut(&running.maker)
+        {
+            maker.no_room(now, self.pieces.room);
+        }
         for ((job, piece, bytes), outcome) in running.pieces.into_iter().zip(outcomes) {
             if !matches!(outcome, outcome::PieceOutcome::Made(_))
                 && let Some(maker) = self.makers.get_mut(&running.maker)
