--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -34,7 +34,7 @@
 
 /// A call is given up after this many times its expected time and a further allowance for the
 /// network and for speed that has just changed.
-const PATIENCE: u64 = 2;
+const PATIENCE: u64 = 4;
 const ALLOWANCE: clock::Millis = clock::Millis(500);
 
 /// Speed that a call without an answer is taken for.
