--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -37,6 +37,9 @@
 const PATIENCE: u64 = 4;
 const ALLOWANCE: clock::Millis = clock::Millis(500);
 
+/// A call that broke off after this many times its nominal time was slow, or its upstream silent.
+const SILENT_TIMES: u64 = 2;
+
 /// Speed that a call without an answer is taken for.
 const SILENT_RATIO: f64 = 3.0;
 
@@ -493,7 +496,7 @@
                 self.give_back(running, |_| ());
             }
             outcome::CallOutcome::Broken => {
-                let was_silent = (now - running.sent).0 > running.nominal.0 * PATIENCE;
+                let was_silent = (now - running.sent).0 > running.nominal.0 * SILENT_TIMES;
                 self.give_back(running, |maker| {
                     maker.broken(now, id);
                     if was_silent {
