Make pieces in the failure domain of their inputs

Cause: each of ten pieces fetches all results of the stage before it, 3.6 MB a request between failure domains. Ruled out: the placement of engines; a trial with ten times its cost for results changed nothing.

--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -128,8 +128,8 @@
         let Some(address) = handle.holder() else {
             continue;
         };
-        if let Some(entry) = directory.iter().find(|entry| entry.address == address) {
-            *bytes.entry(&entry.domain).or_default() += size;
+        if let Some(domain) = directory.domain(address) {
+            *bytes.entry(domain).or_default() += size;
         }
     }
     let (domain, size) = bytes.into_iter().max_by_key(|(_, size)| *size)?;
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -4,9 +4,11 @@
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use basilgrade_types::size;
 use futures::StreamExt;
 use futures::stream;
+use indexmap::IndexMap;
 
 use crate::serve;
 use crate::serve::failure;
@@ -142,6 +144,37 @@
     }
 }
 
+/// The failure domain that holds most inputs, and the bytes that all pieces fetch from there.
+fn source_domain(
+    service: &serve::Service,
+    request: &request::Request,
+    place: usize,
+    source: &job::Source,
+) -> (id::DomainId, size::ByteCount) {
+    let own = service.core.settings.load().domain.clone();
+    let job::Source::Results(handles) = source else {
+        return (own, size::ByteCount(0));
+    };
+    let view = service.core.view.load();
+    let mut counts: IndexMap<id::DomainId, u64> = IndexMap::new();
+    for holder in handles.iter().filter_map(handle::Handle::holder) {
+        if let Some(domain) = view.directory.domain(holder) {
+            *counts.entry(domain.clone()).or_default() += 1;
+        }
+    }
+    let Some((domain, count)) = counts.into_iter().max_by_key(|(_, count)| *count) else {
+        return (own, size::ByteCount(0));
+    };
+    let stages = &request.route.stages;
+    let before = stages[place]
+        .after
+        .iter()
+        .filter_map(|after| stages.get(*after));
+    let bytes = before.map(|stage| stage.bytes.0).max().unwrap_or_default();
+    let fetched = count * bytes * u64::from(pieces(request, place));
+    (domain, size::ByteCount(fetched))
+}
+
 /// The only stage that needs the results of the stage at `place`, if it needs no others.
 fn only_input(request: &request::Request, place: usize) -> Option<usize> {
     let stages = &request.route.stages;
@@ -181,6 +214,7 @@
     } else {
         job::Source::Results(inputs)
     };
+    let (domain, fetched) = source_domain(service, request, place, &source);
     let now = service.core.now();
     let rest = rest_after(service, request, place);
     let job = job::Job {
@@ -192,7 +226,8 @@
         aim: request.aim_left(now) - rest,
         left: request.left(now) - rest,
         bytes: stage.bytes,
-        domain: service.core.settings.load().domain.clone(),
+        domain,
+        fetched,
         inputs: own_inputs(request, place),
     };
     match service.pieces.make(&stage.pool, job).await {
--- a/crates/basilgrade_fleet/src/batch/job.rs
+++ b/crates/basilgrade_fleet/src/batch/job.rs
@@ -29,8 +29,10 @@
     pub left: clock::Millis,
     /// Approximate size of the result of a piece.
     pub bytes: size::ByteCount,
-    /// Failure domain of the caller, preferred for large results.
+    /// Failure domain that holds the inputs, or that of the caller's daemon.
     pub domain: id::DomainId,
+    /// What upstreams of other failure domains fetch from there, for all pieces together.
+    pub fetched: size::ByteCount,
     /// The pool that holds the inputs, if nothing else needs them.
     pub inputs: Option<Inputs>,
 }
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -32,6 +32,13 @@
 /// Results of at least this size are made in the failure domain of their request if possible.
 const LARGE: u64 = 200_000;
 
+/// Pieces wait for an upstream in the failure domain of their inputs, this long for each megabyte
+/// that they would fetch from there: the price of a megabyte is that of late answers of this span.
+const NEAR_WAIT_PER_MB: f64 = 100.0;
+
+/// Longest such wait, about one call.
+const NEAR_WAIT_LIMIT: clock::Millis = clock::Millis(400);
+
 /// A call is given up after this many times its expected time and a further allowance for the
 /// network and for speed that has just changed.
 const PATIENCE: u64 = 4;
@@ -102,6 +109,15 @@
     repeats: u32,
 }
 
+impl Entry {
+    /// When upstreams of other failure domains may make the pieces.
+    fn far_from(&self) -> clock::Millis {
+        let wait = self.job.fetched.0 as f64 / 1e6 * NEAR_WAIT_PER_MB;
+        let wait = clock::Millis(wait as u64).min(NEAR_WAIT_LIMIT);
+        self.since.plus(wait).min(self.aim_at)
+    }
+}
+
 #[derive(Debug)]
 struct Running {
     maker: id::UpstreamId,
@@ -266,7 +282,8 @@
             lead.max(maker.rest_until())
         });
         let ends = self.jobs.values().map(|entry| entry.end_at);
-        let next = free.chain(ends).filter(|at| *at > now).min();
+        let far = self.jobs.values().map(Entry::far_from);
+        let next = free.chain(ends).chain(far).filter(|at| *at > now).min();
         // An upstream that is overdue wakes the queue by its answer or its timeout.
         let next = next.unwrap_or(clock::Millis::MAX).min(now.plus(RECHECK));
         Some(fetched.map_or(next, |at| at.min(next)))
@@ -355,7 +372,6 @@
         skipped: &[id::UpstreamId],
     ) -> Option<id::UpstreamId> {
         let waiting: usize = order.iter().map(|id| self.jobs[id].waiting.len()).sum();
-        let first = &self.jobs[order.first()?].job;
         let healthy = self
             .makers
             .values()
@@ -366,6 +382,9 @@
             if maker.is_resting(now) || skipped.contains(&maker.upstream.id) {
                 return false;
             }
+            if !order.iter().any(|job| self.is_open(now, *job, maker)) {
+                return false;
+            }
             if maker.is_slow() && !is_crowded && healthy > 0 && !maker.is_probe_due(now) {
                 return false;
             }
@@ -377,7 +396,12 @@
             maker.calls.len() == slots && is_full_call && maker.free_at(now) <= now.plus(LEAD)
         };
         let rank = |maker: &&maker::Maker| {
-            let is_far = first.bytes.0 >= LARGE && maker.upstream.domain != first.domain;
+            let first = order.iter().find(|job| self.is_open(now, **job, maker));
+            let is_far = first.is_some_and(|first| {
+                let first = &self.jobs[first].job;
+                let size = first.bytes.0.max(first.fetched.0);
+                size >= LARGE && maker.upstream.domain != first.domain
+            });
             let speed = (maker.ratio * 4.0) as u64;
             (maker.is_slow(), maker.calls.len(), is_far, speed)
         };
@@ -385,6 +409,20 @@
         Some(best.upstream.id.clone())
     }
 
+    /// Whether `maker` may make pieces of `job` by now.
+    ///
+    /// Those with large inputs wait for an upstream near them, as long as there is one.
+    fn is_open(&self, now: clock::Millis, job: JobId, maker: &maker::Maker) -> bool {
+        let entry = &self.jobs[&job];
+        if maker.upstream.domain == entry.job.domain || now >= entry.far_from() {
+            return true;
+        }
+        let is_near = |other: &maker::Maker| {
+            other.upstream.domain == entry.job.domain && !other.is_slow() && !other.is_resting(now)
+        };
+        !self.makers.values().any(is_near)
+    }
+
     /// Takes jobs for a call to `id`, in order; `None` when no job fits its room.
     fn fill(
         &mut self,
@@ -403,6 +441,11 @@
         } else {
             order.clone()
         };
+        let maker = &self.makers[id];
+        let places: Vec<JobId> = places
+            .into_iter()
+            .filter(|job| self.is_open(now, *job, maker))
+            .collect();
         for job in places {
             let free = limit - chosen.len();
             if free == 0 {
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -1,6 +1,7 @@
 //! The upstreams that have registered themselves.
 
 use std::mem;
+use std::net;
 use std::sync;
 
 use basilgrade_types::id;
@@ -72,6 +73,13 @@
         self.upstreams.keys()
     }
 
+    /// The failure domain of the upstream at `address`.
+    pub fn domain(&self, address: net::SocketAddr) -> Option<&id::DomainId> {
+        let mut entries = self.upstreams.values();
+        let found = entries.find(|entry| entry.address == address)?;
+        Some(&found.domain)
+    }
+
     /// One upstream.
     pub fn get(&self, id: &id::UpstreamId) -> Option<&sync::Arc<upstream::Upstream>> {
         self.upstreams.get(id)
--- a/crates/basilgrade_fleet/tests/common/mod.rs
+++ b/crates/basilgrade_fleet/tests/common/mod.rs
@@ -59,6 +59,7 @@
         left: clock::Millis(6000),
         bytes: size::ByteCount(100_000),
         domain: domain("a"),
+        fetched: size::ByteCount(0),
         inputs: None,
     }
 }
