Place generations by what reading, moving and crossing cost

Cause: shared parts of prompts were read again because each failure domain had an engine of its own for a subject, and because each daemon counted its own load several times over, which outweighed the cached part.

--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -51,7 +51,6 @@
     let place = placement::Place {
         domain: settings.domain.clone(),
         regions: settings.regions.clone(),
-        daemons: 1,
     };
     view::View {
         configuration: None,
--- a/crates/basilgrade_edge/src/follow/state.rs
+++ b/crates/basilgrade_edge/src/follow/state.rs
@@ -386,14 +386,9 @@
             others + 1,
             neighbours + 1
         );
-        self.core.view.rcu(|view| {
-            let mut place = basilgrade_fleet::placement::Place::clone(&view.place);
-            place.daemons = neighbours + 1;
-            view::View {
-                daemons: others + 1,
-                place: sync::Arc::new(place),
-                ..view::View::clone(view)
-            }
+        self.core.view.rcu(|view| view::View {
+            daemons: others + 1,
+            ..view::View::clone(view)
         });
     }
 
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -26,8 +26,9 @@
 /// Time to connect to an upstream. A lost packet costs a second, in which another upstream answers.
 const CONNECT_LIMIT: clock::Millis = clock::Millis(400);
 
-/// Results cost this much delay for each megabyte that crosses failure domains, from its price.
-const RESULT_COST_PER_MB: f64 = 60.0;
+/// Results cost this much delay for each megabyte that crosses failure domains: the time to fetch
+/// it, and its price at the rate of that of reading shared parts of prompts again.
+const RESULT_COST_PER_MB: f64 = 10.0;
 
 /// Counts a request at an upstream until it is dropped.
 pub struct Load {
--- a/crates/basilgrade_fleet/src/placement.rs
+++ b/crates/basilgrade_fleet/src/placement.rs
@@ -21,7 +21,7 @@
 ///
 /// In milliseconds of delay: a round trip, and the price of the bytes that cross.
 const DOMAIN_CROSSING: f64 = 15.0;
-const REGION_CROSSING: f64 = 90.0;
+const REGION_CROSSING: f64 = 60.0;
 
 /// Added for each request of this daemon at the upstream: each one slows the tokens of the others.
 const ACTIVE_COST: f64 = 4.0;
@@ -37,8 +37,6 @@
     pub domain: id::DomainId,
     /// Region of each failure domain.
     pub regions: IndexMap<id::DomainId, id::RegionId>,
-    /// Daemons in its failure domain; each sees only its own part of an engine's load.
-    pub daemons: usize,
 }
 
 impl Place {
@@ -82,9 +80,10 @@
 ) -> f64 {
     let evidence = &candidate.evidence;
     let mut cost = place.crossing(&place.domain, &candidate.domain);
-    cost += f64::from(evidence.active()) * ACTIVE_COST * place.daemons as f64;
+    cost += f64::from(evidence.active()) * ACTIVE_COST;
     if let Some(prompt) = demand.prompt {
-        let waiting = evidence.tokens() as f64 * place.daemons as f64;
+        // Other daemons' requests are spread alike over the engines, so they do not decide.
+        let waiting = evidence.tokens() as f64;
         let read = if is_home {
             prompt.tokens.saturating_sub(prompt.shared())
         } else {
@@ -119,35 +118,42 @@
     let candidates: Vec<_> = candidates
         .filter(|candidate| !demand.tried.contains(&candidate.id))
         .collect();
-    let home = demand
-        .prompt
-        .and_then(prompt::Prompt::subject)
-        .map(|subject| homes(subject.id, &candidates))
-        .unwrap_or_default();
+    let homes = demand.prompt.map(|prompt| homes(now, prompt, &candidates));
+    let homes = homes.unwrap_or_default();
     candidates
         .into_iter()
         .map(|candidate| {
-            let is_home = home.get(&candidate.domain) == Some(&&candidate.id);
+            let is_home = homes.contains(&&candidate.id);
             (cost(now, place, demand, candidate, is_home), candidate)
         })
         .min_by(|one, other| one.0.total_cmp(&other.0))
         .map(|(_, candidate)| candidate)
 }
 
-/// The engine of each failure domain that requests about `subject` go to.
+/// The engines that requests with this prompt go to if they have room.
+///
+/// One for all failure domains if reading the shared parts again costs more than the way to
+/// another region, and one in each failure domain otherwise.
 fn homes<'a>(
-    subject: u64,
+    now: clock::Millis,
+    prompt: &prompt::Prompt,
     candidates: &[&'a sync::Arc<upstream::Upstream>],
-) -> IndexMap<&'a id::DomainId, &'a id::UpstreamId> {
-    let mut best: IndexMap<&id::DomainId, (u64, &id::UpstreamId)> = IndexMap::new();
-    for candidate in candidates {
-        let weight = ranking::weight(subject, candidate.id.as_str());
-        let entry = best
-            .entry(&candidate.domain)
-            .or_insert((weight, &candidate.id));
+) -> Vec<&'a id::UpstreamId> {
+    let Some(subject) = prompt.subject() else {
+        return Vec::new();
+    };
+    let is_global = prompt.shared() as f64 / READ_TOKENS_PER_MS > REGION_CROSSING;
+    let mut best: IndexMap<Option<&id::DomainId>, (u64, &id::UpstreamId)> = IndexMap::new();
+    let is_sound = |candidate: &&&sync::Arc<upstream::Upstream>| {
+        !candidate.evidence.is_resting(now) && !candidate.evidence.is_doubtful()
+    };
+    for candidate in candidates.iter().filter(is_sound) {
+        let weight = ranking::weight(subject.id, candidate.id.as_str());
+        let reach = (!is_global).then_some(&candidate.domain);
+        let entry = best.entry(reach).or_insert((weight, &candidate.id));
         if weight > entry.0 {
             *entry = (weight, &candidate.id);
         }
     }
-    best.into_iter().map(|(key, (_, id))| (key, id)).collect()
+    best.into_values().map(|(_, id)| id).collect()
 }
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -28,7 +28,6 @@
             .into_iter()
             .map(|(name, region)| (domain(name), region.parse().expect("a name")))
             .collect(),
-        daemons: 3,
     }
 }
 
