Make large results near the engine that fetches them

Cause: results of 1.5 MB crossed failure domains, as the first stage did not know which engine follows.

--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -86,6 +86,20 @@
     pub last_event: Option<u64>,
 }
 
+/// The failure domain of the upstream that a request would go to if it held no results.
+pub fn preferred_domain(core: &core::Core, request: &request::Request) -> Option<id::DomainId> {
+    let view = core.view.load();
+    let demand = placement::Demand {
+        prompt: request.head.prompt.as_ref(),
+        results: None,
+        results_cost: 0.0,
+        tried: &[],
+    };
+    let ready = view.directory.ready(&request.pool);
+    let chosen = placement::choose(core.now(), &view.place, &demand, ready)?;
+    Some(chosen.domain.clone())
+}
+
 /// Chooses the upstream for a request.
 pub fn choose(
     core: &core::Core,
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -11,6 +11,7 @@
 use indexmap::IndexMap;
 
 use crate::serve;
+use crate::serve::attempt;
 use crate::serve::failure;
 use crate::serve::request;
 use crate::serve::results;
@@ -153,7 +154,10 @@
 ) -> (id::DomainId, size::ByteCount) {
     let own = service.core.settings.load().domain.clone();
     let job::Source::Results(handles) = source else {
-        return (own, size::ByteCount(0));
+        // Large results are best made near the engine that will fetch them.
+        let is_large = request.route.stages[place].bytes >= LARGE;
+        let engine = is_large.then(|| attempt::preferred_domain(&service.core, request));
+        return (engine.flatten().unwrap_or(own), size::ByteCount(0));
     };
     let view = service.core.view.load();
     let mut counts: IndexMap<id::DomainId, u64> = IndexMap::new();
