--- /dev/null
+++ b/crates/basilgrade/tests/edge_support/client.rs
@@ -0,0 +1,75 @@
+//! Callers.
+
+use std::net;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+
+/// An answer, and whether its body is whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+    pub(crate) is_whole: bool,
+}
+
+/// A request of a caller with a known key.
+pub(crate) fn request(id: &str, method: &str, path: &str) -> hyper::http::request::Builder {
+    request_with_key(id, method, path, "key-one")
+}
+
+/// A request of a caller with the key `key`.
+pub(crate) fn request_with_key(
+    id: &str,
+    method: &str,
+    path: &str,
+    key: &str,
+) -> hyper::http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "users.example")
+        .header("x-attempt-id", id)
+        .header("x-deadline-ms", "8000")
+        .header("authorization", format!("Bearer {key}"))
+}
+
+/// Sends a request on a connection of its own; `None` when the connection ends without an answer.
+pub(crate) async fn send(
+    address: net::SocketAddr,
+    request: hyper::http::request::Builder,
+    body: &'static str,
+) -> Option<Answer> {
+    let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    let request = request.body(Full::new(Bytes::from_static(body.as_bytes())));
+    let response = sender
+        .send_request(request.expect("the request is valid"))
+        .await
+        .ok()?;
+    let (head, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    Some(Answer {
+        status: head.status.as_u16(),
+        headers: head.headers,
+        body: String::from_utf8_lossy(&bytes).into_owned(),
+        is_whole,
+    })
+}
--- a/crates/basilgrade_edge/src/follow/mirror.rs
+++ b/crates/basilgrade_edge/src/follow/mirror.rs
@@ -12,13 +12,16 @@
 /// Batches of changes that are kept for daemons that know all but the last ones.
 const RECENT: usize = 64;
 
+/// Records that were added; without a value, the key is removed.
+type Added = Vec<(CompactString, Option<Bytes>)>;
+
 /// Changes to a topic.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Changes {
     /// All newest records.
     All(Vec<(CompactString, Bytes)>),
     /// Records that were added; without a value, the key is removed.
-    Some(Vec<(CompactString, Option<Bytes>)>),
+    Some(Added),
 }
 
 /// Changes to a topic up to an offset.
@@ -39,7 +42,7 @@
     position: Option<u64>,
     records: IndexMap<CompactString, Bytes>,
     /// Last changes, each with the offset that it starts from.
-    recent: VecDeque<(u64, Vec<(CompactString, Option<Bytes>)>)>,
+    recent: VecDeque<(u64, Added)>,
 }
 
 impl Mirror {
@@ -101,15 +104,12 @@
             .recent
             .iter()
             .position(|(from, _)| Some(*from) == known);
-        let changes = match first {
-            Some(first) => {
-                let batches = self.recent.iter().skip(first);
-                Changes::Some(batches.flat_map(|(_, records)| records.clone()).collect())
-            }
-            None => {
-                let copy = |(key, value): (&CompactString, &Bytes)| (key.clone(), value.clone());
-                Changes::All(self.records.iter().map(copy).collect())
-            }
+        let changes = if let Some(first) = first {
+            let batches = self.recent.iter().skip(first);
+            Changes::Some(batches.flat_map(|(_, records)| records.clone()).collect())
+        } else {
+            let copy = |(key, value): (&CompactString, &Bytes)| (key.clone(), value.clone());
+            Changes::All(self.records.iter().map(copy).collect())
         };
         Some(Update {
             topic: self.topic,
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -110,7 +110,7 @@
             match self.exchange(address, link, message.clone(), request).await {
                 // The upstream closed the kept connection, which is no sign of its health.
                 Err(failure) => {
-                    log::debug!("event=kept-connection-lost reason={:?}", failure.reason)
+                    log::debug!("event=kept-connection-lost reason={:?}", failure.reason);
                 }
                 whole => return whole,
             }
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -197,7 +197,7 @@
                 return Some(Ok(Bytes::from(first)));
             }
             let Some(source) = &mut self.source else {
-                return self.fail("no upstream continues the stream");
+                return Some(Err(self.fail("no upstream continues the stream")));
             };
             let now = self.service.core.now();
             let left = self.request.left(now);
@@ -213,11 +213,11 @@
                     return None;
                 }
                 Ok(Next::Broken(reason)) => reason,
-                Err(_) if limit == left => return self.fail("the time is over"),
+                Err(_) if limit == left => return Some(Err(self.fail("the time is over"))),
                 Err(_) => "no event in time".to_owned(),
             };
             if !self.resume(reason).await {
-                return self.fail("the stream broke off");
+                return Some(Err(self.fail("the stream broke off")));
             }
         }
     }
@@ -228,13 +228,10 @@
         }
     }
 
-    fn fail(&mut self, reason: &'static str) -> Option<Result<Bytes, io::Error>> {
+    fn fail(&mut self, reason: &'static str) -> io::Error {
         self.outcome = "broken";
         // An error in the body closes the connection, so the answer does not look complete.
-        Some(Err(io::Error::new(
-            io::ErrorKind::ConnectionAborted,
-            reason,
-        )))
+        io::Error::new(io::ErrorKind::ConnectionAborted, reason)
     }
 
     /// Continues the stream at another upstream; `false` when that is not allowed or fails.
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -51,13 +51,11 @@
         };
         let limit = first_event_limit(core, &request, &sends);
         let opening = open(core, &request, sync::Arc::clone(&entry), &extras);
-        let opened = match tokio::time::timeout(limit.duration(), opening).await {
-            Ok(opened) => opened,
-            Err(_) => {
-                entry.evidence.record(core.now(), health::Outcome::Failed);
-                Opened::Ended(whole::Ended::Failed("no event in time".to_owned(), None))
-            }
-        };
+        let opened = tokio::time::timeout(limit.duration(), opening).await;
+        let opened = opened.unwrap_or_else(|_| {
+            entry.evidence.record(core.now(), health::Outcome::Failed);
+            Opened::Ended(whole::Ended::Failed("no event in time".to_owned(), None))
+        });
         match opened {
             Opened::Stream(source, first) => {
                 let status = source.answer.status;
--- a/crates/basilgrade_edge/src/serve/whole.rs
+++ b/crates/basilgrade_edge/src/serve/whole.rs
@@ -81,13 +81,11 @@
         };
         let sending = exchange(core, request, &entry, &extras);
         let limit = hedge_after(core, request, &entry, &sends);
-        let ended = match tokio::time::timeout(limit.duration(), sending).await {
-            Ok(ended) => ended,
-            Err(_) => {
-                entry.evidence.record(core.now(), health::Outcome::Failed);
-                Ended::Failed("no answer in time".to_owned(), None)
-            }
-        };
+        let ended = tokio::time::timeout(limit.duration(), sending).await;
+        let ended = ended.unwrap_or_else(|_| {
+            entry.evidence.record(core.now(), health::Outcome::Failed);
+            Ended::Failed("no answer in time".to_owned(), None)
+        });
         match ended {
             Ended::Answered(whole) => return Ok(respond(core, request, whole, &sends)),
             Ended::NotRun(reason) => sends.note_refused(request, &entry, reason),
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -271,8 +271,8 @@
 
     /// When [`Queue::dispatch`] should be called again at the latest.
     pub fn wake(&self, now: clock::Millis) -> Option<clock::Millis> {
-        let fetches = self.running.values().filter_map(|call| call.fetched_at);
-        let fetched = fetches.map(|at| at.max(now)).min();
+        let pending = self.running.values().filter_map(|call| call.fetched_at);
+        let fetched = pending.map(|at| at.max(now)).min();
         let waits = self.jobs.values().any(|entry| !entry.waiting.is_empty());
         if !waits {
             return fetched;
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -24,10 +24,9 @@
     /// Evidence is kept unless it is another incarnation or address.
     pub fn put(&mut self, mut entry: upstream::Upstream) {
         self.missing.swap_remove(&entry.id);
-        if let Some(known) = self.upstreams.get(&entry.id) {
-            if known.is_same_run(&entry) {
-                entry.evidence = sync::Arc::clone(&known.evidence);
-            }
+        let known = self.upstreams.get(&entry.id);
+        if let Some(known) = known.filter(|known| known.is_same_run(&entry)) {
+            entry.evidence = sync::Arc::clone(&known.evidence);
         }
         self.upstreams
             .insert(entry.id.clone(), sync::Arc::new(entry));
--- a/crates/basilgrade_fleet/tests/common/mod.rs
+++ b/crates/basilgrade_fleet/tests/common/mod.rs
@@ -14,15 +14,15 @@
 use basilgrade_types::id;
 use basilgrade_types::size;
 
-pub fn pool_id(name: &str) -> id::PoolId {
+pub(crate) fn pool_id(name: &str) -> id::PoolId {
     name.parse().expect("a name")
 }
 
-pub fn domain(name: &str) -> id::DomainId {
+pub(crate) fn domain(name: &str) -> id::DomainId {
     name.parse().expect("a name")
 }
 
-pub fn upstream(number: u16, domain_name: &str) -> upstream::Upstream {
+pub(crate) fn upstream(number: u16, domain_name: &str) -> upstream::Upstream {
     upstream::Upstream {
         id: format!("u{number}").parse().expect("a name"),
         pool: pool_id("pool"),
@@ -36,7 +36,7 @@
 }
 
 /// Calls of 200 ms and 10 ms a piece, 8 pieces at most, room for 20 results of 100 kB.
-pub fn pieces() -> pool::Pieces {
+pub(crate) fn pieces() -> pool::Pieces {
     pool::Pieces {
         slots: 1,
         queue: 2,
@@ -48,7 +48,7 @@
     }
 }
 
-pub fn job(request: &str, pieces: u32) -> job::Job {
+pub(crate) fn job(request: &str, pieces: u32) -> job::Job {
     job::Job {
         request: request.into(),
         stage: 0,
@@ -64,23 +64,23 @@
     }
 }
 
-pub fn queue(upstreams: u16) -> queue::Queue {
+pub(crate) fn queue(upstreams: u16) -> queue::Queue {
     let mut queue = queue::Queue::new(pieces());
     queue.set_upstreams((0..upstreams).map(|number| upstream(number, "a")));
     queue
 }
 
-pub fn handle(call: &queue::Call, place: usize) -> handle::Handle {
+pub(crate) fn handle(call: &queue::Call, place: usize) -> handle::Handle {
     handle::Handle(format!("{}/{}-{place}", call.address, call.id).into())
 }
 
 /// All pieces of a call are made.
-pub fn made(call: &queue::Call) -> outcome::CallOutcome {
+pub(crate) fn made(call: &queue::Call) -> outcome::CallOutcome {
     let handles = (0..call.items.len()).map(|place| handle(call, place));
     outcome::CallOutcome::Answered(handles.map(outcome::PieceOutcome::Made).collect())
 }
 
 /// All pieces of a call end alike.
-pub fn ended(call: &queue::Call, outcome: &outcome::PieceOutcome) -> outcome::CallOutcome {
+pub(crate) fn ended(call: &queue::Call, outcome: &outcome::PieceOutcome) -> outcome::CallOutcome {
     outcome::CallOutcome::Answered(vec![outcome.clone(); call.items.len()])
 }
