--- a/crates/basilgrade/tests/edge_support/client.rs
+++ b/crates/basilgrade/tests/edge_support/client.rs
@@ -58,13 +58,11 @@
     let mut bytes = Vec::new();
     let mut is_whole = true;
     while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
-            Err(_) => {
-                is_whole = false;
-                break;
-            }
-        }
+        let Ok(frame) = frame else {
+            is_whole = false;
+            break;
+        };
+        bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data));
     }
     Some(Answer {
         status: head.status.as_u16(),
--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -91,7 +91,7 @@
         ))
     }
 
-    fn stream(&self, request: &Request<Bytes>, mood: Mood) -> Response<server::Body> {
+    fn stream(request: &Request<Bytes>, mood: Mood) -> Response<server::Body> {
         let from: u64 = text(request.headers(), "last-event-id")
             .and_then(|last| last.parse().ok())
             .unwrap_or(0);
@@ -159,7 +159,7 @@
         }
         let mut answer = match mood {
             Mood::Mute => return None,
-            _ if request.uri().path().starts_with("/stream") => self.stream(&request, mood),
+            _ if request.uri().path().starts_with("/stream") => Self::stream(&request, mood),
             _ => Response::new(server::whole(format!("{} {name}", self.id))),
         };
         let echoed = if mood == Mood::Foreign {
