Call a store that is away less often

Cause: while the store refused all machines, 64 daemons tried three topics four times a second each. Ruled out: the readers of failure domains, which changed as meant. Waits after failures now double up to 1 s, and only one topic is tried.

--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -32,8 +32,8 @@
 /// second and needs two misses, and connections that it had opened before bring their requests.
 const LINGER: clock::Millis = clock::Millis(3000);
 
-/// The process ends this long before it would be killed.
-const KILL_MARGIN: clock::Millis = clock::Millis(300);
+/// The process ends this long before it would be killed, as a slow VM needs time to end.
+const KILL_MARGIN: clock::Millis = clock::Millis(1000);
 
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_CHECK: clock::Millis = clock::Millis(2000);
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -34,8 +34,12 @@
 /// Time to connect to the store.
 const CONNECT_LIMIT: clock::Millis = clock::Millis(600);
 
-/// Wait after a failure.
-const RETRY_PAUSE: clock::Millis = clock::Millis(250);
+/// Wait after a failure; doubles with each failure in a row.
+const FIRST_PAUSE: clock::Millis = clock::Millis(200);
+
+/// Longest such wait. Refused calls are billed, and the return of the store should be noticed well
+/// within the shortest bound on configurations, 2.5 s.
+const LONGEST_PAUSE: clock::Millis = clock::Millis(1000);
 
 /// Reads one topic.
 pub struct Reader {
@@ -57,6 +61,7 @@
     /// Follows the topic while this daemon is a reader; never returns.
     pub async fn run(self) {
         let mut reading = self.state.reading();
+        let mut failures = 0;
         loop {
             if reading.wait_for(|is_reader| *is_reader).await.is_err() {
                 return;
@@ -64,9 +69,10 @@
             if self.state.position(self.topic).is_none()
                 && let Err(reason) = self.load().await
             {
-                self.fail(&reason).await;
+                self.fail(&reason, &mut failures).await;
                 continue;
             }
+            failures = 0;
             tokio::select! {
                 () = self.follow() => {}
                 _ = reading.wait_for(|is_reader| !is_reader) => {}
@@ -74,9 +80,20 @@
         }
     }
 
-    async fn fail(&self, reason: &str) {
+    /// Waits after a failure, the `failures`th in a row.
+    ///
+    /// While the store is away, only the reader of the upstreams tries it; the others wait for it.
+    async fn fail(&self, reason: &str, failures: &mut u32) {
         self.state.lost(reason);
-        tokio::time::sleep(RETRY_PAUSE.duration()).await;
+        let pause = clock::Millis(FIRST_PAUSE.0 << (*failures).min(4)).min(LONGEST_PAUSE);
+        *failures += 1;
+        tokio::time::sleep(pause.duration()).await;
+        if self.topic != store::Topic::Upstreams {
+            let mut kicks = self.state.kicks();
+            let is_reached = kicks.wait_for(|_| self.state.is_reached());
+            // After the wait it tries by itself, in case only the other calls fail.
+            let _ = tokio::time::timeout(LONGEST_PAUSE.duration() * 3, is_reached).await;
+        }
     }
 
     async fn call(
@@ -135,6 +152,7 @@
         };
         let is_waiting = wait > clock::Millis::ZERO;
         let mut kicks = self.state.kicks();
+        let mut failures = 0;
         loop {
             kicks.mark_unchanged();
             let read = self.read(wait);
@@ -148,9 +166,10 @@
                 Err(reason) => Err(reason),
             };
             if let Err(reason) = outcome {
-                self.fail(&reason).await;
+                self.fail(&reason, &mut failures).await;
                 continue;
             }
+            failures = 0;
             self.state.reached();
             if !is_waiting {
                 if !self.state.is_uncertain() {
