Keep inputs until their call has ended unless their pool is crowded

Ruled out: expiry, which takes 4 s. A request whose inputs are gone is also admitted again before it starts over.

--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -35,6 +35,13 @@
 /// Time beyond the end of a job in which its outcome may arrive.
 const ANSWER_SLACK: clock::Millis = clock::Millis(300);
 
+/// Wait for a pool from which on room at its upstreams counts more than the chance to make a failed
+/// piece again from the same inputs.
+const CROWDED: clock::Millis = clock::Millis(100);
+
+/// Inputs that nobody waits for are kept until the call that fetched them has usually ended.
+const CALL_REST: clock::Millis = clock::Millis(400);
+
 struct Known {
     load: load::Load,
     used: clock::Millis,
@@ -200,7 +207,14 @@
         mut spent: mpsc::UnboundedReceiver<queue::Spent>,
     ) {
         while let Some(spent) = spent.recv().await {
-            self.release(&spent.inputs.pool, spent.handles, spent.inputs.bytes.0);
+            let client = sync::Arc::clone(&self);
+            let is_crowded = self.load(&spent.inputs.pool).wait >= CROWDED;
+            tokio::spawn(async move {
+                if !is_crowded {
+                    tokio::time::sleep(CALL_REST.duration()).await;
+                }
+                client.release(&spent.inputs.pool, spent.handles, spent.inputs.bytes.0);
+            });
         }
     }
 
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -99,7 +99,7 @@
     }
 
     /// Refuses a request whose stages cannot end in time.
-    fn admit(&self, request: &request::Request) -> Result<(), failure::Failure> {
+    pub(crate) fn admit(&self, request: &request::Request) -> Result<(), failure::Failure> {
         if request.route.stages.is_empty() {
             return Ok(());
         }
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -49,6 +49,7 @@
             Err(Failed::Final(failure)) => return Err(failure),
             Err(Failed::InputGone) => {
                 log::info!("event=stage-input-gone request={}", request.head.request);
+                service.admit(request)?;
                 results = results::Results::new(std::sync::Arc::clone(&service.pieces));
             }
         }
