--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -43,17 +43,21 @@
 
 impl Core {
     /// The state of a daemon that knows nothing yet.
-    pub fn new(settings: settings::Settings, view: view::View) -> Self {
-        Self {
+    ///
+    /// # Errors
+    ///
+    /// An error of the metrics.
+    pub fn new(settings: settings::Settings, view: view::View) -> Result<Self, String> {
+        Ok(Self {
             budget: sync::Mutex::new(budget::Budget::new(settings.retries)),
             settings: ArcSwap::from_pointee(settings),
             clock: clock::SystemClock::new(),
             view: ArcSwap::from_pointee(view),
             links: pool::Pool::default(),
-            metrics: metrics::Metrics::default(),
+            metrics: metrics::Metrics::new()?,
             draining: atomic::AtomicBool::new(false),
             active: atomic::AtomicUsize::new(0),
-        }
+        })
     }
 
     /// The current instant.
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -91,7 +91,7 @@
     let ready = bind(settings.readiness).await?;
     let peers = bind(settings.peers).await?;
     let metrics = settings.metrics;
-    let core = sync::Arc::new(core::Core::new(settings.clone(), first_view(&settings)));
+    let core = sync::Arc::new(core::Core::new(settings.clone(), first_view(&settings))?);
     let state = sync::Arc::new(state::State::new(sync::Arc::clone(&core)));
     let links = sync::Arc::new(links::Links::default());
     let (spent, is_spent) = mpsc::unbounded_channel();
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -1,33 +1,52 @@
-//! Counters and latency histograms in the Prometheus text format.
-
-use std::fmt::Write as _;
-use std::sync::atomic;
+//! Counters and latency histograms by OpenTelemetry, served in the Prometheus text format.
 
 use basilgrade_types::clock;
+use opentelemetry::metrics;
+use opentelemetry::metrics::MeterProvider;
+use prometheus::Encoder;
 
-/// Upper bounds of the latency histogram, in milliseconds.
-const BOUNDS: [u64; 10] = [10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000];
+/// Upper bounds of the latency histograms, in milliseconds.
+const BOUNDS: [f64; 10] = [
+    10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 2500.0, 5000.0, 10_000.0,
+];
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident = $text:literal,)*) => {
-        /// Counters of a daemon.
-        #[derive(Debug, Default)]
+        /// Instruments of a daemon.
         pub struct Metrics {
             $($(#[$doc])* pub $name: Counter,)*
             /// Time from a request to the first byte of its answer.
             pub first: Histogram,
             /// Time from a request to the end of its answer.
             pub whole: Histogram,
+            registry: prometheus::Registry,
+            // Instruments stop recording when their provider is dropped.
+            _provider: opentelemetry_sdk::metrics::SdkMeterProvider,
         }
 
         impl Metrics {
-            /// The text that is served.
-            pub fn render(&self) -> String {
-                let mut text = String::new();
-                $(let _ = writeln!(text, concat!("basilgrade_", $text, " {}"), self.$name.get());)*
-                self.first.render("first_byte", &mut text);
-                self.whole.render("answer", &mut text);
-                text
+            /// Instruments with a registry of their own.
+            ///
+            /// # Errors
+            ///
+            /// An error of the exporter, which means that two instruments have the same name.
+            pub fn new() -> Result<Self, String> {
+                let registry = prometheus::Registry::new();
+                let exporter = opentelemetry_prometheus::exporter()
+                    .with_registry(registry.clone())
+                    .build()
+                    .map_err(|error| error.to_string())?;
+                let provider = opentelemetry_sdk::metrics::SdkMeterProvider::builder()
+                    .with_reader(exporter)
+                    .build();
+                let meter = provider.meter("basilgrade");
+                Ok(Self {
+                    $($name: Counter(meter.u64_counter(concat!("basilgrade_", $text)).build()),)*
+                    first: Histogram::new(&meter, "basilgrade_first_byte_ms"),
+                    whole: Histogram::new(&meter, "basilgrade_answer_ms"),
+                    registry,
+                    _provider: provider,
+                })
             }
         }
     };
@@ -35,36 +54,35 @@
 
 counters! {
     /// Requests of callers.
-    requests = "requests_total",
+    requests = "requests",
     /// Answers of upstreams that were passed on whole.
-    served = "served_total",
+    served = "served",
     /// Requests refused as not run.
-    refused = "refused_total",
+    refused = "refused",
     /// Requests that failed and may have run.
-    failed = "failed_total",
+    failed = "failed",
     /// Requests sent to another upstream.
-    repeats = "repeats_total",
+    repeats = "repeats",
     /// Streams continued at another upstream.
-    resumed = "resumed_total",
+    resumed = "resumed",
     /// Callers that left before their answer.
-    left = "callers_left_total",
+    left = "callers_left",
     /// Calls for pieces.
-    calls = "piece_calls_total",
+    calls = "piece_calls",
     /// Pieces in these calls.
-    pieces = "pieces_total",
+    pieces = "pieces",
     /// Calls for pieces without a usable answer.
-    broken_calls = "piece_calls_broken_total",
+    broken_calls = "piece_calls_broken",
     /// Calls to the store.
-    store_calls = "store_calls_total",
+    store_calls = "store_calls",
     /// Calls to the store that failed.
-    store_failures = "store_failures_total",
+    store_failures = "store_failures",
     /// Records that cannot be read.
-    unreadable = "unreadable_records_total",
+    unreadable = "unreadable_records",
 }
 
 /// A number that only grows.
-#[derive(Debug, Default)]
-pub struct Counter(atomic::AtomicU64);
+pub struct Counter(metrics::Counter<u64>);
 
 impl Counter {
     /// Adds one.
@@ -74,46 +92,36 @@
 
     /// Adds `count`.
     pub fn add_many(&self, count: u64) {
-        self.0.fetch_add(count, atomic::Ordering::Relaxed);
-    }
-
-    /// The number.
-    pub fn get(&self) -> u64 {
-        self.0.load(atomic::Ordering::Relaxed)
+        self.0.add(count, &[]);
     }
 }
 
 /// Spans by upper bound.
-#[derive(Debug, Default)]
-pub struct Histogram {
-    buckets: [Counter; BOUNDS.len()],
-    count: Counter,
-    sum: Counter,
-}
+pub struct Histogram(metrics::Histogram<f64>);
 
 impl Histogram {
+    fn new(meter: &metrics::Meter, name: &'static str) -> Self {
+        let builder = meter.f64_histogram(name).with_boundaries(BOUNDS.to_vec());
+        Self(builder.build())
+    }
+
     /// Records a span.
     pub fn record(&self, span: clock::Millis) {
-        for (bound, bucket) in BOUNDS.iter().zip(&self.buckets) {
-            if span.0 <= *bound {
-                bucket.add();
-            }
-        }
-        self.count.add();
-        self.sum.add_many(span.0);
+        self.0.record(span.as_f64(), &[]);
     }
+}
 
-    fn render(&self, name: &str, text: &mut String) {
-        for (bound, bucket) in BOUNDS.iter().zip(&self.buckets) {
-            let count = bucket.get();
-            let _ = writeln!(
-                text,
-                "basilgrade_{name}_ms_bucket{{le=\"{bound}\"}} {count}"
-            );
-        }
-        let count = self.count.get();
-        let _ = writeln!(text, "basilgrade_{name}_ms_bucket{{le=\"+Inf\"}} {count}");
-        let _ = writeln!(text, "basilgrade_{name}_ms_sum {}", self.sum.get());
-        let _ = writeln!(text, "basilgrade_{name}_ms_count {count}");
+impl Metrics {
+    /// The text that is served.
+    ///
+    /// # Errors
+    ///
+    /// An error of the encoder.
+    pub fn render(&self) -> Result<String, String> {
+        let mut text = Vec::new();
+        prometheus::TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .map_err(|error| error.to_string())?;
+        String::from_utf8(text).map_err(|error| error.to_string())
     }
 }
--- a/crates/basilgrade_edge/src/readiness.rs
+++ b/crates/basilgrade_edge/src/readiness.rs
@@ -34,7 +34,10 @@
 /// Serves metrics; never returns.
 pub async fn run_metrics(core: sync::Arc<core::Core>, socket: net::TcpListener) {
     serve(socket, move |message| match message.uri().path() {
-        "/metrics" => (StatusCode::OK, core.metrics.render()),
+        "/metrics" => match core.metrics.render() {
+            Ok(text) => (StatusCode::OK, text),
+            Err(reason) => (StatusCode::INTERNAL_SERVER_ERROR, reason),
+        },
         _ => (StatusCode::NOT_FOUND, String::new()),
     })
     .await;
