Tell waits by rank, and run stages again when an engine finds results gone

Cause: an urgent request was refused for the wait of less urgent ones, and a 409 of an engine was passed on as a refusal.

--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -98,7 +98,7 @@
     pub fn load(&self, pool: &id::PoolId) -> load::Load {
         self.lock()
             .get(pool)
-            .map(|known| known.load)
+            .map(|known| known.load.clone())
             .unwrap_or_default()
     }
 
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -14,7 +14,6 @@
 use std::sync;
 
 use basilgrade_fleet::admission;
-use basilgrade_fleet::model::route;
 use basilgrade_types::clock;
 use basilgrade_types::verdict;
 use hyper::Request;
@@ -105,7 +104,7 @@
         }
         let arrival = admission::Arrival {
             left: request.left(self.core.now()),
-            stages: self.longest_path(&request.route, &request.head.pieces),
+            stages: self.longest_path(request),
             first: FIRST_EVENT,
         };
         let admission::Admission::Refuse(wait) = admission::admit(&arrival) else {
@@ -121,7 +120,8 @@
     }
 
     /// Expected time of the stages with pieces, along the longest path.
-    fn longest_path(&self, route: &route::Route, pieces: &[u32]) -> clock::Millis {
+    fn longest_path(&self, request: &request::Request) -> clock::Millis {
+        let (route, pieces) = (&request.route, &request.head.pieces);
         let mut ends: Vec<clock::Millis> = Vec::with_capacity(route.stages.len());
         for (place, stage) in route.stages.iter().enumerate() {
             let before = stage.after.iter().filter_map(|after| ends.get(*after));
@@ -130,7 +130,7 @@
             let span = if has_pieces {
                 let load = self.pieces.load(&stage.pool);
                 let call = self.typical_call(&stage.pool);
-                load.wait.plus(call).plus(STAGE_HOPS)
+                load.wait_of(request.rank()).plus(call).plus(STAGE_HOPS)
             } else {
                 clock::Millis::ZERO
             };
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -277,6 +277,10 @@
                     self.first = Some(first);
                     return true;
                 }
+                Ok(opening::Opened::Ended(whole::Ended::InputsGone)) => {
+                    let reason = whole::INPUTS_GONE.to_owned();
+                    self.sends.note_refused(&self.request, &entry, reason);
+                }
                 Ok(opening::Opened::Ended(whole::Ended::NotRun(reason))) => {
                     self.sends.note_refused(&self.request, &entry, reason);
                 }
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -247,7 +247,7 @@
         }
         outcome::JobOutcome::InputGone => Err(Failed::InputGone),
         outcome::JobOutcome::Late => {
-            let wait = service.pieces.load(&stage.pool).wait;
+            let wait = service.pieces.load(&stage.pool).wait_of(request.rank());
             let left = request.left(service.core.now());
             let wait = basilgrade_fleet::admission::retry_after(left, wait, rand::random());
             let reason = format!("stage {place} cannot end in time");
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -16,6 +16,7 @@
 use crate::serve::relay;
 use crate::serve::request;
 use crate::serve::results;
+use crate::serve::stages;
 use crate::serve::whole;
 
 /// A resumable stream is sent to another upstream after this time without a first event, or a
@@ -31,7 +32,7 @@
 pub async fn serve(
     service: &sync::Arc<serve::Service>,
     request: sync::Arc<request::Request>,
-    results: results::Results,
+    mut results: results::Results,
     active: core::Active,
 ) -> Result<Response<body::Body>, failure::Failure> {
     let core = &service.core;
@@ -86,6 +87,12 @@
             Opened::Ended(whole::Ended::NotRun(reason)) => {
                 sends.note_refused(&request, &entry, reason);
             }
+            Opened::Ended(whole::Ended::InputsGone) => {
+                sends.note_refused(&request, &entry, whole::INPUTS_GONE.to_owned());
+                sends.forgive_last();
+                service.admit(&request)?;
+                results = stages::run(service, &request).await?;
+            }
             Opened::Ended(whole::Ended::Failed(reason, answer)) => {
                 fallback = answer.or(fallback);
                 sends.note_failed(&request, &entry, reason);
--- a/crates/basilgrade_edge/src/serve/whole.rs
+++ b/crates/basilgrade_edge/src/serve/whole.rs
@@ -37,6 +37,9 @@
 /// Least time before an idempotent request is sent again; most answers take less.
 const HEDGE_LEAST: clock::Millis = clock::Millis(60);
 
+/// Reason of a send that found no stage results.
+pub const INPUTS_GONE: &str = "stage results are gone";
+
 /// A complete answer of an upstream.
 pub struct Whole {
     status: StatusCode,
@@ -50,6 +53,8 @@
     Answered(Whole),
     /// Without running the request.
     NotRun(String),
+    /// Without running the request, because stage results are gone.
+    InputsGone,
     /// With a failure after which the request may have run; an answer to pass on if there is one.
     Failed(String, Option<Whole>),
 }
@@ -89,6 +94,9 @@
         match ended {
             Ended::Answered(whole) => return Ok(respond(core, request, whole, &sends)),
             Ended::NotRun(reason) => sends.note_refused(request, &entry, reason),
+            Ended::InputsGone => {
+                sends.note_refused(request, &entry, INPUTS_GONE.to_owned());
+            }
             Ended::Failed(reason, whole) => {
                 fallback = whole.or(fallback);
                 sends.note_failed(request, &entry, reason);
@@ -149,6 +157,9 @@
         load,
         sent,
     } = answered;
+    if answer.is_unexecuted && answer.status == StatusCode::CONFLICT {
+        return Ended::InputsGone;
+    }
     if answer.is_unexecuted {
         return Ended::NotRun(format!("status {}", answer.status.as_u16()));
     }
@@ -256,6 +267,11 @@
         self.note(request, entry, reason, verdict::Verdict::NotRun);
     }
 
+    /// Allows the last upstream again, which refused for no reason of its own.
+    pub fn forgive_last(&mut self) {
+        self.tried.pop();
+    }
+
     /// Records a send after which the request may have run.
     pub fn note_failed(
         &mut self,
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -1,5 +1,6 @@
 //! Jobs that wait for one pool of upstreams, and the calls that are under way.
 
+use std::collections::BTreeMap;
 use std::mem;
 use std::net;
 
@@ -15,6 +16,7 @@
 use crate::directory::upstream;
 use crate::model::handle;
 use crate::model::pool;
+use crate::model::rank;
 
 /// Each rank waits as long as a request of the rank above that came this much later.
 ///
@@ -254,18 +256,31 @@
     pub fn load(&self, now: clock::Millis) -> load::Load {
         let usable = |maker: &&maker::Maker| !maker.is_resting(now) && !maker.is_slow();
         let healthy: Vec<_> = self.makers.values().filter(usable).collect();
-        let call = self.pieces.span(self.pieces.batch);
         let earliest = healthy.iter().map(|maker| maker.free_at(now)).min();
         let Some(earliest) = earliest else {
-            let wait = NO_UPSTREAM_WAIT;
-            return load::Load { wait, call };
+            return load::Load {
+                wait: NO_UPSTREAM_WAIT,
+                ranks: Vec::new(),
+            };
+        };
+        let call = self.pieces.span(self.pieces.batch);
+        let wait = |pieces: usize| {
+            let calls = pieces as u64 / u64::from(self.pieces.batch.max(1));
+            clock::Millis(calls * call.0 / healthy.len() as u64).plus(earliest - now)
         };
-        let waiting: usize = self.jobs.values().map(|entry| entry.waiting.len()).sum();
-        let calls = waiting as u64 / u64::from(self.pieces.batch.max(1));
-        let wait = clock::Millis(calls * call.0 / healthy.len() as u64);
+        let mut counts: BTreeMap<rank::Rank, usize> = BTreeMap::new();
+        for entry in self.jobs.values().filter(|entry| !entry.waiting.is_empty()) {
+            *counts.entry(entry.job.rank).or_default() += entry.waiting.len();
+        }
+        let mut ahead = 0;
+        let ranks = counts.into_iter().map(|(rank, pieces)| {
+            ahead += pieces;
+            (rank, wait(ahead))
+        });
+        let ranks: Vec<_> = ranks.collect();
         load::Load {
-            wait: wait.plus(earliest - now),
-            call,
+            wait: wait(ahead),
+            ranks,
         }
     }
 
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -69,19 +69,32 @@
     near.chain(far).map(sync::Arc::new).collect()
 }
 
-/// Guards against shared parts of prompts that are read at every engine.
+/// Guards against long shared parts of prompts that each failure domain reads again, and against
+/// short ones that send requests to another region.
 #[test]
-fn requests_about_one_subject_stay_together_in_the_failure_domain() {
+fn requests_about_one_subject_stay_together() {
     let engines = engines();
-    let subjects = ["x", "y", "z", "u", "v", "w"];
-
-    for subject in subjects {
-        let prompt = prompt(subject);
-        let first = choose(&engines, &demand(&[], Some(&prompt))).expect("an engine");
-        let again = choose(&engines, &demand(&[], Some(&prompt))).expect("an engine");
-        assert_eq!(first, again);
-        assert!(["u0", "u1", "u2", "u3"].contains(&first.as_str()));
+    let mut far = place();
+    far.domain = domain("b");
+    let mut reached = std::collections::HashSet::new();
+    for subject in ["x", "y", "z", "u", "v", "w"] {
+        let long = prompt(subject);
+        let wanted = demand(&[], Some(&long));
+        let near = placement::choose(NOW, &place(), &wanted, engines.iter()).expect("an engine");
+        let other = placement::choose(NOW, &far, &wanted, engines.iter()).expect("an engine");
+        assert_eq!(near.id, other.id);
+        reached.insert(near.domain.clone());
+
+        let mut short = prompt(subject);
+        for part in &mut short.parts {
+            part.tokens /= 20;
+        }
+        short.tokens /= 20;
+        let wanted = demand(&[], Some(&short));
+        let near = placement::choose(NOW, &place(), &wanted, engines.iter()).expect("an engine");
+        assert_eq!(near.domain, domain("a"));
     }
+    assert_eq!(reached.len(), 2);
 }
 
 /// Guards against a popular subject that overloads its engine.
