Split the queue into files, and count the turn of a call once

Cause: when a call that was not the first at its upstream ended, the first one was taken as fetching its inputs again, so inputs could be freed too early. Found in reading; the new test fails without the change of Turn.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -100,6 +100,12 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Takes over changed settings.
+    pub fn reload(&self, settings: settings::Settings) {
+        self.budget().set_terms(settings.retries);
+        self.settings.store(sync::Arc::new(settings));
+    }
+
     /// Records a request to `pool` in the retry budget.
     pub fn earn(&self, pool: &id::PoolId) {
         self.budget().earn(self.now(), pool);
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -194,7 +194,7 @@
                     settings.seeds.len(),
                     settings.store
                 );
-                core.settings.store(sync::Arc::new(settings));
+                core.reload(settings);
             }
             Err(reason) => log::error!("event=reload-failed reason={reason:?}"),
         }
--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -5,6 +5,7 @@
 //! never goes back.
 
 pub mod mirror;
+pub mod origin;
 pub mod reader;
 pub mod register;
 pub mod state;
--- a/crates/basilgrade_edge/src/follow/state.rs
+++ b/crates/basilgrade_edge/src/follow/state.rs
@@ -15,7 +15,7 @@
 
 use crate::core;
 use crate::follow::mirror;
-use crate::follow::mirror::Changes;
+use crate::follow::origin;
 use crate::view;
 
 /// How long entries that lapsed while the store was away may be missing after its return.
@@ -26,24 +26,6 @@
 /// A registration older than this is of a daemon that is gone; daemons renew it more often.
 const REGISTRATION_AGE: clock::Millis = clock::Millis(30 * 60_000);
 
-/// Where a change was learned.
-#[derive(Clone, Copy, Debug)]
-pub enum Origin {
-    /// The store.
-    Store,
-    /// Another daemon.
-    Peer,
-}
-
-impl Origin {
-    const fn as_str(self) -> &'static str {
-        match self {
-            Self::Store => "store",
-            Self::Peer => "peer",
-        }
-    }
-}
-
 /// The mirrors of all topics.
 pub struct State {
     core: sync::Arc<core::Core>,
@@ -177,15 +159,15 @@
         if known.is_some_and(|position| position >= update.position) {
             return;
         }
-        self.change(update, Origin::Peer, is_uncertain);
+        self.change(update, origin::Origin::Peer, is_uncertain);
     }
 
     /// Applies what was read from the store.
     pub fn read(&self, update: mirror::Update) {
-        self.change(update, Origin::Store, self.is_uncertain());
+        self.change(update, origin::Origin::Store, self.is_uncertain());
     }
 
-    fn change(&self, update: mirror::Update, origin: Origin, is_uncertain: bool) {
+    fn change(&self, update: mirror::Update, origin: origin::Origin, is_uncertain: bool) {
         let mirror::Update {
             topic,
             position,
@@ -203,14 +185,14 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    fn change_configuration(&self, changes: &Changes, origin: Origin) {
+    fn change_configuration(&self, changes: &mirror::Changes, origin: origin::Origin) {
         let values: Vec<&Bytes> = match changes {
-            Changes::All(records) => records
+            mirror::Changes::All(records) => records
                 .iter()
                 .filter(|(key, _)| store::is_configuration(key))
                 .map(|(_, value)| value)
                 .collect(),
-            Changes::Some(records) => records
+            mirror::Changes::Some(records) => records
                 .iter()
                 .filter(|(key, _)| store::is_configuration(key))
                 .filter_map(|(_, value)| value.as_ref())
@@ -250,12 +232,17 @@
         });
     }
 
-    fn change_upstreams(&self, changes: Changes, origin: Origin, is_uncertain: bool) {
+    fn change_upstreams(
+        &self,
+        changes: mirror::Changes,
+        origin: origin::Origin,
+        is_uncertain: bool,
+    ) {
         let mut directory = directory::Directory::clone(&self.core.view.load().directory);
         let mut has_changed = false;
         let records = match changes {
-            Changes::Some(records) => records,
-            Changes::All(records) => {
+            mirror::Changes::Some(records) => records,
+            mirror::Changes::All(records) => {
                 let gone: Vec<_> = directory
                     .ids()
                     .filter(|id| !records.iter().any(|(key, _)| key == id.as_str()))
@@ -278,7 +265,7 @@
         directory: &mut directory::Directory,
         key: &str,
         value: Option<Bytes>,
-        origin: Origin,
+        origin: origin::Origin,
         is_uncertain: bool,
     ) -> bool {
         let Ok(id) = key.parse() else {
--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -2,10 +2,10 @@
 
 use std::sync;
 
+use basilgrade_fleet::batch::call;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
-use basilgrade_fleet::batch::queue;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
@@ -204,7 +204,7 @@
     /// Frees inputs that queues of this daemon no longer need; returns when the queues are gone.
     pub async fn free_spent(
         self: sync::Arc<Self>,
-        mut spent: mpsc::UnboundedReceiver<queue::Spent>,
+        mut spent: mpsc::UnboundedReceiver<call::Spent>,
     ) {
         while let Some(spent) = spent.recv().await {
             let client = sync::Arc::clone(&self);
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -4,6 +4,7 @@
 
 use basilgrade_adapter::answer;
 use basilgrade_adapter::pieces;
+use basilgrade_fleet::batch::call;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
@@ -27,7 +28,7 @@
 
 struct Inner {
     queue: queue::Queue,
-    waiters: IndexMap<queue::JobId, oneshot::Sender<outcome::JobOutcome>>,
+    waiters: IndexMap<call::JobId, oneshot::Sender<outcome::JobOutcome>>,
     directory: Option<sync::Arc<directory::Directory>>,
 }
 
@@ -38,13 +39,13 @@
     pool: id::PoolId,
     inner: sync::Mutex<Inner>,
     wake: tokio::sync::Notify,
-    spent: mpsc::UnboundedSender<queue::Spent>,
+    spent: mpsc::UnboundedSender<call::Spent>,
 }
 
 /// Cancels a job when the one who waits for it has gone.
 struct Waiting<'a> {
     gatherer: &'a Gatherer,
-    job: Option<queue::JobId>,
+    job: Option<call::JobId>,
 }
 
 impl Drop for Waiting<'_> {
@@ -64,7 +65,7 @@
         releases: sync::Arc<releases::Releases>,
         pool: id::PoolId,
         work: pool::Pieces,
-        spent: mpsc::UnboundedSender<queue::Spent>,
+        spent: mpsc::UnboundedSender<call::Spent>,
     ) -> Self {
         let inner = Inner {
             queue: queue::Queue::new(work),
@@ -188,7 +189,7 @@
         inner.queue.wake(now)
     }
 
-    async fn send(self: sync::Arc<Self>, call: queue::Call) {
+    async fn send(self: sync::Arc<Self>, call: call::Call) {
         self.core.metrics.calls.add();
         self.core.metrics.pieces.add_many(call.items.len() as u64);
         let started = self.core.now();
@@ -227,7 +228,7 @@
         self.wake.notify_one();
     }
 
-    async fn exchange(&self, call: &queue::Call) -> Result<outcome::CallOutcome, String> {
+    async fn exchange(&self, call: &call::Call) -> Result<outcome::CallOutcome, String> {
         let message = pieces::run(call).map_err(|reason| reason.to_string())?;
         let sent = self
             .core
--- a/crates/basilgrade_edge/src/gather/gatherers.rs
+++ b/crates/basilgrade_edge/src/gather/gatherers.rs
@@ -2,10 +2,10 @@
 
 use std::sync;
 
+use basilgrade_fleet::batch::call;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
-use basilgrade_fleet::batch::queue;
 use basilgrade_fleet::model::handle;
 use basilgrade_fleet::model::pool;
 use basilgrade_types::id;
@@ -21,12 +21,12 @@
     core: sync::Arc<core::Core>,
     releases: sync::Arc<releases::Releases>,
     queues: sync::Mutex<IndexMap<id::PoolId, sync::Arc<gatherer::Gatherer>>>,
-    spent: mpsc::UnboundedSender<queue::Spent>,
+    spent: mpsc::UnboundedSender<call::Spent>,
 }
 
 impl Gatherers {
     /// No queue yet; inputs that are no longer needed are sent to `spent`.
-    pub fn new(core: sync::Arc<core::Core>, spent: mpsc::UnboundedSender<queue::Spent>) -> Self {
+    pub fn new(core: sync::Arc<core::Core>, spent: mpsc::UnboundedSender<call::Spent>) -> Self {
         Self {
             releases: sync::Arc::new(releases::Releases::new(sync::Arc::clone(&core))),
             core,
--- a/crates/basilgrade_fleet/src/batch.rs
+++ b/crates/basilgrade_fleet/src/batch.rs
@@ -5,8 +5,11 @@
 //! in time goes first, then by rank, then by the earliest deadline; an idle upstream never waits for
 //! a fuller call.
 
+pub mod call;
 pub mod job;
 pub mod load;
-pub mod maker;
+mod maker;
 pub mod outcome;
 pub mod queue;
+mod running;
+mod waiting;
--- a/crates/basilgrade_fleet/src/budget.rs
+++ b/crates/basilgrade_fleet/src/budget.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Replaces the figures of the shared budget.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.terms = terms;
+    }
+
     fn window(&mut self, now: clock::Millis, pool: &id::PoolId) -> &mut Window {
         let since = now - self.terms.window;
         let window = self.pools.entry(pool.clone()).or_default();
--- a/crates/basilgrade_fleet/tests/common/mod.rs
+++ b/crates/basilgrade_fleet/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::sync;
 
+use basilgrade_fleet::batch::call;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::batch::queue;
@@ -70,17 +71,17 @@
     queue
 }
 
-pub(crate) fn handle(call: &queue::Call, place: usize) -> handle::Handle {
+pub(crate) fn handle(call: &call::Call, place: usize) -> handle::Handle {
     handle::Handle(format!("{}/{}-{place}", call.address, call.id).into())
 }
 
 /// All pieces of a call are made.
-pub(crate) fn made(call: &queue::Call) -> outcome::CallOutcome {
+pub(crate) fn made(call: &call::Call) -> outcome::CallOutcome {
     let handles = (0..call.items.len()).map(|place| handle(call, place));
     outcome::CallOutcome::Answered(handles.map(outcome::PieceOutcome::Made).collect())
 }
 
 /// All pieces of a call end alike.
-pub(crate) fn ended(call: &queue::Call, outcome: &outcome::PieceOutcome) -> outcome::CallOutcome {
+pub(crate) fn ended(call: &call::Call, outcome: &outcome::PieceOutcome) -> outcome::CallOutcome {
     outcome::CallOutcome::Answered(vec![outcome.clone(); call.items.len()])
 }
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use basilgrade_fleet::batch::call;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::outcome;
-use basilgrade_fleet::batch::queue;
 use basilgrade_fleet::model::handle;
 use basilgrade_fleet::model::rank;
 use basilgrade_types::clock;
@@ -16,7 +16,7 @@
 
 const START: clock::Millis = clock::Millis(10_000);
 
-fn requests(call: &queue::Call) -> Vec<&str> {
+fn requests(call: &call::Call) -> Vec<&str> {
     let mut names: Vec<_> = call
         .items
         .iter()
@@ -275,7 +275,32 @@
     let wake = queue.wake(START.plus(clock::Millis(20))).expect("a time");
     queue.dispatch(wake);
 
-    assert_eq!(queue.take_spent(), [queue::Spent { inputs, handles }]);
+    assert_eq!(queue.take_spent(), [call::Spent { inputs, handles }]);
+}
+
+/// Guards against inputs that are freed before all pieces have fetched them, because one call ended
+/// while another one of the same upstream went on.
+#[test]
+fn the_end_of_a_later_call_does_not_spend_inputs() {
+    let mut queue = queue(1);
+    let mut first = job("first", 12);
+    first.source = job::Source::Results(vec![handle::Handle("10.0.0.9:80/x".into())]);
+    first.inputs = Some(job::Inputs {
+        pool: common::pool_id("before"),
+        bytes: size::ByteCount(60_000),
+    });
+    queue.submit(START, first);
+    queue.submit(START, job("filler", 8));
+    queue.dispatch(START);
+    // The second call goes out shortly before the first one ends.
+    let early = START.plus(clock::Millis(260));
+    let second = queue.dispatch(early).remove(0);
+
+    let soon = early.plus(clock::Millis(5));
+    queue.complete(soon, second.id, outcome::CallOutcome::Full);
+    queue.dispatch(soon.plus(clock::Millis(140)));
+
+    assert!(queue.take_spent().is_empty());
 }
 
 /// Guards against a slow upstream that holds up every request that is sent to it.
