Log the id of rejected requests; keep the verdict of earlier sends

A request that reached its end while a repeat was refused was answered as not run although an earlier send may have run; sends are now counted. The wait of a refused request was spread twice; admission now returns the span after which room is expected.

--- a/crates/basilgrade/tests/edge.rs
+++ b/crates/basilgrade/tests/edge.rs
@@ -141,6 +141,24 @@
     }
 }
 
+/// Guards against a refusal of a request of which an earlier send may have run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_repeat_does_not_hide_the_first_send() {
+    let deployment = deployment::start(&["a"]).await;
+    let address = deployment.daemons[0].callers;
+    deployment.upstream("desk-0").set(upstream::Mood::Mute);
+    deployment.upstream("desk-1").set(upstream::Mood::Full);
+    let mut number = 0;
+    while deployment.upstream("desk-0").runs().is_empty() {
+        number += 1;
+        let id = format!("safe-{number}");
+        let answer = client::send(address, client::request(&id, "GET", "/safe/x"), "").await;
+        let status = answer.expect("an answer").status;
+        let has_run = deployment.count(&id) > 0;
+        assert_eq!(status, if has_run { 502 } else { 503 });
+    }
+}
+
 /// Guards against refusals that reach the caller although another upstream has room.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_did_not_run_goes_to_another_upstream() {
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -13,8 +13,11 @@
 
 use std::sync;
 
+use basilgrade_adapter::head;
 use basilgrade_fleet::admission;
+use basilgrade_fleet::model::pool;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use basilgrade_types::verdict;
 use hyper::Request;
 use hyper::Response;
@@ -44,9 +47,18 @@
         let active = self.core.begin();
         self.core.metrics.requests.add();
         let arrived = self.core.now();
+        let request_id = head::request_id(message.headers());
         let request = match intake::read(&self.core, message, arrived).await {
             Ok(request) => sync::Arc::new(request),
-            Err(failure) => return self.refuse("", arrived, &failure),
+            Err(failure) => {
+                log::info!(
+                    "event=request-rejected request={request_id} status={} reason={:?} span={}",
+                    failure.status.as_u16(),
+                    failure.reason,
+                    self.core.now() - arrived
+                );
+                return self.refuse(&request_id, &failure);
+            }
         };
         let left = request.left(arrived);
         let serving = sync::Arc::clone(&self).answer(sync::Arc::clone(&request), active);
@@ -56,31 +68,17 @@
         match outcome {
             Ok(response) => response,
             Err(failure) => {
-                let response = self.refuse(&request.head.request, arrived, &failure);
                 request.log(&self.core, &failure);
-                response
+                self.refuse(&request_id, &failure)
             }
         }
     }
 
-    fn refuse(
-        &self,
-        request: &str,
-        arrived: clock::Millis,
-        failure: &failure::Failure,
-    ) -> Response<body::Body> {
+    fn refuse(&self, request: &str, failure: &failure::Failure) -> Response<body::Body> {
         match failure.verdict {
             verdict::Verdict::NotRun => self.core.metrics.refused.add(),
             verdict::Verdict::Ran | verdict::Verdict::MayHaveRun => self.core.metrics.failed.add(),
         }
-        if request.is_empty() {
-            log::info!(
-                "event=request-rejected status={} reason={:?} span={}",
-                failure.status.as_u16(),
-                failure.reason,
-                self.core.now() - arrived
-            );
-        }
         failure.response(request, self.core.is_draining())
     }
 
@@ -107,10 +105,10 @@
             stages: self.longest_path(request),
             first: FIRST_EVENT,
         };
-        let admission::Admission::Refuse(wait) = admission::admit(&arrival) else {
+        let admission::Admission::Refuse(room) = admission::admit(&arrival) else {
             return Ok(());
         };
-        let wait = admission::retry_after(arrival.left, wait, rand::random());
+        let wait = admission::retry_after(arrival.left, room, rand::random());
         let reason = format!(
             "the stages need {} and {} are left",
             arrival.stages.plus(arrival.first),
@@ -140,14 +138,14 @@
     }
 
     /// Time of a half-filled call of `pool`.
-    fn typical_call(&self, pool: &basilgrade_types::id::PoolId) -> clock::Millis {
+    fn typical_call(&self, pool: &id::PoolId) -> clock::Millis {
         let view = self.core.view.load();
         let known = view
             .configuration
             .as_ref()
             .and_then(|known| known.pools.get(pool));
         match known.map(|pool| &pool.work) {
-            Some(basilgrade_fleet::model::pool::Work::Pieces(work)) => work.span(work.batch / 2),
+            Some(pool::Work::Pieces(work)) => work.span(work.batch / 2),
             _ => clock::Millis::ZERO,
         }
     }
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -184,10 +184,10 @@
         let length = header::HeaderValue::from(request.body.len());
         message.headers_mut().insert(header::CONTENT_LENGTH, length);
     }
-    request.set_may_run();
+    request.begin_send();
     let response = link.send(message).await.inspect_err(|failure| {
         if failure.verdict == verdict::Verdict::NotRun {
-            request.clear_may_run();
+            request.end_unexecuted();
         }
         entry.evidence.record(core.now(), health::Outcome::Broken);
     })?;
@@ -200,7 +200,7 @@
         ));
     }
     if answer.is_unexecuted {
-        request.clear_may_run();
+        request.end_unexecuted();
         entry.evidence.record(core.now(), health::Outcome::Full);
     }
     Ok(Answered {
--- a/crates/basilgrade_edge/src/serve/intake.rs
+++ b/crates/basilgrade_edge/src/serve/intake.rs
@@ -80,7 +80,7 @@
         has_keys: configuration.customers.is_some(),
         arrived,
         end,
-        may_run: atomic::AtomicBool::new(false),
+        uncertain_sends: atomic::AtomicU32::new(0),
     })
 }
 
--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -43,8 +43,8 @@
     pub arrived: clock::Millis,
     /// When the caller's deadline or the route's timeout ends it.
     pub end: clock::Millis,
-    /// Whether an upstream may have begun to work on it.
-    pub may_run: atomic::AtomicBool,
+    /// Sends after which an upstream may have begun to work on it.
+    pub uncertain_sends: atomic::AtomicU32,
 }
 
 impl Request {
@@ -64,20 +64,20 @@
         rank::Rank::new(customer, self.route.rank)
     }
 
-    /// Records that an upstream may begin to work on it.
-    pub fn set_may_run(&self) {
-        self.may_run.store(true, atomic::Ordering::Relaxed);
+    /// Records a send after which an upstream may begin to work on it.
+    pub fn begin_send(&self) {
+        self.uncertain_sends.fetch_add(1, atomic::Ordering::Relaxed);
     }
 
-    /// Records that no upstream has begun to work on it.
-    pub fn clear_may_run(&self) {
-        self.may_run.store(false, atomic::Ordering::Relaxed);
+    /// Records that the upstream of the last send did not begin to work on it.
+    pub fn end_unexecuted(&self) {
+        self.uncertain_sends.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 
     /// The failure of a request that reached its end.
     pub fn timed_out(&self) -> failure::Failure {
         let reason = "no answer within the deadline";
-        if self.may_run.load(atomic::Ordering::Relaxed) {
+        if self.uncertain_sends.load(atomic::Ordering::Relaxed) > 0 {
             return failure::Failure::uncertain(serve::LATE, reason);
         }
         failure::Failure::unavailable(reason)
--- a/crates/basilgrade_fleet/src/admission.rs
+++ b/crates/basilgrade_fleet/src/admission.rs
@@ -27,7 +27,7 @@
 pub enum Admission {
     /// It is expected to be served in time.
     Admit,
-    /// It cannot be served in time; the caller may come back after the span.
+    /// It cannot be served in time; room for it is expected after the span.
     Refuse(clock::Millis),
 }
 
@@ -37,7 +37,7 @@
     if needed <= arrival.left {
         return Admission::Admit;
     }
-    Admission::Refuse(retry_after(arrival.left, needed - arrival.left, 0.5))
+    Admission::Refuse(needed - arrival.left)
 }
 
 /// When a caller with `left` to its deadline should come back, if room is expected after `room`.
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -208,7 +208,7 @@
         admission::Admission::Admit
     );
     let refused = admission::admit(&arrival(2000, 3000));
-    assert!(matches!(refused, admission::Admission::Refuse(_)));
+    assert_eq!(refused, admission::Admission::Refuse(clock::Millis(1150)));
 }
 
 /// Guards against callers that all return at once, or later than they are able to.
