--- a/crates/basilgrade_config/src/source.rs
+++ b/crates/basilgrade_config/src/source.rs
@@ -35,6 +35,8 @@
             source.report(1, "", "", found, format!("at most {}", limits::TEXT));
             return source;
         }
+        // Some editors put a byte-order mark in front; it carries nothing.
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
         let lines = text.lines().count();
         if lines > limits::LINES {
             let found = format!("the text has {lines} lines");
--- a/crates/basilgrade_config/tests/parse.rs
+++ b/crates/basilgrade_config/tests/parse.rs
@@ -323,6 +323,15 @@
     }
 }
 
+/// Guards against a file of an editor that marks its byte order being refused for a reason that
+/// nobody sees.
+#[test]
+fn a_byte_order_mark_is_accepted() {
+    let marked = format!("\u{feff}{}", common::deployment());
+
+    assert!(parse::parse(&marked, "birrete.ini").is_ok());
+}
+
 /// Guards against prices that are not taken from `[prices]`.
 #[test]
 fn default_prices_stand_in() {
