Start the quickstart when slots are granted

Cause: the example began its charge as soon as daemons knew the configuration; slots are granted some seconds later, so it printed 17 or 18 refused attempts.

--- a/crates/basilgrade/examples/quickstart/deployment.rs
+++ b/crates/basilgrade/examples/quickstart/deployment.rs
@@ -196,11 +196,15 @@
 }
 
 /// Waits until every daemon has a configuration and its domain holds slots.
+///
+/// Slots are granted some seconds after the start; keyed requests are refused until then.
 async fn ready(daemons: &[daemon::Daemon]) -> Result<(), String> {
+    let is_ready = |daemon: &daemon::Daemon| {
+        daemon.core.revision() > revision::Revision::default()
+            && daemon.core.parts.ledger.mint().is_some()
+    };
     for _ in 0..300 {
-        let served =
-            |daemon: &daemon::Daemon| daemon.core.revision() > revision::Revision::default();
-        if daemons.iter().all(served) {
+        if daemons.iter().all(is_ready) {
             return Ok(());
         }
         tokio::time::sleep(time::Duration::from_millis(100)).await;
