Keep a queue of stage pieces for each failure domain

Cause: one daemon gathered the pieces of a pool for the whole fleet, so jobs, calls and results crossed failure domains. At 300 VMs the gatherer was the busiest daemon.

Ruled out: placement near engines inside one queue, and a wait for a near upstream, were measured before and gained next to nothing, as the one queue still made every call from one place.

Change: each failure domain has its own queue. A routing daemon in each domain chooses the queue by the wait told, the crossing and the bytes that would move, and counts what it has sent since.

--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -18,6 +18,8 @@
 use crate::follow::state;
 use crate::gather::client;
 use crate::gather::gatherers;
+use crate::gather::remote;
+use crate::gather::router;
 use crate::listener;
 use crate::logger;
 use crate::peers::links;
@@ -96,16 +98,27 @@
     let links = sync::Arc::new(links::Links::default());
     let (spent, is_spent) = mpsc::unbounded_channel();
     let gatherers = sync::Arc::new(gatherers::Gatherers::new(sync::Arc::clone(&core), spent));
-    let pieces = sync::Arc::new(client::Client::new(
+    let remote = sync::Arc::new(remote::Remote::new(
         sync::Arc::clone(&core),
         sync::Arc::clone(&state),
         sync::Arc::clone(&links),
+    ));
+    let router = sync::Arc::new(router::Router::new(
+        sync::Arc::clone(&core),
+        sync::Arc::clone(&remote),
+        sync::Arc::clone(&gatherers),
+    ));
+    let pieces = sync::Arc::new(client::Client::new(
+        sync::Arc::clone(&core),
+        remote,
         sync::Arc::clone(&gatherers),
+        sync::Arc::clone(&router),
     ));
     let server = server::Server {
         core: sync::Arc::clone(&core),
         state: sync::Arc::clone(&state),
         gatherers,
+        router,
     };
     let service = sync::Arc::new(serve::Service {
         core: sync::Arc::clone(&core),
--- a/crates/basilgrade_edge/src/gather.rs
+++ b/crates/basilgrade_edge/src/gather.rs
@@ -4,3 +4,5 @@
 pub mod gatherer;
 pub mod gatherers;
 pub mod releases;
+pub mod remote;
+pub mod router;
--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -1,12 +1,12 @@
-//! Jobs of this daemon's requests, sent to the daemons that gather for their pools.
+//! Jobs of this daemon's requests, sent to the daemons that route them to queues.
 
 use std::sync;
 
 use basilgrade_fleet::batch::call;
+use basilgrade_fleet::batch::duty;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
-use basilgrade_fleet::daemon;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -14,27 +14,20 @@
 use tokio::sync::mpsc;
 
 use crate::core;
-use crate::follow::state;
 use crate::gather::gatherers;
-use crate::peers::links;
+use crate::gather::remote;
+use crate::gather::router;
 use crate::peers::service;
 
-/// Time between two questions to a gatherer in use.
+/// Time between two questions to a daemon in use.
 const BEAT: clock::Millis = clock::Millis(300);
 
-/// A gatherer that does not answer a question in this time is given up: a round trip between
-/// regions and the delay of a busy VM several times over.
-const BEAT_LIMIT: clock::Millis = clock::Millis(500);
-
-/// A gatherer is asked until this long after its last use.
-const IN_USE: clock::Millis = clock::Millis(2000);
+/// Loads of a pool are asked for until this long after its last use.
+pub const IN_USE: clock::Millis = clock::Millis(2000);
 
 /// Daemons that a job is tried at, this one last.
 const TRIES: usize = 3;
 
-/// Time beyond the end of a job in which its outcome may arrive.
-const ANSWER_SLACK: clock::Millis = clock::Millis(300);
-
 /// Wait for a pool from which on room at its upstreams counts more than the chance to make a failed
 /// piece again from the same inputs.
 const CROWDED: clock::Millis = clock::Millis(100);
@@ -47,12 +40,12 @@
     used: clock::Millis,
 }
 
-/// Sends jobs to gatherers.
+/// Sends jobs to routing daemons.
 pub struct Client {
     core: sync::Arc<core::Core>,
-    state: sync::Arc<state::State>,
-    links: sync::Arc<links::Links>,
+    remote: sync::Arc<remote::Remote>,
     gatherers: sync::Arc<gatherers::Gatherers>,
+    router: sync::Arc<router::Router>,
     known: sync::Mutex<IndexMap<id::PoolId, Known>>,
 }
 
@@ -60,15 +53,15 @@
     /// A client that has not sent anything.
     pub fn new(
         core: sync::Arc<core::Core>,
-        state: sync::Arc<state::State>,
-        links: sync::Arc<links::Links>,
+        remote: sync::Arc<remote::Remote>,
         gatherers: sync::Arc<gatherers::Gatherers>,
+        router: sync::Arc<router::Router>,
     ) -> Self {
         Self {
             core,
-            state,
-            links,
+            remote,
             gatherers,
+            router,
             known: sync::Mutex::default(),
         }
     }
@@ -79,19 +72,11 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// The daemon that gathers for `pool`, or `None` for this one.
-    fn gatherer(&self, pool: &id::PoolId) -> Option<daemon::Daemon> {
-        let own = self.core.settings.load().name.clone();
-        let mut daemons = self.state.daemons();
-        daemon::rank(pool.as_str(), &mut daemons);
-        let usable = |daemon: &daemon::Daemon| {
-            if daemon.name == own {
-                return !self.core.is_draining();
-            }
-            !self.links.is_resting(daemon.address)
-        };
-        let first = daemons.into_iter().find(usable)?;
-        (first.name != own).then_some(first)
+    fn route(&self, pool: &id::PoolId) -> duty::Duty {
+        duty::Duty {
+            pool: pool.clone(),
+            scope: duty::Scope::Route(self.core.settings.load().domain.clone()),
+        }
     }
 
     /// The load last told for `pool`.
@@ -123,82 +108,66 @@
         self.touch(pool);
         let start = self.core.now();
         let (aim, left) = (job.aim, job.left);
+        let duty = self.route(pool);
         for _ in 1..TRIES {
-            let Some(gatherer) = self.gatherer(pool) else {
+            let Some(holder) = self.remote.holder(&duty) else {
                 break;
             };
+            let outcome = self.remote.gather(&holder, duty.clone(), job.clone()).await;
+            if let Ok(service::Gathered::Ended(outcome, load)) = outcome {
+                self.note(pool, load);
+                return outcome;
+            }
             let used = self.core.now() - start;
             job.aim = aim - used;
             job.left = left - used;
-            match self.ask(&gatherer, pool, job.clone()).await {
-                Ok(service::Gathered::Ended(outcome, load)) => {
-                    self.note(pool, load);
-                    return outcome;
-                }
-                Ok(service::Gathered::Leaving) => {
-                    self.links.give_up(gatherer.address, "it is shutting down");
-                }
-                Err(reason) => log::info!(
-                    "event=gatherer-failed request={} pool={pool} daemon={} reason={reason:?}",
-                    job.request,
-                    gatherer.name
-                ),
-            }
         }
-        let used = self.core.now() - start;
-        job.aim = aim - used;
-        job.left = left - used;
-        let (outcome, load) = self.gatherers.make(pool, job).await;
+        let (outcome, load) = self.router.make(pool, job).await;
         self.note(pool, load);
         outcome
     }
 
-    async fn ask(
-        &self,
-        gatherer: &daemon::Daemon,
-        pool: &id::PoolId,
-        job: job::Job,
-    ) -> Result<service::Gathered, String> {
-        let limit = job.left.plus(ANSWER_SLACK);
-        let pool = pool.clone();
-        self.links
-            .call(gatherer.address, limit, |peer, context| async move {
-                peer.gather(context, pool, job).await
-            })
-            .await
-    }
-
-    /// Frees results, each of about `bytes`, where the calls of their pool are gathered.
+    /// Frees results, each of about `bytes`, through the queues of the upstreams that hold them.
     pub fn release(
         self: &sync::Arc<Self>,
         pool: &id::PoolId,
         handles: Vec<handle::Handle>,
         bytes: u64,
     ) {
-        if handles.is_empty() {
-            return;
+        for (domain, handles) in self.by_domain(handles) {
+            let duty = duty::Duty {
+                pool: pool.clone(),
+                scope: duty::Scope::Queue(domain.clone()),
+            };
+            let Some(holder) = self.remote.holder(&duty) else {
+                self.gatherers.release(pool, &domain, handles, bytes);
+                continue;
+            };
+            let client = sync::Arc::clone(self);
+            tokio::spawn(async move {
+                let remote = &client.remote;
+                remote
+                    .release(&holder, duty.pool, domain, handles, bytes)
+                    .await;
+            });
         }
-        let Some(gatherer) = self.gatherer(pool) else {
-            self.gatherers.release(pool, handles, bytes);
-            return;
-        };
-        let client = sync::Arc::clone(self);
-        let pool = pool.clone();
-        tokio::spawn(async move {
-            let outcome = client
-                .links
-                .call(gatherer.address, BEAT_LIMIT, |peer, context| async move {
-                    peer.release(context, pool, handles, bytes).await
-                })
-                .await;
-            if let Err(reason) = outcome {
-                // The results expire by themselves.
-                log::info!(
-                    "event=release-failed daemon={} reason={reason:?}",
-                    gatherer.name
-                );
-            }
-        });
+    }
+
+    /// Results by the failure domain of their holders; those of unknown holders are gone anyway.
+    fn by_domain(
+        &self,
+        handles: Vec<handle::Handle>,
+    ) -> IndexMap<id::DomainId, Vec<handle::Handle>> {
+        let view = self.core.view.load();
+        let mut domains: IndexMap<id::DomainId, Vec<handle::Handle>> = IndexMap::new();
+        for handle in handles {
+            let holder = handle.holder();
+            let Some(domain) = holder.and_then(|holder| view.directory.domain(holder)) else {
+                continue;
+            };
+            domains.entry(domain.clone()).or_default().push(handle);
+        }
+        domains
     }
 
     /// Frees inputs that queues of this daemon no longer need; returns when the queues are gone.
@@ -218,16 +187,16 @@
         }
     }
 
-    /// Asks the gatherers in use for their load, which also shows that they are alive.
+    /// Asks the daemons in use for their load, which also shows that they are alive.
     pub async fn beat(self: sync::Arc<Self>) {
         loop {
             let asleep = self.core.now();
             tokio::time::sleep(BEAT.duration()).await;
             let now = self.core.now();
             // After a freeze of this VM, answers of others are late for its own reasons.
-            let has_slept_long = now - asleep > BEAT.plus(BEAT_LIMIT);
+            let has_slept_long = now - asleep > BEAT.plus(remote::ANSWER_LIMIT);
             if !has_slept_long {
-                self.ask_loads(now).await;
+                tokio::join!(self.ask_loads(now), self.router.ask_loads(now));
             }
         }
     }
@@ -240,25 +209,17 @@
                 .filter(|(_, known)| known.used.plus(IN_USE) > now);
             in_use.map(|(pool, _)| pool.clone()).collect()
         };
-        let mut remote: IndexMap<std::net::SocketAddr, Vec<id::PoolId>> = IndexMap::new();
+        let mut duties = Vec::new();
         for pool in pools {
-            match self.gatherer(&pool) {
-                Some(gatherer) => remote.entry(gatherer.address).or_default().push(pool),
-                None => self.note(&pool, self.gatherers.load(&pool)),
+            let duty = self.route(&pool);
+            if self.remote.holder(&duty).is_none() {
+                self.note(&pool, self.router.load(&pool));
+            } else {
+                duties.push(duty);
             }
         }
-        let questions = remote.into_iter().map(|(address, pools)| async move {
-            let asked = pools.clone();
-            let answer = self
-                .links
-                .call(address, BEAT_LIMIT, |peer, context| async move {
-                    peer.loads(context, asked).await
-                })
-                .await;
-            for (pool, load) in pools.iter().zip(answer.unwrap_or_default()) {
-                self.note(pool, load);
-            }
-        });
-        futures::future::join_all(questions).await;
+        for (duty, load) in self.remote.loads(duties).await {
+            self.note(&duty.pool, load);
+        }
     }
 }
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -1,4 +1,4 @@
-//! The queue of one pool, with the calls it sends.
+//! The queue of a pool in one failure domain, with the calls it sends.
 
 use std::sync;
 
@@ -32,11 +32,12 @@
     directory: Option<sync::Arc<directory::Directory>>,
 }
 
-/// The queue of one pool.
+/// The queue of a pool in one failure domain.
 pub struct Gatherer {
     core: sync::Arc<core::Core>,
     releases: sync::Arc<releases::Releases>,
     pool: id::PoolId,
+    domain: id::DomainId,
     inner: sync::Mutex<Inner>,
     wake: tokio::sync::Notify,
     spent: mpsc::UnboundedSender<call::Spent>,
@@ -59,11 +60,12 @@
 }
 
 impl Gatherer {
-    /// An empty queue for `pool`.
+    /// An empty queue for the upstreams of `pool` in `domain`.
     pub fn new(
         core: sync::Arc<core::Core>,
         releases: sync::Arc<releases::Releases>,
         pool: id::PoolId,
+        domain: id::DomainId,
         work: pool::Pieces,
         spent: mpsc::UnboundedSender<call::Spent>,
     ) -> Self {
@@ -76,6 +78,7 @@
             core,
             releases,
             pool,
+            domain,
             inner: sync::Mutex::new(inner),
             wake: tokio::sync::Notify::new(),
             spent,
@@ -135,9 +138,10 @@
             .is_some_and(|known| sync::Arc::ptr_eq(known, &view.directory));
         if !is_known {
             let ready = view.directory.ready(&self.pool);
+            let near = ready.filter(|entry| entry.domain == self.domain);
             inner
                 .queue
-                .set_upstreams(ready.map(|entry| upstream::Upstream::clone(entry)));
+                .set_upstreams(near.map(|entry| upstream::Upstream::clone(entry)));
             inner.directory = Some(sync::Arc::clone(&view.directory));
         }
         let pools = view.configuration.as_ref().map(|known| &known.pools);
@@ -214,9 +218,10 @@
             inner.queue.load(now).wait
         };
         log::info!(
-            "event=pieces-made pool={} upstream={} pieces={} outcome={} no_room={} input_gone={} \
+            "event=pieces-made pool={} domain={} upstream={} pieces={} outcome={} no_room={} input_gone={} \
              failed={} span={} wait={waiting}",
             self.pool,
+            self.domain,
             call.upstream,
             call.items.len(),
             label(&outcome),
--- a/crates/basilgrade_edge/src/gather/gatherers.rs
+++ b/crates/basilgrade_edge/src/gather/gatherers.rs
@@ -1,4 +1,4 @@
-//! The queues of this daemon, one for each pool that it gathers for.
+//! The queues of this daemon, one for each pool and failure domain that it gathers for.
 
 use std::sync;
 
@@ -16,11 +16,13 @@
 use crate::gather::gatherer;
 use crate::gather::releases;
 
-/// Queues by pool, made when they are first needed.
+type Key = (id::PoolId, id::DomainId);
+
+/// Queues by pool and failure domain, made when they are first needed.
 pub struct Gatherers {
     core: sync::Arc<core::Core>,
     releases: sync::Arc<releases::Releases>,
-    queues: sync::Mutex<IndexMap<id::PoolId, sync::Arc<gatherer::Gatherer>>>,
+    queues: sync::Mutex<IndexMap<Key, sync::Arc<gatherer::Gatherer>>>,
     spent: mpsc::UnboundedSender<call::Spent>,
 }
 
@@ -35,12 +37,16 @@
         }
     }
 
-    fn queue(&self, pool: &id::PoolId) -> Option<sync::Arc<gatherer::Gatherer>> {
+    fn queue(
+        &self,
+        pool: &id::PoolId,
+        domain: &id::DomainId,
+    ) -> Option<sync::Arc<gatherer::Gatherer>> {
         let mut queues = self
             .queues
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(queue) = queues.get(pool) {
+        if let Some(queue) = queues.get(&(pool.clone(), domain.clone())) {
             return Some(sync::Arc::clone(queue));
         }
         let view = self.core.view.load();
@@ -48,41 +54,49 @@
         let pool::Work::Pieces(work) = known.work else {
             return None;
         };
-        log::info!("event=gathering pool={pool}");
+        log::info!("event=gathering pool={pool} domain={domain}");
         let queue = sync::Arc::new(gatherer::Gatherer::new(
             sync::Arc::clone(&self.core),
             sync::Arc::clone(&self.releases),
             pool.clone(),
+            domain.clone(),
             work,
             self.spent.clone(),
         ));
         tokio::spawn(sync::Arc::clone(&queue).run());
-        queues.insert(pool.clone(), sync::Arc::clone(&queue));
+        queues.insert((pool.clone(), domain.clone()), sync::Arc::clone(&queue));
         Some(queue)
     }
 
-    /// Has the pieces of a job made by the upstreams of `pool`.
+    /// Has the pieces of a job made by the upstreams of `pool` in `domain`.
     pub async fn make(
         &self,
         pool: &id::PoolId,
+        domain: &id::DomainId,
         job: job::Job,
     ) -> (outcome::JobOutcome, load::Load) {
-        match self.queue(pool) {
+        match self.queue(pool, domain) {
             Some(queue) => queue.make(job).await,
             None => (outcome::JobOutcome::Failed, load::Load::default()),
         }
     }
 
-    /// How busy the upstreams of `pool` are.
-    pub fn load(&self, pool: &id::PoolId) -> load::Load {
-        self.queue(pool)
+    /// How busy the upstreams of `pool` in `domain` are.
+    pub fn load(&self, pool: &id::PoolId, domain: &id::DomainId) -> load::Load {
+        self.queue(pool, domain)
             .map(|queue| queue.load())
             .unwrap_or_default()
     }
 
-    /// Frees results, each of about `bytes`.
-    pub fn release(&self, pool: &id::PoolId, handles: Vec<handle::Handle>, bytes: u64) {
-        match self.queue(pool) {
+    /// Frees results in `domain`, each of about `bytes`.
+    pub fn release(
+        &self,
+        pool: &id::PoolId,
+        domain: &id::DomainId,
+        handles: Vec<handle::Handle>,
+        bytes: u64,
+    ) {
+        match self.queue(pool, domain) {
             Some(queue) => queue.release(handles, bytes),
             None => self.releases.add(handles),
         }
--- /dev/null
+++ b/crates/basilgrade_edge/src/gather/remote.rs
@@ -0,0 +1,137 @@
+//! Duties of other daemons in the making of pieces: who has them, and calls to those daemons.
+
+use std::net;
+use std::sync;
+
+use basilgrade_fleet::batch::duty;
+use basilgrade_fleet::batch::job;
+use basilgrade_fleet::batch::load;
+use basilgrade_fleet::daemon;
+use basilgrade_fleet::model::handle;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+use crate::core;
+use crate::follow::state;
+use crate::peers::links;
+use crate::peers::service;
+
+/// A daemon that does not answer a question in this time is given up: a round trip between regions
+/// and the delay of a busy VM several times over.
+pub const ANSWER_LIMIT: clock::Millis = clock::Millis(500);
+
+/// Time beyond the end of a job in which its outcome may arrive.
+const OUTCOME_SLACK: clock::Millis = clock::Millis(300);
+
+/// The other daemons.
+pub struct Remote {
+    core: sync::Arc<core::Core>,
+    state: sync::Arc<state::State>,
+    links: sync::Arc<links::Links>,
+}
+
+impl Remote {
+    /// Access to other daemons over `links`.
+    pub fn new(
+        core: sync::Arc<core::Core>,
+        state: sync::Arc<state::State>,
+        links: sync::Arc<links::Links>,
+    ) -> Self {
+        Self { core, state, links }
+    }
+
+    /// The daemon that has a duty, or `None` for this one.
+    pub fn holder(&self, duty: &duty::Duty) -> Option<daemon::Daemon> {
+        let own = self.core.settings.load().name.clone();
+        let mut daemons = self.state.daemons();
+        daemon::rank_near(duty.pool.as_str(), duty.scope.domain(), &mut daemons);
+        let is_usable = |daemon: &daemon::Daemon| {
+            if daemon.name == own {
+                return !self.core.is_draining();
+            }
+            !self.links.is_resting(daemon.address)
+        };
+        let first = daemons.into_iter().find(is_usable)?;
+        (first.name != own).then_some(first)
+    }
+
+    /// Hands a job to `daemon`, and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Why there is no outcome; the daemon rests for a while.
+    pub async fn gather(
+        &self,
+        daemon: &daemon::Daemon,
+        duty: duty::Duty,
+        job: job::Job,
+    ) -> Result<service::Gathered, String> {
+        let limit = job.left.plus(OUTCOME_SLACK);
+        let (pool, request) = (duty.pool.clone(), job.request.clone());
+        let outcome = self
+            .links
+            .call(daemon.address, limit, |peer, context| async move {
+                peer.gather(context, duty, job).await
+            })
+            .await;
+        match &outcome {
+            Ok(service::Gathered::Ended(..)) => {}
+            Ok(service::Gathered::Leaving) => {
+                self.links.give_up(daemon.address, "it is shutting down");
+            }
+            Err(reason) => log::info!(
+                "event=gatherer-failed request={request} pool={pool} daemon={} reason={reason:?}",
+                daemon.name
+            ),
+        }
+        outcome
+    }
+
+    /// Hands results to be freed to `daemon`.
+    pub async fn release(
+        &self,
+        daemon: &daemon::Daemon,
+        pool: id::PoolId,
+        domain: id::DomainId,
+        handles: Vec<handle::Handle>,
+        bytes: u64,
+    ) {
+        let outcome = self
+            .links
+            .call(daemon.address, ANSWER_LIMIT, |peer, context| async move {
+                peer.release(context, pool, domain, handles, bytes).await
+            })
+            .await;
+        if let Err(reason) = outcome {
+            // The results expire by themselves.
+            log::info!(
+                "event=release-failed daemon={} reason={reason:?}",
+                daemon.name
+            );
+        }
+    }
+
+    /// Asks for the loads behind `duties`; those without an answer, or of this daemon, are left out.
+    pub async fn loads(&self, duties: Vec<duty::Duty>) -> Vec<(duty::Duty, load::Load)> {
+        let mut questions: IndexMap<net::SocketAddr, Vec<duty::Duty>> = IndexMap::new();
+        for duty in duties {
+            if let Some(daemon) = self.holder(&duty) {
+                questions.entry(daemon.address).or_default().push(duty);
+            }
+        }
+        let answers = questions.into_iter().map(|(address, duties)| async move {
+            let asked = duties.clone();
+            let loads = self
+                .links
+                .call(address, ANSWER_LIMIT, |peer, context| async move {
+                    peer.loads(context, asked).await
+                })
+                .await;
+            // A daemon that does not answer is logged and rests.
+            duties.into_iter().zip(loads.unwrap_or_default())
+        });
+        let answers = futures::future::join_all(answers).await;
+        answers.into_iter().flatten().collect()
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_edge/src/gather/router.rs
@@ -0,0 +1,187 @@
+//! Jobs of the daemons of a failure domain, sent to the queues of their pool.
+
+use std::sync;
+
+use basilgrade_fleet::batch::cells;
+use basilgrade_fleet::batch::duty;
+use basilgrade_fleet::batch::job;
+use basilgrade_fleet::batch::load;
+use basilgrade_fleet::batch::outcome;
+use basilgrade_fleet::directory;
+use basilgrade_fleet::model::pool;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+use crate::core;
+use crate::gather::client;
+use crate::gather::gatherers;
+use crate::gather::remote;
+use crate::peers::service;
+
+/// Queues that a job is sent to, the last one kept by this daemon.
+const TRIES: usize = 3;
+
+#[derive(Default)]
+struct Entry {
+    cells: cells::Cells,
+    /// The directory that the cells were counted in.
+    directory: Option<sync::Arc<directory::Directory>>,
+    used: clock::Millis,
+}
+
+/// Chooses queues for jobs.
+pub struct Router {
+    core: sync::Arc<core::Core>,
+    remote: sync::Arc<remote::Remote>,
+    gatherers: sync::Arc<gatherers::Gatherers>,
+    pools: sync::Mutex<IndexMap<id::PoolId, Entry>>,
+}
+
+impl Router {
+    /// A router that knows no load.
+    pub fn new(
+        core: sync::Arc<core::Core>,
+        remote: sync::Arc<remote::Remote>,
+        gatherers: sync::Arc<gatherers::Gatherers>,
+    ) -> Self {
+        Self {
+            core,
+            remote,
+            gatherers,
+            pools: sync::Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::PoolId, Entry>> {
+        self.pools
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Calls `look` with the queues of `pool` as the directory has them now.
+    fn with<T>(&self, pool: &id::PoolId, look: impl FnOnce(&mut Entry) -> T) -> T {
+        let view = self.core.view.load();
+        let mut pools = self.lock();
+        let entry = pools.entry(pool.clone()).or_default();
+        let is_known = entry
+            .directory
+            .as_ref()
+            .is_some_and(|known| sync::Arc::ptr_eq(known, &view.directory));
+        if !is_known {
+            let mut counts: IndexMap<id::DomainId, u32> = IndexMap::new();
+            for upstream in view.directory.ready(pool) {
+                *counts.entry(upstream.domain.clone()).or_default() += 1;
+            }
+            entry.cells.set_makers(&counts);
+            entry.directory = Some(sync::Arc::clone(&view.directory));
+        }
+        look(entry)
+    }
+
+    fn work(&self, pool: &id::PoolId) -> Option<pool::Pieces> {
+        let view = self.core.view.load();
+        match view.configuration.as_ref()?.pools.get(pool)?.work {
+            pool::Work::Pieces(work) => Some(work),
+            pool::Work::Service | pool::Work::Engine(_) => None,
+        }
+    }
+
+    fn queue(pool: &id::PoolId, domain: &id::DomainId) -> duty::Duty {
+        duty::Duty {
+            pool: pool.clone(),
+            scope: duty::Scope::Queue(domain.clone()),
+        }
+    }
+
+    /// The queue for `job`, or that of its own failure domain when no other is left.
+    fn choose(&self, pool: &id::PoolId, job: &job::Job, tried: &[id::DomainId]) -> id::DomainId {
+        let Some(work) = self.work(pool) else {
+            return job.domain.clone();
+        };
+        let results = job.bytes.0 * u64::from(job.pieces);
+        let demand = cells::Demand {
+            home: &job.domain,
+            rank: job.rank,
+            pieces: job.pieces,
+            moved: basilgrade_types::size::ByteCount(job.fetched.0 + results),
+        };
+        let place = sync::Arc::clone(&self.core.view.load().place);
+        let now = self.core.now();
+        let chosen = self.with(pool, |entry| {
+            entry.used = now;
+            entry.cells.choose(&place, &work, &demand, tried)
+        });
+        chosen.unwrap_or_else(|| job.domain.clone())
+    }
+
+    /// Has the pieces of a job made.
+    pub async fn make(
+        &self,
+        pool: &id::PoolId,
+        mut job: job::Job,
+    ) -> (outcome::JobOutcome, load::Load) {
+        let start = self.core.now();
+        let (aim, left) = (job.aim, job.left);
+        let mut tried = Vec::new();
+        let mut domain = self.choose(pool, &job, &tried);
+        while tried.len() + 1 < TRIES {
+            let duty = Self::queue(pool, &domain);
+            let Some(holder) = self.remote.holder(&duty) else {
+                break;
+            };
+            let outcome = self.remote.gather(&holder, duty, job.clone()).await;
+            if let Ok(service::Gathered::Ended(outcome, load)) = outcome {
+                self.with(pool, |entry| entry.cells.note(&domain, load));
+                return (outcome, self.load(pool));
+            }
+            let used = self.core.now() - start;
+            job.aim = aim - used;
+            job.left = left - used;
+            tried.push(domain);
+            domain = self.choose(pool, &job, &tried);
+        }
+        let (outcome, load) = self.gatherers.make(pool, &domain, job).await;
+        self.with(pool, |entry| entry.cells.note(&domain, load));
+        (outcome, self.load(pool))
+    }
+
+    /// The load that jobs of this failure domain meet.
+    pub fn load(&self, pool: &id::PoolId) -> load::Load {
+        let own = self.core.settings.load().domain.clone();
+        let place = sync::Arc::clone(&self.core.view.load().place);
+        let now = self.core.now();
+        let known = self.with(pool, |entry| {
+            entry.used = now;
+            entry.cells.load(&place, &own).cloned()
+        });
+        known.unwrap_or_else(|| load::Load {
+            wait: cells::NO_UPSTREAM_WAIT,
+            ranks: Vec::new(),
+        })
+    }
+
+    /// Asks the queues in use for their loads.
+    pub async fn ask_loads(&self, now: clock::Millis) {
+        let mut duties = Vec::new();
+        for (pool, entry) in self.lock().iter() {
+            if entry.used.plus(client::IN_USE) > now {
+                duties.extend(entry.cells.domains().map(|domain| Self::queue(pool, domain)));
+            }
+        }
+        let (own, others): (Vec<_>, Vec<_>) = duties
+            .into_iter()
+            .partition(|duty| self.remote.holder(duty).is_none());
+        for duty in own {
+            let load = self.gatherers.load(&duty.pool, duty.scope.domain());
+            self.with(&duty.pool, |entry| {
+                entry.cells.note(duty.scope.domain(), load);
+            });
+        }
+        for (duty, load) in self.remote.loads(others).await {
+            self.with(&duty.pool, |entry| {
+                entry.cells.note(duty.scope.domain(), load);
+            });
+        }
+    }
+}
--- a/crates/basilgrade_edge/src/peers/server.rs
+++ b/crates/basilgrade_edge/src/peers/server.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use basilgrade_fleet::batch::duty;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::model::handle;
@@ -18,6 +19,7 @@
 use crate::core;
 use crate::follow::state;
 use crate::gather::gatherers;
+use crate::gather::router;
 use crate::http::socket;
 use crate::peers::links;
 use crate::peers::service;
@@ -32,19 +34,24 @@
     pub state: sync::Arc<state::State>,
     /// The queues of this daemon.
     pub gatherers: sync::Arc<gatherers::Gatherers>,
+    /// Chooses queues for the daemons of this failure domain.
+    pub router: sync::Arc<router::Router>,
 }
 
 impl service::Peer for Server {
     async fn gather(
         self,
         _: context::Context,
-        pool: id::PoolId,
+        duty: duty::Duty,
         job: job::Job,
     ) -> service::Gathered {
         if self.core.is_draining() {
             return service::Gathered::Leaving;
         }
-        let (outcome, load) = self.gatherers.make(&pool, job).await;
+        let (outcome, load) = match &duty.scope {
+            duty::Scope::Queue(domain) => self.gatherers.make(&duty.pool, domain, job).await,
+            duty::Scope::Route(_) => self.router.make(&duty.pool, job).await,
+        };
         service::Gathered::Ended(outcome, load)
     }
 
@@ -52,14 +59,19 @@
         self,
         _: context::Context,
         pool: id::PoolId,
+        domain: id::DomainId,
         handles: Vec<handle::Handle>,
         bytes: u64,
     ) {
-        self.gatherers.release(&pool, handles, bytes);
+        self.gatherers.release(&pool, &domain, handles, bytes);
     }
 
-    async fn loads(self, _: context::Context, pools: Vec<id::PoolId>) -> Vec<load::Load> {
-        pools.iter().map(|pool| self.gatherers.load(pool)).collect()
+    async fn loads(self, _: context::Context, duties: Vec<duty::Duty>) -> Vec<load::Load> {
+        let load = |duty: &duty::Duty| match &duty.scope {
+            duty::Scope::Queue(domain) => self.gatherers.load(&duty.pool, domain),
+            duty::Scope::Route(_) => self.router.load(&duty.pool),
+        };
+        duties.iter().map(load).collect()
     }
 
     async fn follow(
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -3,6 +3,7 @@
 // The macro generates items without documentation.
 #![allow(missing_docs)]
 
+use basilgrade_fleet::batch::duty;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
@@ -37,12 +38,17 @@
 /// Calls between daemons. Each is safe to repeat: pieces may be made again, copies carry offsets.
 #[tarpc::service]
 pub trait Peer {
-    /// Has the pieces of a job made by the upstreams of `pool`, together with those of others.
-    async fn gather(pool: id::PoolId, job: job::Job) -> Gathered;
-    /// Frees results, each of about `bytes`.
-    async fn release(pool: id::PoolId, handles: Vec<handle::Handle>, bytes: u64);
-    /// How busy the upstreams of `pools` are; also shows that the daemon is alive.
-    async fn loads(pools: Vec<id::PoolId>) -> Vec<load::Load>;
+    /// Has the pieces of a job made, together with those of others.
+    async fn gather(duty: duty::Duty, job: job::Job) -> Gathered;
+    /// Frees results in `domain`, each of about `bytes`.
+    async fn release(
+        pool: id::PoolId,
+        domain: id::DomainId,
+        handles: Vec<handle::Handle>,
+        bytes: u64,
+    );
+    /// How busy the upstreams behind `duties` are; also shows that the daemon is alive.
+    async fn loads(duties: Vec<duty::Duty>) -> Vec<load::Load>;
     /// What the caller lacks that knows the topics up to `positions`; waits up to `wait` for it.
     async fn follow(positions: [Option<u64>; 3], wait: clock::Millis) -> Updates;
 }
--- a/crates/basilgrade_fleet/src/batch.rs
+++ b/crates/basilgrade_fleet/src/batch.rs
@@ -6,6 +6,8 @@
 //! a fuller call.
 
 pub mod call;
+pub mod cells;
+pub mod duty;
 pub mod job;
 pub mod load;
 mod maker;
--- /dev/null
+++ b/crates/basilgrade_fleet/src/batch/cells.rs
@@ -0,0 +1,128 @@
+//! Choice of the queue for a job.
+//!
+//! Answers the load of a pool that is spread over failure domains: each of them has a queue of its
+//! own, so that inputs and results stay where they are made, and jobs leave their failure domain
+//! only when the wait there costs callers more than the crossing.
+
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use basilgrade_types::size;
+use indexmap::IndexMap;
+
+use crate::batch::load;
+use crate::model::pool;
+use crate::model::rank;
+use crate::placement;
+
+/// Wait that a megabyte is worth which crosses failure domains: the price of a megabyte is that of
+/// late answers of this span.
+pub(super) const MS_PER_MB: f64 = 100.0;
+
+/// A job leaves its failure domain only for a wait that is shorter by at least this, as told waits
+/// are up to one beat old.
+const SPILL_MARGIN: f64 = 100.0;
+
+/// The queue of the upstreams in one failure domain.
+#[derive(Clone, Debug, Default)]
+struct Cell {
+    makers: u32,
+    load: load::Load,
+    /// Pieces sent there since its load was told.
+    sent: u32,
+}
+
+impl Cell {
+    fn wait(&self, pieces: &pool::Pieces, rank: rank::Rank) -> f64 {
+        let call = pieces.span(pieces.batch).as_f64();
+        let rate = f64::from(pieces.batch.max(1) * self.makers.max(1));
+        self.load.wait_of(rank).as_f64() + f64::from(self.sent) * call / rate
+    }
+}
+
+/// What has to be made.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Failure domain of the inputs, or the one that the results are for.
+    pub home: &'a id::DomainId,
+    /// Urgency of the request.
+    pub rank: rank::Rank,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// What crosses if the pieces are made elsewhere.
+    pub moved: size::ByteCount,
+}
+
+/// The queues of a pool, as far as a daemon knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Cells {
+    cells: IndexMap<id::DomainId, Cell>,
+}
+
+impl Cells {
+    /// Takes over how many upstreams each failure domain has; loads of known queues are kept.
+    pub fn set_makers(&mut self, counts: &IndexMap<id::DomainId, u32>) {
+        self.cells.retain(|domain, _| counts.contains_key(domain));
+        for (domain, makers) in counts {
+            self.cells.entry(domain.clone()).or_default().makers = *makers;
+        }
+    }
+
+    /// Takes note of the load that a queue told.
+    pub fn note(&mut self, domain: &id::DomainId, load: load::Load) {
+        if let Some(cell) = self.cells.get_mut(domain) {
+            cell.load = load;
+            cell.sent = 0;
+        }
+    }
+
+    /// Failure domains with a queue.
+    pub fn domains(&self) -> impl Iterator<Item = &id::DomainId> {
+        self.cells.keys()
+    }
+
+    /// The queue for a job, other than those in `tried`; the job counts as sent there.
+    pub fn choose(
+        &mut self,
+        place: &placement::Place,
+        work: &pool::Pieces,
+        demand: &Demand<'_>,
+        tried: &[id::DomainId],
+    ) -> Option<id::DomainId> {
+        let open = self
+            .cells
+            .iter()
+            .filter(|(domain, _)| !tried.contains(domain));
+        let (best, _) = open.min_by(|one, other| {
+            let cost = |(domain, cell): &(&id::DomainId, &Cell)| {
+                cell.wait(work, demand.rank) + crossing(place, demand, domain)
+            };
+            cost(one).total_cmp(&cost(other))
+        })?;
+        let best = best.clone();
+        if let Some(cell) = self.cells.get_mut(&best) {
+            cell.sent += demand.pieces;
+        }
+        Some(best)
+    }
+
+    /// The load that jobs of `home` meet: that of the queue with the shortest way and wait.
+    pub fn load(&self, place: &placement::Place, home: &id::DomainId) -> Option<&load::Load> {
+        let cost = |(domain, cell): &(&id::DomainId, &Cell)| {
+            cell.load.wait.as_f64() + place.crossing(home, domain)
+        };
+        let cells = self.cells.iter();
+        let best = cells.min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
+        Some(&best.1.load)
+    }
+}
+
+fn crossing(place: &placement::Place, demand: &Demand<'_>, domain: &id::DomainId) -> f64 {
+    if domain == demand.home {
+        return 0.0;
+    }
+    let moved = demand.moved.0 as f64 / 1e6 * MS_PER_MB;
+    place.crossing(demand.home, domain) + moved + SPILL_MARGIN
+}
+
+/// Wait that is told when a pool has no upstream.
+pub const NO_UPSTREAM_WAIT: clock::Millis = clock::Millis(2000);
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 
 use crate::batch::call;
+use crate::batch::cells;
 use crate::batch::job;
 use crate::batch::load;
 use crate::batch::maker;
@@ -30,9 +31,6 @@
 /// Longest time between two looks at a queue in which pieces wait.
 const RECHECK: clock::Millis = clock::Millis(200);
 
-/// Wait that is told when no upstream is known.
-const NO_UPSTREAM_WAIT: clock::Millis = clock::Millis(2000);
-
 /// The queue of one pool.
 #[derive(Debug)]
 pub struct Queue {
@@ -151,7 +149,7 @@
         let earliest = healthy.iter().map(|maker| maker.free_at(now)).min();
         let Some(earliest) = earliest else {
             return load::Load {
-                wait: NO_UPSTREAM_WAIT,
+                wait: cells::NO_UPSTREAM_WAIT,
                 ranks: Vec::new(),
             };
         };
--- a/crates/basilgrade_fleet/src/daemon.rs
+++ b/crates/basilgrade_fleet/src/daemon.rs
@@ -20,6 +20,12 @@
     pub seen: clock::Millis,
 }
 
+/// Orders `daemons` for a duty in `domain`: those that stand there first, else like [`rank`].
+pub fn rank_near(duty: &str, domain: &id::DomainId, daemons: &mut [Daemon]) {
+    rank(duty, daemons);
+    daemons.sort_by_key(|daemon| daemon.domain != *domain);
+}
+
 /// Orders `daemons` for a duty; all daemons that know the same ones agree on the order.
 pub fn rank(duty: &str, daemons: &mut [Daemon]) {
     let key = ranking::key(duty);
