Hand jobs back from queues without a working upstream

Ruled out: calls that find no room; they are as many as before.

Change: such jobs are handed back and routed to another queue; a slow upstream counts as usable in the told load when its probe is due. Both tests were seen failing first.

--- a/crates/basilgrade_edge/src/gather/router.rs
+++ b/crates/basilgrade_edge/src/gather/router.rs
@@ -19,7 +19,7 @@
 use crate::gather::remote;
 use crate::peers::service;
 
-/// Queues that a job is sent to, the last one kept by this daemon.
+/// Times that a job is sent to a queue; this daemon keeps the last one itself if it has to.
 const TRIES: usize = 3;
 
 #[derive(Default)]
@@ -125,27 +125,64 @@
         let (aim, left) = (job.aim, job.left);
         let mut tried = Vec::new();
         let mut domain = self.choose(pool, &job, &tried);
-        while tried.len() + 1 < TRIES {
-            let duty = Self::queue(pool, &domain);
-            let Some(holder) = self.remote.holder(&duty) else {
-                break;
+        for _ in 1..TRIES {
+            let has_other = self.count(pool) > tried.len() + 1;
+            job.fallback = if has_other {
+                job::Fallback::HandBack
+            } else {
+                job::Fallback::Wait
             };
-            let outcome = self.remote.gather(&holder, duty, job.clone()).await;
-            if let Ok(service::Gathered::Ended(outcome, load)) = outcome {
-                self.with(pool, |entry| entry.cells.note(&domain, load));
-                return (outcome, self.load(pool));
+            match self.make_at(pool, &domain, job.clone()).await {
+                Some(outcome::JobOutcome::NoUpstream) | None => {}
+                Some(outcome) => return (outcome, self.load(pool)),
             }
             let used = self.core.now() - start;
             job.aim = aim - used;
             job.left = left - used;
-            tried.push(domain);
-            domain = self.choose(pool, &job, &tried);
+            // With one queue alone, the next daemon that can keep it is asked.
+            if has_other {
+                tried.push(domain);
+                domain = self.choose(pool, &job, &tried);
+            }
+            log::info!(
+                "event=job-moved request={} stage={} pool={pool} domain={domain} left={}",
+                job.request,
+                job.stage,
+                job.left
+            );
         }
-        let (outcome, load) = self.gatherers.make(pool, &domain, job).await;
-        self.with(pool, |entry| entry.cells.note(&domain, load));
+        job.fallback = job::Fallback::Wait;
+        let outcome = match self.make_at(pool, &domain, job.clone()).await {
+            Some(outcome) => outcome,
+            None => self.gatherers.make(pool, &domain, job).await.0,
+        };
         (outcome, self.load(pool))
     }
 
+    /// Number of queues of `pool`.
+    fn count(&self, pool: &id::PoolId) -> usize {
+        self.with(pool, |entry| entry.cells.domains().count())
+    }
+
+    /// Has the pieces made by the queue in `domain`; `None` if its daemon cannot be reached.
+    async fn make_at(
+        &self,
+        pool: &id::PoolId,
+        domain: &id::DomainId,
+        job: job::Job,
+    ) -> Option<outcome::JobOutcome> {
+        let duty = Self::queue(pool, domain);
+        let (outcome, load) = match self.remote.holder(&duty) {
+            Some(holder) => match self.remote.gather(&holder, duty, job.clone()).await {
+                Ok(service::Gathered::Ended(outcome, load)) => (outcome, load),
+                Ok(service::Gathered::Leaving) | Err(_) => return None,
+            },
+            None => self.gatherers.make(pool, domain, job).await,
+        };
+        self.with(pool, |entry| entry.cells.note(domain, load));
+        Some(outcome)
+    }
+
     /// The load that jobs of this failure domain meet.
     pub fn load(&self, pool: &id::PoolId) -> load::Load {
         let own = self.core.settings.load().domain.clone();
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -234,6 +234,7 @@
         domain,
         fetched,
         inputs: own_inputs(request, place),
+        fallback: job::Fallback::Wait,
     };
     match service.pieces.make(&stage.pool, job).await {
         outcome::JobOutcome::Made(handles) => {
@@ -253,7 +254,7 @@
             let reason = format!("stage {place} cannot end in time");
             Err(Failed::Final(failure::Failure::refused(reason, wait)))
         }
-        outcome::JobOutcome::Failed => {
+        outcome::JobOutcome::Failed | outcome::JobOutcome::NoUpstream => {
             let reason = format!("stage {place} failed at all upstreams that were tried");
             Err(Failed::Final(failure::Failure::unavailable(reason)))
         }
--- a/crates/basilgrade_fleet/src/batch/job.rs
+++ b/crates/basilgrade_fleet/src/batch/job.rs
@@ -35,6 +35,18 @@
     pub fetched: size::ByteCount,
     /// The pool that holds the inputs, if nothing else needs them.
     pub inputs: Option<Inputs>,
+    /// What happens when no upstream of the queue works.
+    pub fallback: Fallback,
+}
+
+/// What happens to a job when no upstream of its queue works.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Fallback {
+    /// It is handed back, as another queue can take it.
+    HandBack,
+    /// It waits.
+    #[default]
+    Wait,
 }
 
 /// Results that are freed as soon as they have been fetched for a job.
--- a/crates/basilgrade_fleet/src/batch/maker.rs
+++ b/crates/basilgrade_fleet/src/batch/maker.rs
@@ -69,6 +69,12 @@
         self.ratio > SLOW_RATIO
     }
 
+    /// Whether it gets no work for a while, as it failed or is slow.
+    pub(super) fn is_out(&self, now: clock::Millis) -> bool {
+        let has_failed = self.failures > 0 && self.is_resting(now);
+        has_failed || (self.is_slow() && !self.is_probe_due(now))
+    }
+
     /// Whether a slow upstream is due for another try.
     pub(super) fn is_probe_due(&self, now: clock::Millis) -> bool {
         now >= self.probed.plus(PROBE_AFTER)
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -144,9 +144,10 @@
 
     /// How long a new job can expect to wait.
     pub fn load(&self, now: clock::Millis) -> load::Load {
-        let usable = |maker: &&maker::Maker| !maker.is_resting(now) && !maker.is_slow();
-        let healthy: Vec<_> = self.makers.values().filter(usable).collect();
-        let earliest = healthy.iter().map(|maker| maker.free_at(now)).min();
+        let is_usable = |maker: &&maker::Maker| !maker.is_out(now);
+        let healthy: Vec<_> = self.makers.values().filter(is_usable).collect();
+        let free_at = |maker: &&maker::Maker| maker.free_at(now).max(maker.rest_until());
+        let earliest = healthy.iter().map(free_at).min();
         let Some(earliest) = earliest else {
             return load::Load {
                 wait: cells::NO_UPSTREAM_WAIT,
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -34,6 +34,7 @@
     /// Ends jobs that are out of time, and returns the calls to send now.
     pub fn dispatch(&mut self, now: clock::Millis) -> Vec<call::Call> {
         self.expire(now);
+        self.hand_back(now);
         self.note_fetched(now);
         let mut order = self.order(now);
         let mut calls = Vec::new();
@@ -87,6 +88,25 @@
         }
     }
 
+    /// Hands back the jobs that another queue can take, while no upstream of this one works.
+    fn hand_back(&mut self, now: clock::Millis) {
+        if self.makers.values().any(|maker| !maker.is_out(now)) {
+            return;
+        }
+        let is_movable = |entry: &waiting::Waiting| {
+            entry.job.fallback == job::Fallback::HandBack
+                && entry.unsent.len() == entry.job.pieces as usize
+        };
+        let ids: Vec<_> = self
+            .jobs
+            .iter()
+            .filter_map(|(id, entry)| is_movable(entry).then_some(*id))
+            .collect();
+        for id in ids {
+            self.finish(id, outcome::JobOutcome::NoUpstream);
+        }
+    }
+
     /// Jobs with waiting pieces, the most urgent first.
     fn order(&self, now: clock::Millis) -> Vec<call::JobId> {
         let call = self.pieces.span(self.pieces.batch / 2);
--- a/crates/basilgrade_fleet/tests/common/mod.rs
+++ b/crates/basilgrade_fleet/tests/common/mod.rs
@@ -62,6 +62,7 @@
         domain: domain("a"),
         fetched: size::ByteCount(0),
         inputs: None,
+        fallback: job::Fallback::Wait,
     }
 }
 
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -340,3 +340,40 @@
     let wake = queue.wake(START).expect("a time");
     assert!(wake > START);
 }
+
+/// Guards against jobs that wait for the only upstream of a failure domain while it rests.
+#[test]
+fn jobs_are_handed_back_when_no_upstream_works() {
+    let now = clock::Millis(1000);
+    let mut queue = queue(1);
+    let broken = queue.submit(now, job("broken", 1));
+    let call = queue.dispatch(now).remove(0);
+    let mut movable = job("movable", 2);
+    movable.fallback = job::Fallback::HandBack;
+    let movable = queue.submit(now, movable);
+    let stays = queue.submit(now, job("stays", 2));
+
+    queue.complete(now, call.id, outcome::CallOutcome::Broken);
+    queue.dispatch(now);
+
+    let finished = queue.take_finished();
+    assert_eq!(finished, [(movable, outcome::JobOutcome::NoUpstream)]);
+    assert!(![broken, stays].contains(&finished[0].0));
+}
+
+/// Guards against a failure domain that gets no work for good once its only upstream was slow.
+#[test]
+fn a_slow_upstream_is_told_as_usable_when_its_probe_is_due() {
+    let now = clock::Millis(1000);
+    let mut queue = queue(1);
+    queue.submit(now, job("slow", 1));
+    let call = queue.dispatch(now).remove(0);
+    let late = clock::Millis(3000);
+
+    queue.complete(late, call.id, made(&call));
+    let at_once = queue.load(late).wait;
+    let later = queue.load(late.plus(clock::Millis(3000))).wait;
+
+    assert_eq!(at_once, clock::Millis(2000));
+    assert_eq!(later, clock::Millis::ZERO);
+}
