Free inputs only after their calls while a queue changes its daemon

Results of jobs that ended before their inputs were noted as fetched were never freed.

Change: for 1.5 s a new queue frees inputs at the end of the call; a daemon that shuts down hands over the jobs of which nothing was sent. The tests were written with the change.

--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -30,6 +30,7 @@
     queue: queue::Queue,
     waiters: IndexMap<call::JobId, oneshot::Sender<outcome::JobOutcome>>,
     directory: Option<sync::Arc<directory::Directory>>,
+    has_handed_over: bool,
 }
 
 /// The queue of a pool in one failure domain.
@@ -69,10 +70,13 @@
         work: pool::Pieces,
         spent: mpsc::UnboundedSender<call::Spent>,
     ) -> Self {
+        let mut queue = queue::Queue::new(work);
+        queue.take_over(core.now());
         let inner = Inner {
-            queue: queue::Queue::new(work),
+            queue,
             waiters: IndexMap::new(),
             directory: None,
+            has_handed_over: false,
         };
         Self {
             core,
@@ -174,6 +178,11 @@
         let now = self.core.now();
         let mut inner = self.lock();
         self.refresh(&mut inner);
+        // Jobs that come later have no other queue, or its daemon does not answer.
+        if self.core.is_draining() && !inner.has_handed_over {
+            inner.has_handed_over = true;
+            inner.queue.hand_over();
+        }
         let calls = inner.queue.dispatch(now);
         for (job, outcome) in inner.queue.take_finished() {
             // A waiter that has gone has cancelled its job.
--- a/crates/basilgrade_edge/src/gather/router.rs
+++ b/crates/basilgrade_edge/src/gather/router.rs
@@ -124,6 +124,7 @@
         let start = self.core.now();
         let (aim, left) = (job.aim, job.left);
         let mut tried = Vec::new();
+        let mut has_moved = false;
         let mut domain = self.choose(pool, &job, &tried);
         for _ in 1..TRIES {
             let has_other = self.count(pool) > tried.len() + 1;
@@ -132,15 +133,19 @@
             } else {
                 job::Fallback::Wait
             };
-            match self.make_at(pool, &domain, job.clone()).await {
-                Some(outcome::JobOutcome::NoUpstream) | None => {}
+            let is_unreached = match self.make_at(pool, &domain, job.clone()).await {
+                Some(outcome::JobOutcome::HandedBack) => false,
+                None => true,
                 Some(outcome) => return (outcome, self.load(pool)),
-            }
+            };
             let used = self.core.now() - start;
             job.aim = aim - used;
             job.left = left - used;
-            // With one queue alone, the next daemon that can keep it is asked.
-            if has_other {
+            // The next daemon of the failure domain keeps the queue; if it does not answer either,
+            // the failure domain may be cut off.
+            let is_kept = is_unreached && !has_moved;
+            has_moved = true;
+            if has_other && !is_kept {
                 tried.push(domain);
                 domain = self.choose(pool, &job, &tried);
             }
--- a/crates/basilgrade_edge/src/peers/server.rs
+++ b/crates/basilgrade_edge/src/peers/server.rs
@@ -5,6 +5,7 @@
 use basilgrade_fleet::batch::duty;
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
+use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::model::handle;
 use basilgrade_peer::postcard_format;
 use basilgrade_types::clock;
@@ -52,6 +53,9 @@
             duty::Scope::Queue(domain) => self.gatherers.make(&duty.pool, domain, job).await,
             duty::Scope::Route(_) => self.router.make(&duty.pool, job).await,
         };
+        if outcome == outcome::JobOutcome::HandedBack && self.core.is_draining() {
+            return service::Gathered::Leaving;
+        }
         service::Gathered::Ended(outcome, load)
     }
 
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -254,7 +254,7 @@
             let reason = format!("stage {place} cannot end in time");
             Err(Failed::Final(failure::Failure::refused(reason, wait)))
         }
-        outcome::JobOutcome::Failed | outcome::JobOutcome::NoUpstream => {
+        outcome::JobOutcome::Failed | outcome::JobOutcome::HandedBack => {
             let reason = format!("stage {place} failed at all upstreams that were tried");
             Err(Failed::Final(failure::Failure::unavailable(reason)))
         }
--- a/crates/basilgrade_fleet/src/batch/outcome.rs
+++ b/crates/basilgrade_fleet/src/batch/outcome.rs
@@ -14,8 +14,8 @@
     Late,
     /// A result that the pieces need no longer exists.
     InputGone,
-    /// No upstream of the queue works now; nothing was made, and another queue may be tried.
-    NoUpstream,
+    /// The queue cannot take it now; nothing was made, and another one may be tried.
+    HandedBack,
     /// The pieces could not be made by any upstream that was tried.
     Failed,
 }
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -28,6 +28,10 @@
 /// between regions and the delay of timers.
 const LEAD: clock::Millis = clock::Millis(55);
 
+/// Calls of the daemon that kept the queue before end in this time: one that runs, and one that
+/// waits behind it.
+const OTHERS_LAST: clock::Millis = clock::Millis(1500);
+
 /// Longest time between two looks at a queue in which pieces wait.
 const RECHECK: clock::Millis = clock::Millis(200);
 
@@ -42,6 +46,8 @@
     orphans: Vec<handle::Handle>,
     spent: Vec<call::Spent>,
     next: u64,
+    /// From when on no other daemon sends calls to the upstreams.
+    alone_from: clock::Millis,
 }
 
 impl Queue {
@@ -56,9 +62,20 @@
             orphans: Vec::new(),
             spent: Vec::new(),
             next: 0,
+            alone_from: clock::Millis::ZERO,
         }
     }
 
+    /// Notes that another daemon may have kept this queue until `now`.
+    pub fn take_over(&mut self, now: clock::Millis) {
+        self.alone_from = now.plus(OTHERS_LAST);
+    }
+
+    /// Hands back the jobs of which nothing was sent, at the shutdown of this daemon.
+    pub fn hand_over(&mut self) {
+        self.hand_back_if(|_| true);
+    }
+
     /// Replaces what is known of the work of an upstream.
     pub fn set_pieces(&mut self, pieces: pool::Pieces) {
         self.pieces = pieces;
--- a/crates/basilgrade_fleet/src/batch/queue/ending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/ending.rs
@@ -128,6 +128,7 @@
         *place = Some(handle);
         if entry.made.iter().all(Option::is_some) {
             let handles = entry.made.drain(..).flatten().collect();
+            self.spent.extend(entry.take_spent());
             self.finish(job, outcome::JobOutcome::Made(handles));
         }
     }
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -54,6 +54,9 @@
 
     /// Notes the inputs that have been fetched by now.
     fn note_fetched(&mut self, now: clock::Millis) {
+        if now < self.alone_from {
+            return;
+        }
         let is_due = |call: &&mut running::Running| call.fetched_at().is_some_and(|at| at <= now);
         for call in self.running.values_mut().filter(is_due) {
             call.turn = running::Turn::Fetched;
@@ -65,13 +68,7 @@
                 if entry.fetched < entry.job.pieces {
                     continue;
                 }
-                let job::Source::Results(handles) = &entry.job.source else {
-                    continue;
-                };
-                if let Some(inputs) = entry.job.inputs.take() {
-                    let handles = handles.clone();
-                    self.spent.push(call::Spent { inputs, handles });
-                }
+                self.spent.extend(entry.take_spent());
             }
         }
     }
@@ -93,9 +90,13 @@
         if self.makers.values().any(|maker| !maker.is_out(now)) {
             return;
         }
+        self.hand_back_if(|job| job.fallback == job::Fallback::HandBack);
+    }
+
+    /// Hands back the jobs that `is_movable` names and of which nothing was sent.
+    pub(super) fn hand_back_if(&mut self, is_movable: impl Fn(&job::Job) -> bool) {
         let is_movable = |entry: &waiting::Waiting| {
-            entry.job.fallback == job::Fallback::HandBack
-                && entry.unsent.len() == entry.job.pieces as usize
+            entry.unsent.len() == entry.job.pieces as usize && is_movable(&entry.job)
         };
         let ids: Vec<_> = self
             .jobs
@@ -103,7 +104,7 @@
             .filter_map(|(id, entry)| is_movable(entry).then_some(*id))
             .collect();
         for id in ids {
-            self.finish(id, outcome::JobOutcome::NoUpstream);
+            self.finish(id, outcome::JobOutcome::HandedBack);
         }
     }
 
--- a/crates/basilgrade_fleet/src/batch/waiting.rs
+++ b/crates/basilgrade_fleet/src/batch/waiting.rs
@@ -2,6 +2,7 @@
 
 use basilgrade_types::clock;
 
+use crate::batch::call;
 use crate::batch::cells;
 use crate::batch::job;
 use crate::model::handle;
@@ -24,6 +25,16 @@
 }
 
 impl Waiting {
+    /// The inputs, when they have been used and nothing else needs them; at most once.
+    pub(super) fn take_spent(&mut self) -> Option<call::Spent> {
+        let job::Source::Results(handles) = &self.job.source else {
+            return None;
+        };
+        let inputs = self.job.inputs.take()?;
+        let handles = handles.clone();
+        Some(call::Spent { inputs, handles })
+    }
+
     /// When upstreams of other failure domains may make the pieces.
     pub(super) fn far_from(&self) -> clock::Millis {
         let wait = self.job.fetched.0 as f64 / 1e6 * cells::MS_PER_MB;
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -357,7 +357,7 @@
     queue.dispatch(now);
 
     let finished = queue.take_finished();
-    assert_eq!(finished, [(movable, outcome::JobOutcome::NoUpstream)]);
+    assert_eq!(finished, [(movable, outcome::JobOutcome::HandedBack)]);
     assert!(![broken, stays].contains(&finished[0].0));
 }
 
@@ -377,3 +377,46 @@
     assert_eq!(at_once, clock::Millis(2000));
     assert_eq!(later, clock::Millis::ZERO);
 }
+
+fn with_inputs(mut job: job::Job) -> job::Job {
+    job.source = job::Source::Results(vec![handle::Handle("10.0.0.9:80/x".into())]);
+    job.inputs = Some(job::Inputs {
+        pool: common::pool_id("before"),
+        bytes: size::ByteCount(60_000),
+    });
+    job
+}
+
+/// Guards against inputs that are freed while a call waits behind one of the daemon that kept the
+/// queue before.
+#[test]
+fn a_new_queue_spends_inputs_when_their_call_has_ended() {
+    let mut queue = queue(1);
+    queue.take_over(START);
+    queue.submit(START, with_inputs(job("one", 2)));
+    let call = queue.dispatch(START).remove(0);
+
+    let fetched = START.plus(clock::Millis(150));
+    queue.dispatch(fetched);
+    let early = queue.take_spent();
+    queue.complete(START.plus(clock::Millis(220)), call.id, made(&call));
+    let spent = queue.take_spent();
+
+    assert!(early.is_empty());
+    assert_eq!(spent.len(), 1);
+}
+
+/// Guards against two daemons that send to the same upstreams while one of them shuts down.
+#[test]
+fn jobs_without_a_call_are_handed_back_at_shutdown() {
+    let mut queue = queue(1);
+    let sent = queue.submit(START, job("sent", 8));
+    queue.dispatch(START);
+    let waiting = queue.submit(START, job("waiting", 8));
+
+    queue.hand_over();
+
+    let finished = queue.take_finished();
+    assert_eq!(finished, [(waiting, outcome::JobOutcome::HandedBack)]);
+    assert_ne!(sent, waiting);
+}
