--- a/crates/basilgrade_edge/src/gather/remote.rs
+++ b/crates/basilgrade_edge/src/gather/remote.rs
@@ -77,9 +77,7 @@
             .await;
         match &outcome {
             Ok(service::Gathered::Ended(..)) => {}
-            Ok(service::Gathered::Leaving) => {
-                self.links.give_up(daemon.address, "it is shutting down");
-            }
+            Ok(service::Gathered::Leaving) => self.links.avoid(daemon.address),
             Err(reason) => log::info!(
                 "event=gatherer-failed request={request} pool={pool} daemon={} reason={reason:?}",
                 daemon.name
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -21,6 +21,9 @@
 /// A daemon that failed is left alone for this long.
 const REST: std_time::Duration = std_time::Duration::from_millis(1500);
 
+/// A daemon that shuts down is left alone for this long; it ends, or is back, soon after.
+const LEAVING_REST: std_time::Duration = std_time::Duration::from_millis(4000);
+
 /// Longest message between daemons; a copy of the directory at 1,200 upstreams takes 0.5 MB.
 const MESSAGE_LIMIT: usize = 16 << 20;
 
@@ -62,6 +65,14 @@
         }
     }
 
+    /// Sends no new calls to a daemon that is shutting down; those in progress go on.
+    pub fn avoid(&self, address: net::SocketAddr) {
+        let until = time::Instant::now() + LEAVING_REST;
+        if lock(&self.resting).insert(address, until).is_none() {
+            log::info!("event=daemon-leaving address={address}");
+        }
+    }
+
     /// Gives up a daemon; calls to it fail at once.
     pub fn give_up(&self, address: net::SocketAddr, reason: &str) {
         lock(&self.resting).insert(address, time::Instant::now() + REST);
