Free results through the daemon that keeps their queue

Cause: releases and questions for loads went on to a daemon that shuts down, as only refused jobs made others avoid it, and jobs no longer come from every daemon.

Ruled out: slow upstreams and spilling (no NoRoom outcomes, waits told were right).

Change: a daemon that shuts down answers both with a refusal; the caller then asks the next one.

--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -139,18 +139,29 @@
                 pool: pool.clone(),
                 scope: duty::Scope::Queue(domain.clone()),
             };
-            let Some(holder) = self.remote.holder(&duty) else {
+            if self.remote.holder(&duty).is_none() {
                 self.gatherers.release(pool, &domain, handles, bytes);
                 continue;
-            };
+            }
             let client = sync::Arc::clone(self);
-            tokio::spawn(async move {
-                let remote = &client.remote;
-                remote
-                    .release(&holder, duty.pool, domain, handles, bytes)
-                    .await;
-            });
+            tokio::spawn(async move { client.release_remote(&duty, handles, bytes).await });
+        }
+    }
+
+    /// Frees results through the daemon that keeps their queue, which has to know of their room.
+    async fn release_remote(&self, duty: &duty::Duty, handles: Vec<handle::Handle>, bytes: u64) {
+        let (pool, domain) = (&duty.pool, duty.scope.domain());
+        for _ in 1..TRIES {
+            let Some(holder) = self.remote.holder(duty) else {
+                break;
+            };
+            let (pool, domain, handles) = (pool.clone(), domain.clone(), handles.clone());
+            let release = self.remote.release(&holder, pool, domain, handles, bytes);
+            if release.await {
+                return;
+            }
         }
+        self.gatherers.release(pool, domain, handles, bytes);
     }
 
     /// Results by the failure domain of their holders; those of unknown holders are gone anyway.
--- a/crates/basilgrade_edge/src/gather/remote.rs
+++ b/crates/basilgrade_edge/src/gather/remote.rs
@@ -86,7 +86,7 @@
         outcome
     }
 
-    /// Hands results to be freed to `daemon`.
+    /// Hands results to be freed to `daemon`; whether it took them.
     pub async fn release(
         &self,
         daemon: &daemon::Daemon,
@@ -94,20 +94,22 @@
         domain: id::DomainId,
         handles: Vec<handle::Handle>,
         bytes: u64,
-    ) {
+    ) -> bool {
         let outcome = self
             .links
             .call(daemon.address, ANSWER_LIMIT, |peer, context| async move {
                 peer.release(context, pool, domain, handles, bytes).await
             })
             .await;
-        if let Err(reason) = outcome {
-            // The results expire by themselves.
-            log::info!(
+        match outcome {
+            Ok(service::Release::Taken) => return true,
+            Ok(service::Release::Leaving) => self.links.avoid(daemon.address),
+            Err(reason) => log::info!(
                 "event=release-failed daemon={} reason={reason:?}",
                 daemon.name
-            );
+            ),
         }
+        false
     }
 
     /// Asks for the loads behind `duties`; those without an answer, or of this daemon, are left out.
@@ -127,6 +129,10 @@
                 })
                 .await;
             // A daemon that does not answer is logged and rests.
+            let loads = loads.unwrap_or_else(|_| Some(Vec::new()));
+            if loads.is_none() {
+                self.links.avoid(address);
+            }
             duties.into_iter().zip(loads.unwrap_or_default())
         });
         let answers = futures::future::join_all(answers).await;
--- a/crates/basilgrade_edge/src/gather/router.rs
+++ b/crates/basilgrade_edge/src/gather/router.rs
@@ -208,7 +208,12 @@
         let mut duties = Vec::new();
         for (pool, entry) in self.lock().iter() {
             if entry.used.plus(client::IN_USE) > now {
-                duties.extend(entry.cells.domains().map(|domain| Self::queue(pool, domain)));
+                duties.extend(
+                    entry
+                        .cells
+                        .domains()
+                        .map(|domain| Self::queue(pool, domain)),
+                );
             }
         }
         let (own, others): (Vec<_>, Vec<_>) = duties
--- a/crates/basilgrade_edge/src/peers/server.rs
+++ b/crates/basilgrade_edge/src/peers/server.rs
@@ -66,16 +66,23 @@
         domain: id::DomainId,
         handles: Vec<handle::Handle>,
         bytes: u64,
-    ) {
+    ) -> service::Release {
+        if self.core.is_draining() {
+            return service::Release::Leaving;
+        }
         self.gatherers.release(&pool, &domain, handles, bytes);
+        service::Release::Taken
     }
 
-    async fn loads(self, _: context::Context, duties: Vec<duty::Duty>) -> Vec<load::Load> {
+    async fn loads(self, _: context::Context, duties: Vec<duty::Duty>) -> Option<Vec<load::Load>> {
+        if self.core.is_draining() {
+            return None;
+        }
         let load = |duty: &duty::Duty| match &duty.scope {
             duty::Scope::Queue(domain) => self.gatherers.load(&duty.pool, domain),
             duty::Scope::Route(_) => self.router.load(&duty.pool),
         };
-        duties.iter().map(load).collect()
+        Some(duties.iter().map(load).collect())
     }
 
     async fn follow(
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -24,6 +24,15 @@
     Leaving,
 }
 
+/// The answer to a request to free results.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Release {
+    /// The results are freed.
+    Taken,
+    /// The daemon is shutting down, and another one keeps the queue.
+    Leaving,
+}
+
 /// News of the topics.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Updates {
@@ -46,9 +55,11 @@
         domain: id::DomainId,
         handles: Vec<handle::Handle>,
         bytes: u64,
-    );
+    ) -> Release;
     /// How busy the upstreams behind `duties` are; also shows that the daemon is alive.
-    async fn loads(duties: Vec<duty::Duty>) -> Vec<load::Load>;
+    ///
+    /// `None` if the daemon is shutting down.
+    async fn loads(duties: Vec<duty::Duty>) -> Option<Vec<load::Load>>;
     /// What the caller lacks that knows the topics up to `positions`; waits up to `wait` for it.
     async fn follow(positions: [Option<u64>; 3], wait: clock::Millis) -> Updates;
 }
