--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -28,6 +28,9 @@
 /// How long a read of the daemons waits for a record; nothing is bound to their changes.
 const DAEMON_WAIT: clock::Millis = clock::Millis(10_000);
 
+/// Time between two reads of the daemons. Many register at the same time, and each read is billed.
+const DAEMON_PAUSE: clock::Millis = clock::Millis(800);
+
 /// Time for an answer beyond the wait. A slow store takes up to half a second.
 const ANSWER_LIMIT: clock::Millis = clock::Millis(900);
 
@@ -176,6 +179,8 @@
                     self.state.expire_missing();
                 }
                 tokio::time::sleep(UPSTREAM_PAUSE.duration()).await;
+            } else if self.topic == store::Topic::Daemons {
+                tokio::time::sleep(DAEMON_PAUSE.duration()).await;
             }
         }
     }
