Tell waits by the pieces that calls really take

Cause: the told wait assumed full calls, but room for results limits calls to a third of a batch in bursts. A job that would be late at home stayed there for the sake of a crossing that costs callers less than its lateness.

Change: a queue keeps a running number of pieces that calls take while more wait, and the choice of a queue adds a cost for being late. The first test was seen failing without the change.

--- a/crates/basilgrade_edge/src/gather/router.rs
+++ b/crates/basilgrade_edge/src/gather/router.rs
@@ -104,6 +104,7 @@
             home: &job.domain,
             rank: job.rank,
             pieces: job.pieces,
+            aim: job.aim,
             moved: basilgrade_types::size::ByteCount(job.fetched.0 + results),
         };
         let place = sync::Arc::clone(&self.core.view.load().place);
--- a/crates/basilgrade_fleet/src/batch/cells.rs
+++ b/crates/basilgrade_fleet/src/batch/cells.rs
@@ -22,6 +22,10 @@
 /// are up to one beat old.
 const SPILL_MARGIN: f64 = 100.0;
 
+/// Added for a queue in which the job would be late for its aim: more than any crossing, as late
+/// answers are worth a fraction.
+const LATE_COST: f64 = 1000.0;
+
 /// The queue of the upstreams in one failure domain.
 #[derive(Clone, Debug, Default)]
 struct Cell {
@@ -48,6 +52,8 @@
     pub rank: rank::Rank,
     /// Number of pieces.
     pub pieces: u32,
+    /// Time until the results are late.
+    pub aim: clock::Millis,
     /// What crosses if the pieces are made elsewhere.
     pub moved: size::ByteCount,
 }
@@ -88,13 +94,17 @@
         demand: &Demand<'_>,
         tried: &[id::DomainId],
     ) -> Option<id::DomainId> {
+        let call = work.span(demand.pieces.min(work.batch)).as_f64();
         let open = self
             .cells
             .iter()
             .filter(|(domain, _)| !tried.contains(domain));
         let (best, _) = open.min_by(|one, other| {
             let cost = |(domain, cell): &(&id::DomainId, &Cell)| {
-                cell.wait(work, demand.rank) + crossing(place, demand, domain)
+                let wait = cell.wait(work, demand.rank);
+                let is_late = wait + call > demand.aim.as_f64();
+                let late = if is_late { LATE_COST } else { 0.0 };
+                wait + crossing(place, demand, domain) + late
             };
             cost(one).total_cmp(&cost(other))
         })?;
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -28,6 +28,9 @@
 /// between regions and the delay of timers.
 const LEAD: clock::Millis = clock::Millis(55);
 
+/// Part of a new call in the running number of pieces that calls take.
+const FILL_WEIGHT: f64 = 0.1;
+
 /// Calls of the daemon that kept the queue before end in this time: one that runs, and one that
 /// waits behind it.
 const OTHERS_LAST: clock::Millis = clock::Millis(1500);
@@ -46,6 +49,8 @@
     orphans: Vec<handle::Handle>,
     spent: Vec<call::Spent>,
     next: u64,
+    /// Pieces that a call takes while more of them wait; fewer than a batch if room is scarce.
+    fill: f64,
     /// From when on no other daemon sends calls to the upstreams.
     alone_from: clock::Millis,
 }
@@ -54,6 +59,7 @@
     /// An empty queue for upstreams that work as `pieces` says.
     pub fn new(pieces: pool::Pieces) -> Self {
         Self {
+            fill: f64::from(pieces.batch.max(1)),
             pieces,
             makers: IndexMap::new(),
             jobs: IndexMap::new(),
@@ -171,10 +177,10 @@
                 ranks: Vec::new(),
             };
         };
-        let call = self.pieces.span(self.pieces.batch);
+        let call = self.pieces.span(self.fill as u32).as_f64();
         let wait = |pieces: usize| {
-            let calls = pieces as u64 / u64::from(self.pieces.batch.max(1));
-            clock::Millis(calls * call.0 / healthy.len() as u64).plus(earliest - now)
+            let calls = (pieces as f64 / self.fill).floor();
+            clock::Millis((calls * call / healthy.len() as f64) as u64).plus(earliest - now)
         };
         let mut counts: BTreeMap<rank::Rank, usize> = BTreeMap::new();
         for entry in self.jobs.values().filter(|entry| !entry.unsent.is_empty()) {
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -47,11 +47,21 @@
                 skipped.push(maker);
                 continue;
             };
+            self.note_fill(call.items.len(), order.is_empty());
             calls.push(call);
         }
         calls
     }
 
+    /// Notes how many pieces a call took, and whether it took all that waited.
+    fn note_fill(&mut self, taken: usize, is_all: bool) {
+        let batch = f64::from(self.pieces.batch.max(1));
+        // A call that took all says nothing of how many more there was room for.
+        let seen = if is_all { batch } else { taken as f64 };
+        self.fill += (seen - self.fill) * queue::FILL_WEIGHT;
+        self.fill = self.fill.clamp(1.0, batch);
+    }
+
     /// Notes the inputs that have been fetched by now.
     fn note_fetched(&mut self, now: clock::Millis) {
         if now < self.alone_from {
--- a/crates/basilgrade_fleet/tests/cells.rs
+++ b/crates/basilgrade_fleet/tests/cells.rs
@@ -47,6 +47,7 @@
         home,
         rank: rank::Rank(0),
         pieces: 2,
+        aim: clock::Millis(2000),
         moved: size::ByteCount(moved),
     }
 }
@@ -87,6 +88,20 @@
     assert_eq!(heavy, Some(home));
 }
 
+/// Guards against late answers for the sake of a crossing.
+#[test]
+fn jobs_move_when_they_would_be_late_at_home() {
+    let mut cells = cells();
+    let home = common::domain("a");
+    cells.note(&home, wait(300));
+    let mut urgent = demand(&home, 4_000_000);
+    urgent.aim = clock::Millis(400);
+
+    let chosen = cells.choose(&place(), &common::pieces(), &urgent, &[]);
+
+    assert_eq!(chosen, Some(common::domain("b")));
+}
+
 /// Guards against a whole burst that goes to the queue that was idle at the last beat.
 #[test]
 fn a_burst_is_spread_between_two_beats() {
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -420,3 +420,33 @@
     assert_eq!(finished, [(waiting, outcome::JobOutcome::HandedBack)]);
     assert_ne!(sent, waiting);
 }
+
+/// Guards against a told wait that is too low where room for results, not calls, is scarce.
+#[test]
+fn the_told_wait_counts_what_calls_really_take() {
+    let mut queue = queue(1);
+    let mut now = START;
+    for number in 0..40 {
+        let mut large = job(&format!("large{number}"), 1);
+        // Two results fill the room.
+        large.bytes = size::ByteCount(1_000_000);
+        large.left = clock::Millis(60_000);
+        queue.submit(now, large);
+    }
+
+    for _ in 0..16 {
+        let Some(call) = queue.dispatch(now).pop() else {
+            break;
+        };
+        now = now.plus(clock::Millis(220));
+        queue.complete(now, call.id, made(&call));
+        queue.release(call.address, 1_000_000 * call.items.len() as u64);
+    }
+
+    // Eight pieces wait, which are four calls of two.
+    assert!(
+        queue.load(now).wait >= clock::Millis(600),
+        "{:?}",
+        queue.load(now)
+    );
+}
