--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -43,6 +43,7 @@
     pub(crate) path: String,
     pub(crate) headers: hyper::HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) at: time::Instant,
 }
 
 /// An upstream.
@@ -51,7 +52,10 @@
     pub(crate) id: String,
     pub(crate) mood: sync::Mutex<Mood>,
     pub(crate) runs: sync::Mutex<Vec<Run>>,
+    /// The registered address.
     pub(crate) address: sync::OnceLock<std::net::SocketAddr>,
+    /// Whether each event names the run that made it.
+    pub(crate) names_runs: bool,
 }
 
 fn text(headers: &hyper::HeaderMap, name: &str) -> Option<String> {
@@ -91,11 +95,15 @@
         ))
     }
 
-    fn stream(request: &Request<Bytes>, mood: Mood) -> Response<server::Body> {
+    fn stream(&self, request: &Request<Bytes>, mood: Mood) -> Response<server::Body> {
         let from: u64 = text(request.headers(), "last-event-id")
             .and_then(|last| last.parse().ok())
             .unwrap_or(0);
-        let name = text(request.headers(), "x-attempt-id").unwrap_or_default();
+        let mut name = text(request.headers(), "x-attempt-id").unwrap_or_default();
+        if self.names_runs {
+            let run = self.runs.lock().expect("no test panics here").len();
+            name = format!("{name}.{}-{run}", self.id);
+        }
         let events = futures::stream::iter(from + 1..=EVENTS).then(move |event| {
             let name = name.clone();
             async move {
@@ -153,13 +161,14 @@
             path: request.uri().to_string(),
             headers: request.headers().clone(),
             body: request.body().clone(),
+            at: time::Instant::now(),
         });
         if request.uri().path() == "/basilgrade/stage-run" {
             return Some(self.pieces(request.body()));
         }
         let mut answer = match mood {
             Mood::Mute => return None,
-            _ if request.uri().path().starts_with("/stream") => Self::stream(&request, mood),
+            _ if request.uri().path().starts_with("/stream") => self.stream(&request, mood),
             _ => Response::new(server::whole(format!("{} {name}", self.id))),
         };
         let echoed = if mood == Mood::Foreign {
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -22,7 +22,7 @@
 const REST: std_time::Duration = std_time::Duration::from_millis(1500);
 
 /// A daemon that shuts down is left alone for this long; it ends, or is back, soon after.
-const LEAVING_REST: std_time::Duration = std_time::Duration::from_millis(4000);
+const LEAVING_REST: std_time::Duration = std_time::Duration::from_secs(4);
 
 /// Longest message between daemons; a copy of the directory at 1,200 upstreams takes 0.5 MB.
 const MESSAGE_LIMIT: usize = 16 << 20;
