--- a/crates/basilgrade/tests/soak/world.rs
+++ b/crates/basilgrade/tests/soak/world.rs
@@ -217,6 +217,21 @@
         }
         process.incarnation.fetch_add(1, atomic::Ordering::SeqCst);
         daemon.start();
+        self.listening(number).await;
+    }
+
+    /// Waits until a daemon accepts callers: before, the termination signal ends it at once.
+    async fn listening(&self, number: usize) {
+        let address = self.processes[number].callers;
+        let accepted = async {
+            while tokio::net::TcpStream::connect(address).await.is_err() {
+                tokio::time::sleep(time::Duration::from_millis(10)).await;
+            }
+        };
+        if tokio::time::timeout(END_LIMIT, accepted).await.is_err() {
+            let finding = format!("daemon {number} does not accept callers after its start");
+            record::add(&self.record.findings, finding);
+        }
     }
 
     async fn ended(&self, number: usize, daemon: &mut daemon::Daemon) {
