Cut slow request heads after the configured time; add a log level to the edge role

Cause: the HTTP library has one limit for the wait for a request and for its head, so slow heads were cut after four times the idle limit. A wrapper of the connection now times a head from its first byte.

--- a/crates/basilgrade/tests/edge.rs
+++ b/crates/basilgrade/tests/edge.rs
@@ -397,3 +397,39 @@
     assert!(deployment.daemons[0].ended().await);
     assert_eq!(deployment.count("left"), 1);
 }
+
+/// Guards against callers that hold connections with heads that never end, and against cutting
+/// callers that keep a connection idle between requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_head_is_cut_and_an_idle_connection_is_kept() {
+    use tokio::io::AsyncReadExt as _;
+    use tokio::io::AsyncWriteExt as _;
+
+    let deployment = deployment::start(&["a"]).await;
+    let address = deployment.daemons[0].callers;
+    let head = "GET /safe/list HTTP/1.1\r\nhost: users.example\r\nx-attempt-id: idle\r\n\
+                x-deadline-ms: 8000\r\nauthorization: Bearer key-one\r\n\r\n";
+    let mut idle = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("it connects");
+    let mut slow = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("it connects");
+    let mut buffer = vec![0; 4096];
+
+    idle.write_all(head.as_bytes()).await.expect("it is sent");
+    let first = idle.read(&mut buffer).await.expect("an answer");
+    slow.write_all(b"GET /safe/list HTTP/1.1\r\nhost")
+        .await
+        .expect("it is sent");
+    // The limit of the configuration is 3 s; the library closes the connection with an answer.
+    let limit = std::time::Duration::from_secs(10);
+    let cut = tokio::time::timeout(limit, async {
+        while slow.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+    });
+
+    assert!(cut.await.is_ok(), "the slow head is not cut");
+    idle.write_all(head.as_bytes()).await.expect("it is sent");
+    let second = idle.read(&mut buffer).await.expect("an answer");
+    assert!(first > 0 && second > 0);
+}
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -77,6 +77,7 @@
 pub async fn run(file: path::PathBuf) -> Result<(), String> {
     let settings = read(&file)?;
     logger::start().map_err(|error| error.to_string())?;
+    log::set_max_level(settings.level);
     log::info!(
         "event=start name={} domain={} callers={} peers={} store={}",
         settings.name,
@@ -202,10 +203,12 @@
         known = found;
         match read(&file) {
             Ok(settings) => {
+                log::set_max_level(settings.level);
                 log::info!(
-                    "event=reloaded seeds={} store={}",
+                    "event=reloaded seeds={} store={} level={}",
                     settings.seeds.len(),
-                    settings.store
+                    settings.store,
+                    settings.level
                 );
                 core.reload(settings);
             }
--- a/crates/basilgrade_edge/src/http.rs
+++ b/crates/basilgrade_edge/src/http.rs
@@ -1,6 +1,7 @@
-//! HTTP connections to upstreams and to the store.
+//! HTTP connections.
 
 pub mod error;
 pub mod link;
 pub mod pool;
 pub mod socket;
+pub mod timed;
--- a/crates/basilgrade_edge/src/listener.rs
+++ b/crates/basilgrade_edge/src/listener.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use http_body_util::BodyExt as _;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
@@ -12,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::http::socket;
+use crate::http::timed;
 use crate::serve;
 
 /// Wait after an error of `accept`, such as too many open files, before the next one.
@@ -67,15 +69,29 @@
         .unwrap_or_default();
     let idle = time::Duration::from_millis(limits.idle.0 * IDLE_FACTOR);
     let service = sync::Arc::clone(service);
+    let progress = timed::Progress::default();
+    let timed = timed::Timed::new(stream, progress.clone(), limits.header);
     let serve = service::service_fn(move |message| {
         let service = sync::Arc::clone(&service);
-        async move { Ok::<_, convert::Infallible>(service.serve(message).await) }
+        let serving = progress.serve();
+        async move {
+            let answer = service.serve(message).await;
+            // The request is served until its answer has been sent or dropped.
+            let answer = answer.map(|body| {
+                let keep = move |frame| {
+                    let _ = &serving;
+                    frame
+                };
+                body.map_frame(keep).boxed_unsync()
+            });
+            Ok::<_, convert::Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size((limits.head.0 as usize).max(MIN_BUFFER))
-        .serve_connection(rt::TokioIo::new(stream), serve);
+        .serve_connection(rt::TokioIo::new(timed), serve);
     let watched = connections.watch(connection);
     tokio::spawn(async move {
         if let Err(error) = watched.await {
--- a/crates/basilgrade_edge/src/logger.rs
+++ b/crates/basilgrade_edge/src/logger.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// Starts logging; call once.
+/// Starts logging; call once. Nothing is written until a level is set.
 ///
 /// # Errors
 ///
@@ -109,7 +109,6 @@
         writer,
     });
     log::set_logger(logger)?;
-    log::set_max_level(log::LevelFilter::Info);
     Ok(())
 }
 
--- a/crates/basilgrade_edge/src/settings.rs
+++ b/crates/basilgrade_edge/src/settings.rs
@@ -53,6 +53,8 @@
     pub grace: clock::Millis,
     /// The retry budget of all daemons together.
     pub retries: budget::Terms,
+    /// Least severity of log lines that are written.
+    pub level: log::LevelFilter,
 }
 
 struct Reader {
@@ -140,6 +142,10 @@
         ini::Ini::load_from_str(text).map_err(|error| SettingsError::Syntax(error.to_string()))?;
     let reader = Reader { file };
     let peers: net::SocketAddr = reader.value("listen", "peers")?;
+    let level = match reader.file.get_from(Some("log"), "level") {
+        None | Some("") => log::LevelFilter::Info,
+        Some(_) => reader.value("log", "level")?,
+    };
     let metrics = match reader.file.get_from(Some("listen"), "metrics") {
         None | Some("") => None,
         Some(_) => {
@@ -163,5 +169,6 @@
             floor: reader.value("retries", "floor")?,
             window: reader.span("retries", "window")?,
         },
+        level,
     })
 }
--- a/crates/basilgrade_edge/tests/settings.rs
+++ b/crates/basilgrade_edge/tests/settings.rs
@@ -25,6 +25,21 @@
     );
     assert_eq!(settings.grace, clock::Millis(8500));
     assert_eq!(settings.retries.window, clock::Millis(10_000));
+    assert_eq!(settings.level, log::LevelFilter::Info);
+}
+
+/// Guards against a daemon whose log cannot be made more or less detailed.
+#[test]
+fn the_log_level_is_read() {
+    let settings = settings::parse(&format!("{TEXT}[log]\nlevel = debug\n"));
+
+    assert_eq!(
+        settings.expect("they are valid").level,
+        log::LevelFilter::Debug
+    );
+    let error = settings::parse(&format!("{TEXT}[log]\nlevel = loud\n"));
+    let error = error.expect_err("`loud` is no level").to_string();
+    assert!(error.contains("`loud` does not fit `level`"), "{error}");
 }
 
 /// Guards against a deployment with one VM whose template leaves values empty.
