--- a/crates/basilgrade/tests/edge.rs
+++ b/crates/basilgrade/tests/edge.rs
@@ -13,15 +13,6 @@
     (from..=upstream::EVENTS).map(event).collect()
 }
 
-fn staged(id: &str, path: &str) -> hyper::http::request::Builder {
-    client::request(id, "POST", path)
-        .header("x-model", "m")
-        .header("x-token-usage", "1000,50")
-        .header("x-prefix-hash", "aa:400,bb:400,cc:200")
-        .header("x-pieces", "2,3")
-        .header("x-piece-key", "piece-key")
-}
-
 /// Guards against a request that is changed on its way, or answered by another's answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_calm_day_is_served() {
@@ -38,7 +29,7 @@
         assert_eq!(deployment.count(&id), 1);
 
         let id = format!("stream-{number}");
-        let answer = client::send(daemon.callers, staged(&id, "/stream/plan"), "why?")
+        let answer = client::send(daemon.callers, client::staged(&id, "/stream/plan"), "why?")
             .await
             .expect("an answer");
         assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
@@ -200,7 +191,7 @@
         let id = format!("resumed-{event}");
         let sending = tokio::spawn(client::send(
             address,
-            staged(&id, "/stream-resumable/x"),
+            client::staged(&id, "/stream-resumable/x"),
             "",
         ));
         deployment::until("the stream starts", || async { deployment.count(&id) == 1 }).await;
@@ -212,7 +203,7 @@
         assert_eq!(deployment.count(&id), 2);
     }
     set(upstream::Mood::BreaksIn(4));
-    let answer = client::send(address, staged("broken", "/stream/x"), "")
+    let answer = client::send(address, client::staged("broken", "/stream/x"), "")
         .await
         .expect("an answer");
 
@@ -348,7 +339,11 @@
             .upstream(&format!("engine-{number}"))
             .set(upstream::Mood::Slow(300));
     }
-    let sending = tokio::spawn(client::send(address, staged("long", "/stream/x"), ""));
+    let sending = tokio::spawn(client::send(
+        address,
+        client::staged("long", "/stream/x"),
+        "",
+    ));
     deployment::until("the stream starts", || async {
         deployment.count("long") == 1
     })
@@ -381,7 +376,7 @@
     }
     let sending = tokio::spawn(client::send(
         address,
-        staged("left", "/stream-resumable/x"),
+        client::staged("left", "/stream-resumable/x"),
         "",
     ));
     deployment::until("the stream starts", || async {
--- a/crates/basilgrade/tests/edge_support/client.rs
+++ b/crates/basilgrade/tests/edge_support/client.rs
@@ -40,6 +40,16 @@
         .header("authorization", format!("Bearer {key}"))
 }
 
+/// A request for a generation with two stages.
+pub(crate) fn staged(id: &str, path: &str) -> hyper::http::request::Builder {
+    request(id, "POST", path)
+        .header("x-model", "m")
+        .header("x-token-usage", "1000,50")
+        .header("x-prefix-hash", "aa:400,bb:400,cc:200")
+        .header("x-pieces", "2,3")
+        .header("x-piece-key", "piece-key")
+}
+
 /// Sends a request on a connection of its own; `None` when the connection ends without an answer.
 pub(crate) async fn send(
     address: net::SocketAddr,
--- a/crates/basilgrade/tests/edge_support/deployment.rs
+++ b/crates/basilgrade/tests/edge_support/deployment.rs
@@ -73,6 +73,18 @@
     .to_string()
 }
 
+/// The configuration without stages and their pools.
+pub(crate) fn without_stages() -> String {
+    let text = configuration(1, &["key-one"]);
+    let mut whole: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
+    for route in whole["routes"].as_array_mut().expect("a list") {
+        route.as_object_mut().expect("an object").remove("stages");
+    }
+    let services = whole["services"].as_array_mut().expect("a list");
+    services.retain(|service| service.get("pieces").is_none());
+    whole.to_string()
+}
+
 fn pieces() -> serde_json::Value {
     serde_json::json!({"slots": 1, "queue": 2, "batch": 8, "call-ms": 20.0, "item-ms": 1.0,
         "headroom-mb": 10.0, "handle-s": 4.0, "link-mbps": 10000})
@@ -80,6 +92,15 @@
 
 /// Two upstreams of each pool, and a daemon in each of `domains`, all ready.
 pub(crate) async fn start(domains: &[&str]) -> Deployment {
+    start_with(domains, 2, &configuration(1, &["key-one"])).await
+}
+
+/// `upstreams` of each pool, and a daemon in each of `domains`, all ready.
+pub(crate) async fn start_with(
+    domains: &[&str],
+    upstreams: usize,
+    configuration: &str,
+) -> Deployment {
     let store = sync::Arc::<store::Store>::default();
     let store_server = server::start(sync::Arc::clone(&store)).await;
     let mut deployment = Deployment {
@@ -90,11 +111,11 @@
         servers: Vec::new(),
     };
     for pool in ["desk", "engine", "encode", "rank"] {
-        for number in 0..2 {
+        for number in 0..upstreams {
             deployment.add_upstream(pool, number).await;
         }
     }
-    deployment.publish(&configuration(1, &["key-one"]));
+    deployment.publish(configuration);
     for (number, domain) in domains.iter().enumerate() {
         deployment.add_daemon(&format!("vm-{number}"), domain);
     }
--- a/crates/basilgrade/tests/soak/caller.rs
+++ b/crates/basilgrade/tests/soak/caller.rs
@@ -51,8 +51,8 @@
     let builder = match kind {
         record::Kind::Once => client::request(id, "POST", "/once/pay"),
         record::Kind::Safe => client::request(id, "GET", "/safe/list"),
-        record::Kind::Stream => staged(id, "/stream/ask"),
-        record::Kind::Resumable => staged(id, "/stream-resumable/ask"),
+        record::Kind::Stream => client::staged(id, "/stream/ask"),
+        record::Kind::Resumable => client::staged(id, "/stream-resumable/ask"),
         record::Kind::Probe(version) => {
             client::request_with_key(id, "GET", "/safe/probe", &world::key(version))
         }
@@ -66,15 +66,6 @@
     message
 }
 
-fn staged(id: &str, path: &str) -> hyper::http::request::Builder {
-    client::request(id, "POST", path)
-        .header("x-model", "m")
-        .header("x-token-usage", "1000,50")
-        .header("x-prefix-hash", "aa:400,bb:400,cc:200")
-        .header("x-pieces", "2,3")
-        .header("x-piece-key", "piece-key")
-}
-
 /// Status, body, and whether the body is whole; `None` for no answer.
 async fn exchange(
     sender: &mut Sender,
--- a/crates/basilgrade_fleet/src/events.rs
+++ b/crates/basilgrade_fleet/src/events.rs
@@ -42,11 +42,6 @@
         !self.pending.is_empty()
     }
 
-    /// Forgets an incomplete event; the next upstream sends it whole.
-    pub fn discard_partial(&mut self) {
-        self.pending.clear();
-    }
-
     /// Adds bytes and takes the events that are now complete.
     ///
     /// Events up to the last one are left out: an upstream may repeat it when it continues.
--- a/crates/basilgrade_membership/src/node/reader.rs
+++ b/crates/basilgrade_membership/src/node/reader.rs
@@ -1,7 +1,6 @@
 //! The log reader of the domain, and whom to pull from.
 
 use basilgrade_types::clock;
-use basilgrade_types::id;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 
@@ -21,12 +20,6 @@
     /// that are alive and can reach the log.
     ///
     /// The longest-running member changes only when it goes, and never because another joins.
-    pub fn domain_reader(&self, now: clock::Millis) -> Option<&id::VmId> {
-        self.reader_tag(now)
-            .and_then(|tag| self.members.get(&tag))
-            .map(|member| &member.record.vm)
-    }
-
     fn reader_tag(&self, now: clock::Millis) -> Option<tag::Tag> {
         let own_fit = matches!(self.phase, phase::Phase::Joined) && !self.pause.is_recent(now);
         self.members
