--- a/crates/basilgrade/tests/soak/caller.rs
+++ b/crates/basilgrade/tests/soak/caller.rs
@@ -33,7 +33,7 @@
 }
 
 fn draw(version: u64) -> record::Kind {
-    match rand::rng().random_range(0..10) {
+    match rand::rng().random_range(0..12) {
         0..=3 => record::Kind::Once,
         4 => record::Kind::Safe,
         5 | 6 => record::Kind::Stream,
@@ -41,7 +41,7 @@
         // The version in force, or one of those before.
         _ => record::Kind::Probe(
             version
-                .saturating_sub(rand::rng().random_range(0..3))
+                .saturating_sub(rand::rng().random_range(0..5))
                 .max(1),
         ),
     }
--- a/crates/basilgrade/tests/soak/plan.rs
+++ b/crates/basilgrade/tests/soak/plan.rs
@@ -32,8 +32,8 @@
     Mood(upstream::Mood),
     /// An upstream leaves, and is back later.
     Drain,
-    /// A new configuration replaces a caller's key.
-    Publish,
+    /// So many new configurations, each of which replaces a caller's key.
+    Publish(u32),
 }
 
 impl Kind {
@@ -97,7 +97,7 @@
             12 | 13 => Kind::Store(harm(random)),
             14..=16 => Kind::Mood(mood(random)),
             17 => Kind::Drain,
-            _ => Kind::Publish,
+            _ => Kind::Publish(random.random_range(1..5)),
         };
         faults.push(Fault {
             at,
--- a/crates/basilgrade/tests/soak/world.rs
+++ b/crates/basilgrade/tests/soak/world.rs
@@ -137,7 +137,12 @@
         let number = fault.target % self.processes.len();
         let member = &self.members[fault.target % self.members.len()];
         match fault.kind {
-            plan::Kind::Publish => self.publish(),
+            plan::Kind::Publish(count) => {
+                for _ in 0..count {
+                    self.publish();
+                    tokio::time::sleep(fault.span / 10).await;
+                }
+            }
             plan::Kind::Store(harm) => {
                 self.store_proxy.set(harm);
                 tokio::time::sleep(fault.span).await;
