--- a/crates/basilgrade/tests/soak/check.rs
+++ b/crates/basilgrade/tests/soak/check.rs
@@ -163,16 +163,17 @@
 ) -> Vec<String> {
     let mut findings = Vec::new();
     for left in record::all(&world.record.left) {
-        if is_harmed(harmed, None, left.from, left.until) {
-            continue;
-        }
         for request in requests {
             let own = runs.get(&request.id).map(Vec::as_slice).unwrap_or_default();
             let is_late = |(upstream, run): &&(String, upstream::Run)| {
                 *upstream == left.upstream && run.at > left.from + DRAIN && run.at < left.until
             };
-            let excused = is_harmed(harmed, Some(request.daemon), left.from, left.until);
-            if let Some(run) = own.iter().find(is_late).filter(|_| !excused) {
+            let is_excused = |(_, run): &&(String, upstream::Run)| {
+                is_harmed(harmed, Some(request.daemon), left.from, run.at)
+                    || is_harmed(harmed, None, left.from, run.at)
+            };
+            let found = own.iter().find(|run| is_late(run) && !is_excused(run));
+            if let Some(run) = found {
                 findings.push(format!("ran after its upstream left: {request:?}; {run:?}"));
             }
         }
--- a/crates/basilgrade/tests/soak/plan.rs
+++ b/crates/basilgrade/tests/soak/plan.rs
@@ -81,31 +81,46 @@
     *moods.choose(random).expect("there are some")
 }
 
+/// Kinds of faults that a run may have, by number.
+const KINDS: usize = 11;
+
+fn kind(random: &mut rngs::SmallRng, number: usize) -> Kind {
+    match number {
+        0 => Kind::Pause,
+        1 => Kind::Kill,
+        2 => Kind::Stop,
+        3 => Kind::StopKill,
+        4 => Kind::StopPause,
+        5 => Kind::Reload,
+        6 => Kind::Link(harm(random)),
+        7 => Kind::Store(harm(random)),
+        8 => Kind::Mood(mood(random)),
+        9 => Kind::Drain,
+        _ => Kind::Publish(random.random_range(1..5)),
+    }
+}
+
 /// Draws the faults of a run of `length`.
+///
+/// Each run has some of the kinds only, in its own density: where everything fails all the time,
+/// each promise has an excuse.
 pub(crate) fn draw(random: &mut rngs::SmallRng, length: time::Duration) -> Vec<Fault> {
+    let mut kinds: Vec<usize> = (0..KINDS).filter(|_| random.random()).collect();
+    if kinds.is_empty() {
+        kinds.extend(0..KINDS);
+    }
+    let gap = random.random_range(60..900);
     let mut faults = Vec::new();
     let mut at = time::Duration::from_millis(500);
     while at < length {
-        let kind = match random.random_range(0..20) {
-            0 | 1 => Kind::Pause,
-            2 => Kind::Kill,
-            3 | 4 => Kind::Stop,
-            5 => Kind::StopKill,
-            6 => Kind::StopPause,
-            7 => Kind::Reload,
-            8..=11 => Kind::Link(harm(random)),
-            12 | 13 => Kind::Store(harm(random)),
-            14..=16 => Kind::Mood(mood(random)),
-            17 => Kind::Drain,
-            _ => Kind::Publish(random.random_range(1..5)),
-        };
+        let number = *kinds.choose(random).expect("there are some");
         faults.push(Fault {
             at,
             span: time::Duration::from_millis(random.random_range(200..2500)),
             target: random.random_range(0..1000),
-            kind,
+            kind: kind(random, number),
         });
-        at += time::Duration::from_millis(random.random_range(20..700));
+        at += time::Duration::from_millis(random.random_range(gap / 3..gap * 2));
     }
     faults
 }
--- a/crates/basilgrade/tests/soak/world.rs
+++ b/crates/basilgrade/tests/soak/world.rs
@@ -135,7 +135,15 @@
             .or_default() += 1;
         let from = time::Instant::now();
         let number = fault.target % self.processes.len();
-        let member = &self.members[fault.target % self.members.len()];
+        // Only engines send streams that can break off or stall.
+        let targets: Vec<&Member> = match fault.kind {
+            plan::Kind::Mood(upstream::Mood::BreaksIn(_) | upstream::Mood::Slow(_)) => {
+                let engines = self.members.iter();
+                engines.filter(|member| member.pool == "engine").collect()
+            }
+            _ => self.members.iter().collect(),
+        };
+        let member = targets[fault.target % targets.len()];
         match fault.kind {
             plan::Kind::Publish(count) => {
                 for _ in 0..count {
--- /dev/null
+++ b/crates/basilgrade_fleet/benches/day/shape.rs
@@ -0,0 +1,184 @@
+//! The shapes of the deployments that are played.
+
+use basilgrade_fleet::model::pool;
+use basilgrade_types::clock;
+use basilgrade_types::size;
+
+/// Failure domains, two to a region.
+pub(crate) const DOMAINS: [(&str, &str); 6] = [
+    ("a1", "a"),
+    ("a2", "a"),
+    ("b1", "b"),
+    ("b2", "b"),
+    ("c1", "c"),
+    ("c2", "c"),
+];
+
+/// Upstreams that make pieces.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    pub(crate) pieces: pool::Pieces,
+    /// Upstreams in each failure domain.
+    pub(crate) makers: [usize; 6],
+}
+
+/// A stage of a kind of request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Stage {
+    pub(crate) pool: usize,
+    pub(crate) after: Option<usize>,
+    /// Mean number of pieces, and the share of requests that have any.
+    pub(crate) pieces: f64,
+    pub(crate) share: f64,
+    pub(crate) bytes: u64,
+    /// Work of a piece, 1 for an average one.
+    pub(crate) work: f64,
+}
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub(crate) struct Kind {
+    pub(crate) name: &'static str,
+    /// Requests a second.
+    pub(crate) rate: f64,
+    pub(crate) aim: clock::Millis,
+    pub(crate) deadline: clock::Millis,
+    /// Worth in time, and late.
+    pub(crate) worth: (f64, f64),
+    pub(crate) rank: u8,
+    /// Prompt tokens that an engine has to read.
+    pub(crate) tokens: f64,
+    pub(crate) stages: Vec<Stage>,
+}
+
+/// A deployment.
+#[derive(Clone, Debug)]
+pub(crate) struct Shape {
+    pub(crate) name: &'static str,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) kinds: Vec<Kind>,
+    /// Engines in each failure domain.
+    pub(crate) engines: usize,
+}
+
+fn pool(batch: u32, item_us: u64, room: u64, makers: [usize; 6]) -> Pool {
+    let pieces = pool::Pieces {
+        slots: 1,
+        queue: 2,
+        batch,
+        call: clock::Millis(200),
+        item_us,
+        room: size::ByteCount(room),
+        kept: clock::Millis(4000),
+    };
+    Pool { pieces, makers }
+}
+
+fn large(pieces: f64, share: f64) -> Stage {
+    Stage {
+        pool: 0,
+        after: None,
+        pieces,
+        share,
+        bytes: 1_500_000,
+        work: 1.0,
+    }
+}
+
+/// Three stages in a row, numbered from `first`.
+fn chain(first: usize, middle: f64) -> [Stage; 3] {
+    let stage = |pool: usize, pieces, bytes, work| Stage {
+        pool,
+        after: (pool > 0).then(|| first + pool - 1),
+        pieces,
+        share: 1.0,
+        bytes,
+        work,
+    };
+    [
+        stage(0, 1.0, 8000, 0.3),
+        stage(1, middle, 60_000, 1.0),
+        stage(2, 10.0, 6000, 1.0),
+    ]
+}
+
+/// Many engines, short summaries with large results: the ticketing deployment after its growth.
+pub(crate) fn ticketing() -> Shape {
+    let kind = |name, rate, aim, deadline, worth, rank, tokens, stages| Kind {
+        name,
+        rate,
+        aim: clock::Millis(aim),
+        deadline: clock::Millis(deadline),
+        worth,
+        rank,
+        tokens,
+        stages,
+    };
+    let mut chat = vec![large(1.5, 0.4)];
+    chat.extend(chain(1, 6.0));
+    Shape {
+        name: "ticketing",
+        pools: vec![
+            pool(12, 14_000, 27_000_000, [3; 6]),
+            pool(44, 3900, 5_800_000, [3, 3, 3, 2, 2, 2]),
+            pool(60, 2900, 800_000, [3; 6]),
+        ],
+        kinds: vec![
+            kind(
+                "summary",
+                78.6,
+                1100,
+                6000,
+                (4.4, 0.66),
+                0,
+                4000.0,
+                vec![large(2.5, 0.7)],
+            ),
+            kind(
+                "question",
+                91.1,
+                2500,
+                6000,
+                (1.1, 0.17),
+                1,
+                2000.0,
+                chain(0, 6.0).to_vec(),
+            ),
+            kind("chat", 59.0, 2700, 20_000, (0.56, 0.084), 2, 600.0, chat),
+        ],
+        engines: 10,
+    }
+}
+
+/// More engines, long reviews with four stages: the mastering deployment after its growth.
+pub(crate) fn mastering() -> Shape {
+    let mut shape = ticketing();
+    shape.name = "mastering";
+    shape.engines = 15;
+    shape.pools = vec![
+        pool(14, 12_000, 32_000_000, [4, 3, 3, 3, 3, 3]),
+        pool(44, 3900, 5_800_000, [3, 3, 3, 2, 2, 2]),
+        pool(92, 1900, 1_200_000, [3; 6]),
+    ];
+    let mut review = vec![large(1.5, 0.4)];
+    review.extend(chain(1, 4.0));
+    let names = ["review", "note", "chatter"];
+    let figures = [
+        (106.0, 2000, 8000, (4.3, 0.64)),
+        (122.0, 2500, 6000, (1.1, 0.17)),
+        (69.6, 1800, 15_000, (0.62, 0.093)),
+    ];
+    let stages = [review, chain(0, 4.0).to_vec(), vec![large(2.5, 0.7)]];
+    let changes = names.into_iter().zip(figures).zip(stages);
+    for (kind, ((name, (rate, aim, deadline, worth)), stages)) in
+        shape.kinds.iter_mut().zip(changes)
+    {
+        kind.name = name;
+        kind.rate = rate;
+        kind.aim = clock::Millis(aim);
+        kind.deadline = clock::Millis(deadline);
+        kind.worth = worth;
+        kind.stages = stages;
+    }
+    shape
+}
