--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -157,7 +157,7 @@
             };
             let (pool, domain, handles) = (pool.clone(), domain.clone(), handles.clone());
             let release = self.remote.release(&holder, pool, domain, handles, bytes);
-            if release.await {
+            if release.await == service::Release::Taken {
                 return;
             }
         }
--- a/crates/basilgrade_edge/src/gather/remote.rs
+++ b/crates/basilgrade_edge/src/gather/remote.rs
@@ -86,7 +86,9 @@
         outcome
     }
 
-    /// Hands results to be freed to `daemon`; whether it took them.
+    /// Hands results to be freed to `daemon`.
+    ///
+    /// A daemon that cannot be reached counts as leaving: another one keeps the queue next.
     pub async fn release(
         &self,
         daemon: &daemon::Daemon,
@@ -94,7 +96,7 @@
         domain: id::DomainId,
         handles: Vec<handle::Handle>,
         bytes: u64,
-    ) -> bool {
+    ) -> service::Release {
         let outcome = self
             .links
             .call(daemon.address, ANSWER_LIMIT, |peer, context| async move {
@@ -102,14 +104,14 @@
             })
             .await;
         match outcome {
-            Ok(service::Release::Taken) => return true,
+            Ok(service::Release::Taken) => return service::Release::Taken,
             Ok(service::Release::Leaving) => self.links.avoid(daemon.address),
             Err(reason) => log::info!(
                 "event=release-failed daemon={} reason={reason:?}",
                 daemon.name
             ),
         }
-        false
+        service::Release::Leaving
     }
 
     /// Asks for the loads behind `duties`; those without an answer, or of this daemon, are left out.
--- a/crates/basilgrade_edge/src/gather/router.rs
+++ b/crates/basilgrade_edge/src/gather/router.rs
@@ -11,6 +11,7 @@
 use basilgrade_fleet::model::pool;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use basilgrade_types::size;
 use indexmap::IndexMap;
 
 use crate::core;
@@ -105,7 +106,7 @@
             rank: job.rank,
             pieces: job.pieces,
             aim: job.aim,
-            moved: basilgrade_types::size::ByteCount(job.fetched.0 + results),
+            moved: size::ByteCount(job.fetched.0 + results),
         };
         let place = sync::Arc::clone(&self.core.view.load().place);
         let now = self.core.now();
--- a/crates/basilgrade_fleet/src/batch/cells.rs
+++ b/crates/basilgrade_fleet/src/batch/cells.rs
@@ -26,7 +26,7 @@
 /// answers are worth a fraction.
 const LATE_COST: f64 = 1000.0;
 
-/// The queue of the upstreams in one failure domain.
+/// The queue of the upstreams in one failure domain, as it is known elsewhere.
 #[derive(Clone, Debug, Default)]
 struct Cell {
     makers: u32,
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -28,7 +28,8 @@
 /// between regions and the delay of timers.
 const LEAD: clock::Millis = clock::Millis(55);
 
-/// Part of a new call in the running number of pieces that calls take.
+/// Part of a new call in the running number of pieces that calls take; it covers the last ten, which
+/// is some seconds of the two or three upstreams of a queue.
 const FILL_WEIGHT: f64 = 0.1;
 
 /// Calls of the daemon that kept the queue before end in this time: one that runs, and one that
