Do not take the start of a daemon for the return of the store

Ruled out: lost news (the removal arrived within 0.7 s) and the queue (it follows the directory).

Change: only an answer after a failure is a return.

--- a/crates/basilgrade_edge/src/follow/state.rs
+++ b/crates/basilgrade_edge/src/follow/state.rs
@@ -32,6 +32,8 @@
     mirrors: sync::Mutex<[mirror::Mirror; 3]>,
     daemons: sync::Mutex<Vec<daemon::Daemon>>,
     is_reached: atomic::AtomicBool,
+    /// Whether the store has failed to answer since it last answered.
+    was_lost: atomic::AtomicBool,
     regained: atomic::AtomicU64,
     kick: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
@@ -61,6 +63,7 @@
             mirrors: sync::Mutex::new(TOPICS.map(mirror::Mirror::new)),
             daemons: sync::Mutex::default(),
             is_reached: atomic::AtomicBool::new(false),
+            was_lost: atomic::AtomicBool::new(false),
             regained: atomic::AtomicU64::new(0),
             kick: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
@@ -132,14 +135,18 @@
             return;
         }
         log::info!("event=dependency-regained dependency=store");
-        self.regained
-            .store(self.core.now().0, atomic::Ordering::Relaxed);
+        // The first answer after the start is no return: what is missing then was never known.
+        if self.was_lost.swap(false, atomic::Ordering::Relaxed) {
+            self.regained
+                .store(self.core.now().0, atomic::Ordering::Relaxed);
+        }
         self.kick.send_modify(|count| *count += 1);
     }
 
     /// Records that the store did not answer.
     pub fn lost(&self, reason: &str) {
         self.core.metrics.store_failures.add();
+        self.was_lost.store(true, atomic::Ordering::Relaxed);
         if self.is_reached.swap(false, atomic::Ordering::Relaxed) {
             log::warn!("event=dependency-lost dependency=store reason={reason:?}");
         }
