--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -85,13 +85,20 @@
 
     fn expire(&mut self, now: clock::Millis) {
         let least = self.pieces.span(1);
-        let late = |(id, entry): (&call::JobId, &waiting::Waiting)| {
+        let kept = self.pieces.kept;
+        let over = |(id, entry): (&call::JobId, &waiting::Waiting)| {
             let hopeless = !entry.unsent.is_empty() && now.plus(least) > entry.end_at;
-            (hopeless || now > entry.end_at).then_some(*id)
+            if hopeless || now > entry.end_at {
+                return Some((*id, outcome::JobOutcome::Late));
+            }
+            let is_lost = entry.holds_inputs()
+                && entry.unsent.len() == entry.job.pieces as usize
+                && now > entry.since.plus(kept);
+            is_lost.then_some((*id, outcome::JobOutcome::InputGone))
         };
-        let ids: Vec<_> = self.jobs.iter().filter_map(late).collect();
-        for id in ids {
-            self.finish(id, outcome::JobOutcome::Late);
+        let ended: Vec<_> = self.jobs.iter().filter_map(over).collect();
+        for (id, outcome) in ended {
+            self.finish(id, outcome);
         }
     }
 
--- a/crates/basilgrade_fleet/src/batch/waiting.rs
+++ b/crates/basilgrade_fleet/src/batch/waiting.rs
@@ -25,6 +25,11 @@
 }
 
 impl Waiting {
+    /// Whether the pieces need results, which expire.
+    pub(super) fn holds_inputs(&self) -> bool {
+        matches!(self.job.source, job::Source::Results(_))
+    }
+
     /// The inputs, when they have been used and nothing else needs them; at most once.
     pub(super) fn take_spent(&mut self) -> Option<call::Spent> {
         let job::Source::Results(handles) = &self.job.source else {
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -450,3 +450,23 @@
         queue.load(now)
     );
 }
+
+/// Guards against calls that are filled with pieces whose inputs have expired while they waited.
+#[test]
+fn a_job_whose_inputs_have_expired_ends_without_a_call() {
+    let mut queue = queue(1);
+    queue.submit(START, job("running", 8));
+    queue.dispatch(START);
+    let mut waiting = with_inputs(job("waiting", 2));
+    waiting.left = clock::Millis(60_000);
+    let waiting = queue.submit(START, waiting);
+    let expired = START.plus(common::pieces().kept).plus(clock::Millis(1));
+
+    let calls = queue.dispatch(expired);
+
+    assert_eq!(
+        queue.take_finished(),
+        [(waiting, outcome::JobOutcome::InputGone)]
+    );
+    assert!(calls.is_empty());
+}
