Answer open requests before the process ends

Requests without an answer at the end of the grace were cut.

Change: requests without an answer are answered 0.4 s before the process ends, by what is known of them; what cannot start to be answered by then is refused when it arrives; streams go on to the end.

--- a/crates/basilgrade/tests/edge.rs
+++ b/crates/basilgrade/tests/edge.rs
@@ -428,3 +428,27 @@
     let second = idle.read(&mut buffer).await.expect("an answer");
     assert!(first > 0 && second > 0);
 }
+
+/// Guards against callers whose connections are closed without an answer at the end of a shutdown.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_answers_what_it_cannot_finish() {
+    let mut deployment = deployment::start(&["a"]).await;
+    let address = deployment.daemons[0].callers;
+    for number in 0..2 {
+        let engine = deployment.upstream(&format!("engine-{number}"));
+        engine.set(upstream::Mood::Silent);
+    }
+    let stuck = client::staged("stuck", "/stream/x");
+    let sending = tokio::spawn(client::send(address, stuck, ""));
+    deployment::until("the engine has it", || async {
+        deployment.count("stuck") == 1
+    })
+    .await;
+
+    deployment.daemons[0].signal("TERM");
+    let answer = sending.await.expect("no panic").expect("an answer");
+
+    // It has run, so the answer does not promise otherwise.
+    assert_eq!(answer.status, 504, "{answer:?}");
+    assert!(deployment.daemons[0].ended().await);
+}
--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -34,6 +34,8 @@
     BreaksIn(u64),
     /// It waits this long before each event.
     Slow(u64),
+    /// It runs them and never answers.
+    Silent,
 }
 
 /// A request that was run.
@@ -168,6 +170,7 @@
         }
         let mut answer = match mood {
             Mood::Mute => return None,
+            Mood::Silent => std::future::pending().await,
             _ if request.uri().path().starts_with("/stream") => self.stream(&request, mood),
             _ => Response::new(server::whole(format!("{} {name}", self.id))),
         };
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -7,6 +7,7 @@
 use basilgrade_fleet::budget;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use tokio_util::sync::CancellationToken;
 
 use crate::http::pool;
 use crate::metrics;
@@ -27,6 +28,9 @@
     pub metrics: metrics::Metrics,
     budget: sync::Mutex<budget::Budget>,
     draining: atomic::AtomicBool,
+    /// When open requests are answered at the latest, as the process ends.
+    closing_at: atomic::AtomicU64,
+    closing: CancellationToken,
     active: atomic::AtomicUsize,
 }
 
@@ -56,6 +60,8 @@
             links: pool::Pool::default(),
             metrics: metrics::Metrics::new()?,
             draining: atomic::AtomicBool::new(false),
+            closing_at: atomic::AtomicU64::new(u64::MAX),
+            closing: CancellationToken::new(),
             active: atomic::AtomicUsize::new(0),
         })
     }
@@ -76,11 +82,27 @@
         self.draining.load(atomic::Ordering::Relaxed)
     }
 
-    /// Starts shutting down.
-    pub fn drain(&self) {
+    /// Starts shutting down; open requests are answered by `until`.
+    pub fn drain(&self, until: clock::Millis) {
+        self.closing_at.store(until.0, atomic::Ordering::Relaxed);
         self.draining.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// When open requests are answered at the latest.
+    pub fn closing_at(&self) -> clock::Millis {
+        clock::Millis(self.closing_at.load(atomic::Ordering::Relaxed))
+    }
+
+    /// Has the open requests answered, as the process ends.
+    pub fn close(&self) {
+        self.closing.cancel();
+    }
+
+    /// Returns when the open requests have to be answered.
+    pub async fn closing(&self) {
+        self.closing.cancelled().await;
+    }
+
     /// Requests in progress.
     pub fn active(&self) -> usize {
         self.active.load(atomic::Ordering::Relaxed)
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -37,6 +37,9 @@
 /// The process ends this long before it would be killed, as a slow VM needs time to end.
 const KILL_MARGIN: clock::Millis = clock::Millis(1000);
 
+/// Open requests are answered this long before the process ends, so that the answers get out.
+const ANSWER_MARGIN: clock::Millis = clock::Millis(400);
+
 /// Time between two looks at the settings file, which may change without a signal.
 const SETTINGS_CHECK: clock::Millis = clock::Millis(2000);
 
@@ -171,7 +174,13 @@
 ) {
     let grace = core.settings.load().grace;
     let end = tokio::time::Instant::now() + (grace - KILL_MARGIN).duration();
-    core.drain();
+    let closing = grace - KILL_MARGIN - ANSWER_MARGIN;
+    core.drain(core.now().plus(closing));
+    let closed = sync::Arc::clone(core);
+    tokio::spawn(async move {
+        tokio::time::sleep(closing.duration()).await;
+        closed.close();
+    });
     log::info!("event=stopping active={} grace={grace}", core.active());
     let leaving = register::remove(core);
     tokio::join!(leaving, tokio::time::sleep(LINGER.duration()));
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -62,9 +62,14 @@
         };
         let left = request.left(arrived);
         let serving = sync::Arc::clone(&self).answer(sync::Arc::clone(&request), active);
-        // A request that runs into its end is answered by what is known of it.
-        let outcome = tokio::time::timeout(left.duration(), serving).await;
-        let outcome = outcome.unwrap_or_else(|_| Err(request.timed_out()));
+        // A request that runs into its end, or that of the process, is answered by what is known of
+        // it.
+        let outcome = tokio::select! {
+            outcome = tokio::time::timeout(left.duration(), serving) => {
+                outcome.unwrap_or_else(|_| Err(request.cut_short("no answer within the deadline")))
+            }
+            () = self.core.closing() => Err(request.cut_short("the daemon ends")),
+        };
         match outcome {
             Ok(response) => response,
             Err(failure) => {
@@ -100,8 +105,10 @@
         if request.route.stages.is_empty() {
             return Ok(());
         }
+        let now = self.core.now();
         let arrival = admission::Arrival {
-            left: request.left(self.core.now()),
+            // Of a daemon that shuts down, only what starts to be answered in time is finished.
+            left: request.left(now).min(self.core.closing_at() - now),
             stages: self.longest_path(request),
             first: FIRST_EVENT,
         };
--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -74,9 +74,8 @@
         self.uncertain_sends.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 
-    /// The failure of a request that reached its end.
-    pub fn timed_out(&self) -> failure::Failure {
-        let reason = "no answer within the deadline";
+    /// The failure of a request that is given up for `reason`.
+    pub fn cut_short(&self, reason: &'static str) -> failure::Failure {
         if self.uncertain_sends.load(atomic::Ordering::Relaxed) > 0 {
             return failure::Failure::uncertain(serve::LATE, reason);
         }
