--- a/crates/basilgrade/tests/soak/check.rs
+++ b/crates/basilgrade/tests/soak/check.rs
@@ -7,10 +7,10 @@
 use crate::upstream;
 use crate::world;
 
-/// After this time a daemon in touch sends nothing more to an upstream that left.
+/// A daemon that was not disturbed stops sending to a departed upstream within this time.
 const DRAIN: time::Duration = time::Duration::from_secs(4);
 
-/// A daemon or store that was harmed this long before counts as out of touch.
+/// Time after a fault of a daemon or the store during which its promises are not checked.
 const SETTLE: time::Duration = time::Duration::from_secs(5);
 
 /// Findings after a run.
