Read a page of the stand-in store and its end offset under one lock

The stand-in took the records and the end offset in two steps. A record that was appended between the two was missing from the page although the offset covered it. Both are now taken under one lock. The daemon was not at fault.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -43,15 +43,21 @@
 
     /// Returns the keys of a topic with their newest values.
     pub(crate) fn newest(&self, topic: &str) -> IndexMap<String, Vec<u8>> {
+        self.newest_and_end(topic).0
+    }
+
+    /// Returns the keys of a topic with their newest values, and the end offset of these records.
+    fn newest_and_end(&self, topic: &str) -> (IndexMap<String, Vec<u8>>, usize) {
         let topics = self.topics.lock().expect("no holder of the lock panics");
+        let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
         let mut newest = IndexMap::new();
-        for (key, value) in topics.get(topic).into_iter().flatten() {
+        for (key, value) in records {
             newest.shift_remove(key);
             if !value.is_empty() {
                 newest.insert(key.clone(), value.clone());
             }
         }
-        newest
+        (newest, records.len())
     }
 
     /// Counts the reads of the topic `keyed.servers`, in which the upstreams are registered.
@@ -105,8 +111,8 @@
     /// Encodes the newest record of each key and the end offset as one page.
     fn newest_page(&self, topic: &str) -> Response<server::Body> {
         use base64::Engine as _;
-        let items: Vec<_> = self
-            .newest(topic)
+        let (newest, end_offset) = self.newest_and_end(topic);
+        let items: Vec<_> = newest
             .into_iter()
             .map(|(key, value)| {
                 let value = base64::prelude::BASE64_STANDARD.encode(value);
@@ -114,7 +120,7 @@
             })
             .collect();
         let page = serde_json::json!({
-            "items": items, "has-more": false, "end-offset": self.end_offset(topic),
+            "items": items, "has-more": false, "end-offset": end_offset,
         });
         Response::new(server::full_body(page.to_string()))
     }
