Print soak findings from before the first fault

The soak ended with exit code 1 and no output when a daemon did not serve before the first fault: the finding was returned without a report. The run now reports it like every other finding.

--- a/crates/basilgrade/tests/soak.rs
+++ b/crates/basilgrade/tests/soak.rs
@@ -120,7 +120,9 @@
     let faults = plan::draw_faults(&mut random, options.length);
     let harness = harness::Harness::start(options.processes).await;
     if let Err(finding) = wait_until_serving(&harness).await {
-        return vec![format!("before any fault: {finding}")];
+        let findings = vec![format!("before any fault: {finding}")];
+        report(&harness, options, &findings);
+        return findings;
     }
     let end = time::Instant::now() + options.length;
     let callers = (0..options.processes * CALLERS_PER_DAEMON)
