Log start time and sequence of a changed registration

The lines that tell of an upstream's registration could not show whether a registration was written before the one that it replaces, which is one of the hypotheses for requests to upstreams that are leaving. The directory now decodes `sequence`, and `upstream-changed` prints it with the start of the upstream. No decision reads it yet.

--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -316,11 +316,13 @@
                 if !is_same {
                     log::info!(
                         "event=upstream-changed upstream={id} pool={} address={} domain={} \
-                         state={:?} origin={}",
+                         state={:?} started_at={} sequence={} origin={}",
                         entry.pool,
                         entry.address,
                         entry.domain,
                         entry.state,
+                        entry.started_at.unwrap_or_default(),
+                        entry.sequence.unwrap_or_default(),
                         origin.as_str()
                     );
                 }
--- a/crates/basilgrade_fleet/benches/day/day.rs
+++ b/crates/basilgrade_fleet/benches/day/day.rs
@@ -258,6 +258,7 @@
                 slots: 1,
                 state: upstream::State::Ready,
                 started_at: None,
+                sequence: None,
                 stats: sync::Arc::default(),
             });
         }
--- a/crates/basilgrade_fleet/src/directory/upstream.rs
+++ b/crates/basilgrade_fleet/src/directory/upstream.rs
@@ -21,6 +21,8 @@
     pub state: State,
     /// Unix time at which the upstream started, if registered; distinguishes runs with the same id.
     pub started_at: Option<clock::Millis>,
+    /// Number of this registration among those of the same run, if given; rises with each.
+    pub sequence: Option<u64>,
     /// Statistics of this daemon about this run.
     pub stats: sync::Arc<health::Stats>,
 }
--- a/crates/basilgrade_fleet/tests/common/mod.rs
+++ b/crates/basilgrade_fleet/tests/common/mod.rs
@@ -32,6 +32,7 @@
         slots: 1,
         state: upstream::State::Ready,
         started_at: None,
+        sequence: None,
         stats: sync::Arc::default(),
     }
 }
