Judge removals of upstreams by own reads of the store, not by the reader's doubt

A removal counts as doubtful for 2.2 s after a store outage, as entries of live upstreams lapse meanwhile. Followers took this judgement over from the daemon that reads for them. A reader that had lost only its own link called the removals after its return doubtful, and its followers kept the upstream until second 15.60 although they had read the store themselves until second 12.84 (`upstream-gone ... uncertain=true origin=peer`, `upstream-expired`).

A daemon that has read the store itself within the shortest outage that can make a registration lapse, two heartbeats, now refutes the reader's doubt. The state of the store as seen by a daemon moves to `basilgrade_fleet::outage`; the setting `heartbeat` gives the interval.

`doubt_of_reader_does_not_outweigh_own_reads` failed with the doubt taken over and passes now; `doubt_of_reader_holds_without_own_reads` keeps the protection against lapsed entries.

--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -9,6 +9,7 @@
 use basilgrade_adapter::upstream_registration;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
+use basilgrade_fleet::outage;
 use basilgrade_types::clock;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -16,13 +17,9 @@
 use crate::core;
 use crate::follow::mirror;
 use crate::follow::origin;
+use crate::peers::service;
 use crate::view;
 
-/// Time after a store outage during which registrations of live upstreams may be missing.
-///
-/// Registrations expire during an outage; live upstreams register again within about 2 s after it.
-const RETURN_GRACE: clock::Millis = clock::Millis(2200);
-
 /// Age at which a daemon's registration expires; running daemons renew theirs earlier.
 const REGISTRATION_AGE: clock::Millis = clock::Millis(30 * 60_000);
 
@@ -32,10 +29,7 @@
     topics: sync::Mutex<[mirror::Mirror; 3]>,
     daemons: sync::Mutex<Vec<daemon::Daemon>>,
     is_store_reachable: atomic::AtomicBool,
-    /// Whether a store call has failed since the last successful one.
-    was_unreachable: atomic::AtomicBool,
-    /// Unix time in milliseconds at which the last store outage ended; 0 if there was none.
-    regained_at_ms: atomic::AtomicU64,
+    outages: sync::Mutex<outage::OutageDetector>,
     regained: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
     is_reading: tokio::sync::watch::Sender<bool>,
@@ -59,13 +53,13 @@
 impl Mirrors {
     /// Empty mirrors; the daemon reads the store itself until another reader is found.
     pub fn new(core: sync::Arc<core::Core>) -> Self {
+        let heartbeat = core.settings.load().heartbeat;
         Self {
             core,
             topics: sync::Mutex::new(TOPICS.map(mirror::Mirror::new)),
             daemons: sync::Mutex::default(),
             is_store_reachable: atomic::AtomicBool::new(false),
-            was_unreachable: atomic::AtomicBool::new(false),
-            regained_at_ms: atomic::AtomicU64::new(0),
+            outages: sync::Mutex::new(outage::OutageDetector::new(heartbeat)),
             regained: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
             is_reading: tokio::sync::watch::Sender::new(true),
@@ -133,8 +127,19 @@
         self.regained.subscribe()
     }
 
-    /// Records a successful store call.
+    fn lock_outages(&self) -> sync::MutexGuard<'_, outage::OutageDetector> {
+        self.outages
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Records a successful store call of this daemon.
     pub fn record_store_answer(&self) {
+        self.lock_outages().record_read(self.core.now());
+        self.set_reachable();
+    }
+
+    fn set_reachable(&self) {
         if self
             .is_store_reachable
             .swap(true, atomic::Ordering::Relaxed)
@@ -142,18 +147,13 @@
             return;
         }
         log::info!("event=dependency-regained dependency=store");
-        // If no call has failed since the start, the first answer does not end an outage.
-        if self.was_unreachable.swap(false, atomic::Ordering::Relaxed) {
-            self.regained_at_ms
-                .store(self.core.now().0, atomic::Ordering::Relaxed);
-        }
         self.regained.send_modify(|count| *count += 1);
     }
 
     /// Records a failed store call.
     pub fn record_store_failure(&self, reason: &str) {
         self.core.metrics.store_failures.inc();
-        self.was_unreachable.store(true, atomic::Ordering::Relaxed);
+        self.lock_outages().record_failure();
         if self
             .is_store_reachable
             .swap(false, atomic::Ordering::Relaxed)
@@ -165,14 +165,38 @@
     /// Whether registrations of live upstreams may be missing, because the store is or was recently
     /// unreachable.
     pub fn is_uncertain(&self) -> bool {
-        let regained_at = clock::Millis(self.regained_at_ms.load(atomic::Ordering::Relaxed));
-        !self.is_store_reachable() || self.core.now() < regained_at.plus(RETURN_GRACE)
+        self.lock_outages().is_doubtful(self.core.now())
+    }
+
+    /// Applies the updates of another daemon's reply.
+    ///
+    /// `is_reader` tells whether the other daemon reads the store for this one.
+    pub fn apply_reply(&self, reply: service::Updates, is_reader: bool) {
+        let now = self.core.now();
+        let is_uncertain = {
+            let mut outages = self.lock_outages();
+            match (is_reader, reply.is_store_reachable) {
+                (true, true) => outages.record_peer_answer(now, reply.is_uncertain),
+                (true, false) => outages.record_peer_failure(),
+                (false, _) => {}
+            }
+            outages.is_update_doubtful(reply.is_uncertain)
+        };
+        for update in reply.updates {
+            self.apply_from_peer(update, is_uncertain);
+        }
+        if reply.is_store_reachable && !is_uncertain {
+            self.expire_missing();
+        }
+        if is_reader && reply.is_store_reachable {
+            self.set_reachable();
+        }
     }
 
     /// Applies an update received from another daemon, unless the mirror is at least as new.
     ///
     /// `is_uncertain` tells whether registrations of live upstreams may be missing from the update.
-    pub fn apply_from_peer(&self, update: mirror::Update, is_uncertain: bool) {
+    fn apply_from_peer(&self, update: mirror::Update, is_uncertain: bool) {
         let known = self.position(update.topic);
         if known.is_some_and(|position| position >= update.position) {
             return;
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -55,12 +55,11 @@
                 .await
             {
                 Ok(updates) if updates.is_store_reachable => {
-                    self.apply_updates(updates);
-                    self.mirrors.record_store_answer();
+                    self.mirrors.apply_reply(updates, true);
                     self.mirrors.set_reader(false, reader.name.as_str());
                 }
                 Ok(updates) => {
-                    self.apply_updates(updates);
+                    self.mirrors.apply_reply(updates, true);
                     self.mirrors
                         .set_reader(true, "the store does not answer the reader");
                     self.read_store_directly().await;
@@ -98,7 +97,7 @@
             .fetch_updates(address, clock::Millis::ZERO, CROSS_REGION_TIMEOUT)
             .await
         {
-            Ok(updates) => self.apply_updates(updates),
+            Ok(updates) => self.mirrors.apply_reply(updates, false),
             Err(reason) => {
                 log::info!("event=news-unavailable address={address} reason={reason:?}");
             }
@@ -119,15 +118,6 @@
             .await
     }
 
-    fn apply_updates(&self, updates: service::Updates) {
-        for update in updates.updates {
-            self.mirrors.apply_from_peer(update, updates.is_uncertain);
-        }
-        if updates.is_store_reachable && !updates.is_uncertain {
-            self.mirrors.expire_missing();
-        }
-    }
-
     /// Address of a random daemon that has not recently failed, from the registered daemons and the
     /// seeds.
     fn fallback_address(&self) -> Option<net::SocketAddr> {
--- a/crates/basilgrade_edge/src/settings.rs
+++ b/crates/basilgrade_edge/src/settings.rs
@@ -9,6 +9,9 @@
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
+/// Interval at which upstreams renew their registrations if the settings do not state it.
+const DEFAULT_HEARTBEAT: clock::Millis = clock::Millis(1200);
+
 quick_error! {
     /// Error in the settings file.
     #[derive(Debug)]
@@ -47,6 +50,8 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Address of the platform's store.
     pub store: net::SocketAddr,
+    /// Interval at which upstreams renew their registrations.
+    pub heartbeat: clock::Millis,
     /// Time from the termination signal until the platform kills the process.
     pub grace: clock::Millis,
     /// Retry budget, shared by all daemons.
@@ -151,6 +156,10 @@
             Some(net::SocketAddr::new(peers.ip(), port))
         }
     };
+    let heartbeat = match reader.file.get_from(Some("platform"), "heartbeat") {
+        None | Some("") => DEFAULT_HEARTBEAT,
+        Some(_) => reader.duration("platform", "heartbeat")?,
+    };
     Ok(Settings {
         name: reader.value("vm", "name")?,
         domain: reader.value("vm", "domain")?,
@@ -161,6 +170,7 @@
         metrics,
         seeds: reader.seeds()?,
         store: reader.value("platform", "address")?,
+        heartbeat,
         grace: reader.duration("shutdown", "grace")?,
         retries: budget::Config {
             ratio: reader.value("retries", "ratio")?,
--- a/crates/basilgrade_edge/tests/certainty.rs
+++ b/crates/basilgrade_edge/tests/certainty.rs
@@ -2,13 +2,43 @@
 
 use std::sync;
 
+use basilgrade_adapter::store;
 use basilgrade_edge::core;
+use basilgrade_edge::follow::mirror;
 use basilgrade_edge::follow::mirrors;
+use basilgrade_edge::peers::service;
 use basilgrade_edge::settings;
 use basilgrade_edge::view;
 use basilgrade_fleet::placement;
 
+/// Reply of another daemon, whose mirror of the upstreams is at `position`.
+fn new_reply(position: u64, is_uncertain: bool, changes: mirror::Changes) -> service::Updates {
+    service::Updates {
+        is_store_reachable: true,
+        is_uncertain,
+        updates: vec![mirror::Update {
+            topic: store::Topic::Upstreams,
+            position,
+            changes,
+        }],
+    }
+}
+
+fn registration() -> mirror::Changes {
+    let entry = r#"{"service": "pool", "address": "127.0.0.1:5", "zone": "a", "slots": 1,
+        "state": "ready", "sequence": 1}"#;
+    mirror::Changes::All(vec![("i-1".into(), entry.into())])
+}
+
+fn removal() -> mirror::Changes {
+    mirror::Changes::Some(vec![("i-1".into(), None)])
+}
+
 fn new_mirrors() -> mirrors::Mirrors {
+    new_mirrors_and_core().0
+}
+
+fn new_mirrors_and_core() -> (mirrors::Mirrors, sync::Arc<core::Core>) {
     let text = "[vm]\nname = vm-1\ndomain = a\n[listen]\ncallers = 127.0.0.1:1\n\
         readiness = 127.0.0.1:2\npeers = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n\
         [shutdown]\ngrace = 8s\n[retries]\nratio = 0.2\nfloor = 58\nwindow = 10s\n";
@@ -25,7 +55,8 @@
         has_upstreams: false,
     };
     let core = core::Core::new(settings, view).expect("the metrics are registered");
-    mirrors::Mirrors::new(sync::Arc::new(core))
+    let core = sync::Arc::new(core);
+    (mirrors::Mirrors::new(sync::Arc::clone(&core)), core)
 }
 
 /// Guards against a daemon that keeps sending requests to a deregistered upstream, because the
@@ -56,3 +87,28 @@
         assert!(during_outage && mirrors.is_uncertain());
     }
 }
+
+/// Guards against a daemon that keeps sending requests to a deregistered upstream, because the
+/// daemon that reads the store for it has just regained the store.
+#[test]
+fn doubt_of_reader_does_not_outweigh_own_reads() {
+    let (mirrors, core) = new_mirrors_and_core();
+    mirrors.record_store_answer();
+    mirrors.apply_reply(new_reply(1, false, registration()), true);
+
+    mirrors.apply_reply(new_reply(2, true, removal()), true);
+
+    assert_eq!(core.view.load().directory.ids().count(), 0);
+}
+
+/// Guards against live upstreams that are removed because a daemon that has not read the store
+/// itself overrules its reader.
+#[test]
+fn doubt_of_reader_holds_without_own_reads() {
+    let (mirrors, core) = new_mirrors_and_core();
+    mirrors.apply_reply(new_reply(1, false, registration()), true);
+
+    mirrors.apply_reply(new_reply(2, true, removal()), true);
+
+    assert_eq!(core.view.load().directory.ids().count(), 1);
+}
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod events;
 pub mod health;
 pub mod model;
+pub mod outage;
 pub mod placement;
 pub mod ranking;
--- /dev/null
+++ b/crates/basilgrade_fleet/src/outage.rs
@@ -0,0 +1,100 @@
+//! Detection of store outages during which registrations of live upstreams may have lapsed.
+
+use basilgrade_types::clock;
+
+/// Time after an outage within which live upstreams register again.
+const RETURN_GRACE: clock::Millis = clock::Millis(2200);
+
+/// Store outages as seen by one daemon.
+///
+/// That this daemon was not answered is no proof of an outage: its own link may have failed while
+/// upstreams kept registering.
+#[derive(Clone, Debug)]
+pub struct OutageDetector {
+    /// Shortest outage that can make the registration of a live upstream lapse.
+    min_length: clock::Millis,
+    /// Last answer of the store to this daemon or to the daemon that reads for it.
+    answered_at: Option<clock::Millis>,
+    /// Last answer of the store to this daemon.
+    read_at: Option<clock::Millis>,
+    has_failed: bool,
+    ended_at: Option<clock::Millis>,
+    /// Whether this daemon's own reads refute the doubt of the daemon that reads for it; `None`
+    /// while that daemon has none.
+    refutes_doubt: Option<bool>,
+}
+
+impl OutageDetector {
+    /// Creates a detector for upstreams that register every `heartbeat` and whose registrations
+    /// lapse after three heartbeats without one.
+    pub const fn new(heartbeat: clock::Millis) -> Self {
+        Self {
+            // The last registration may precede the outage by one heartbeat.
+            min_length: clock::Millis(heartbeat.0 * 2),
+            answered_at: None,
+            read_at: None,
+            has_failed: false,
+            ended_at: None,
+            refutes_doubt: None,
+        }
+    }
+
+    /// Records that the store answered this daemon.
+    pub fn record_read(&mut self, now: clock::Millis) {
+        self.read_at = Some(now);
+        self.record_answer(now);
+    }
+
+    /// Records that the store answers the daemon that reads for this one.
+    ///
+    /// `is_doubtful` tells whether that daemon holds that registrations of live upstreams may be
+    /// missing.
+    pub fn record_peer_answer(&mut self, now: clock::Millis, is_doubtful: bool) {
+        if is_doubtful {
+            let has_read_lately = self
+                .read_at
+                .is_some_and(|at| now < at.plus(self.min_length));
+            self.refutes_doubt.get_or_insert(has_read_lately);
+        } else {
+            self.refutes_doubt = None;
+        }
+        self.record_answer(now);
+    }
+
+    fn record_answer(&mut self, now: clock::Millis) {
+        if self.has_failed {
+            self.ended_at = Some(now);
+        }
+        self.has_failed = false;
+        self.answered_at = Some(now);
+    }
+
+    /// Records that the store did not answer this daemon.
+    pub fn record_failure(&mut self) {
+        self.has_failed = true;
+        self.refutes_doubt = None;
+    }
+
+    /// Records that the store does not answer the daemon that reads for this one.
+    pub fn record_peer_failure(&mut self) {
+        self.refutes_doubt = None;
+    }
+
+    /// Time until which registrations of live upstreams may be missing after the last outage.
+    pub fn doubtful_until(&self) -> Option<clock::Millis> {
+        self.ended_at.map(|at| at.plus(RETURN_GRACE))
+    }
+
+    /// Whether registrations of live upstreams may be missing, because there is or recently was an
+    /// outage.
+    pub fn is_doubtful(&self, now: clock::Millis) -> bool {
+        let is_out = self.has_failed || self.answered_at.is_none();
+        is_out || self.doubtful_until().is_some_and(|until| now < until)
+    }
+
+    /// Whether registrations may be missing in an update from another daemon, which reports its own
+    /// doubt in `is_doubtful`.
+    pub fn is_update_doubtful(&self, is_doubtful: bool) -> bool {
+        is_doubtful && self.refutes_doubt != Some(true)
+    }
+}
