Read the registrations again as soon as the doubt about them ends

The pause before a read now ends with the doubt, so what is still missing then is removed 2.2 s after the return instead of up to 3.3 s.

--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -168,6 +168,11 @@
         self.lock_outages().is_doubtful(self.core.now())
     }
 
+    /// Pause before the next read of the registrations, which are read every `interval`.
+    pub fn read_pause(&self, interval: clock::Millis) -> clock::Millis {
+        self.lock_outages().read_pause(self.core.now(), interval)
+    }
+
     /// Applies the updates of another daemon's reply.
     ///
     /// `is_reader` tells whether the other daemon reads the store for this one.
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -192,7 +192,8 @@
                 if !self.mirrors.is_uncertain() {
                     self.mirrors.expire_missing();
                 }
-                tokio::time::sleep(UPSTREAM_READ_INTERVAL.duration()).await;
+                let pause = self.mirrors.read_pause(UPSTREAM_READ_INTERVAL);
+                tokio::time::sleep(pause.duration()).await;
             } else if self.topic == store::Topic::Daemons {
                 tokio::time::sleep(DAEMON_READ_INTERVAL.duration()).await;
             }
--- a/crates/basilgrade_fleet/src/outage.rs
+++ b/crates/basilgrade_fleet/src/outage.rs
@@ -80,11 +80,18 @@
         self.refutes_doubt = None;
     }
 
-    /// Time until which registrations of live upstreams may be missing after the last outage.
-    pub fn doubtful_until(&self) -> Option<clock::Millis> {
+    fn doubtful_until(&self) -> Option<clock::Millis> {
         self.ended_at.map(|at| at.plus(RETURN_GRACE))
     }
 
+    /// Pause before the next read of the registrations, which are read every `interval`.
+    ///
+    /// Ends with the doubt, so that upstreams that are still missing then are removed at once.
+    pub fn read_pause(&self, now: clock::Millis, interval: clock::Millis) -> clock::Millis {
+        let doubt = self.doubtful_until().filter(|until| *until > now);
+        doubt.map_or(interval, |until| interval.min(until - now))
+    }
+
     /// Whether registrations of live upstreams may be missing, because there is or recently was an
     /// outage.
     pub fn is_doubtful(&self, now: clock::Millis) -> bool {
