Doubt removals only after outages that can make registrations lapse

One failed call to the store made every removal of the next 2.2 s doubtful at the daemon and at its followers, so that upstreams which had left without announcing it could get requests for up to 3.3 s (bound 2.5 s).

A registration lapses after three heartbeats without one, so an outage shorter than two heartbeats cannot make that of a live upstream lapse. Such failures raise no doubt any more.

`short_failure_raises_no_doubt` failed before the change. Outages that follow a successful call are checked by `outage_that_lets_registrations_lapse_raises_doubt`, with their exact bounds in virtual time.

--- a/crates/basilgrade_fleet/src/outage.rs
+++ b/crates/basilgrade_fleet/src/outage.rs
@@ -62,7 +62,7 @@
     }
 
     fn record_answer(&mut self, now: clock::Millis) {
-        if self.has_failed {
+        if self.is_out(now) {
             self.ended_at = Some(now);
         }
         self.has_failed = false;
@@ -80,6 +80,12 @@
         self.refutes_doubt = None;
     }
 
+    /// Whether the store has failed to answer for long enough to make registrations lapse.
+    fn is_out(&self, now: clock::Millis) -> bool {
+        let is_silent = |at: clock::Millis| now >= at.plus(self.min_length);
+        self.has_failed && self.answered_at.is_none_or(is_silent)
+    }
+
     fn doubtful_until(&self) -> Option<clock::Millis> {
         self.ended_at.map(|at| at.plus(RETURN_GRACE))
     }
@@ -95,8 +101,9 @@
     /// Whether registrations of live upstreams may be missing, because there is or recently was an
     /// outage.
     pub fn is_doubtful(&self, now: clock::Millis) -> bool {
-        let is_out = self.has_failed || self.answered_at.is_none();
-        is_out || self.doubtful_until().is_some_and(|until| now < until)
+        self.answered_at.is_none()
+            || self.is_out(now)
+            || self.doubtful_until().is_some_and(|until| now < until)
     }
 
     /// Whether registrations may be missing in an update from another daemon, which reports its own
--- a/crates/basilgrade_fleet/tests/outage.rs
+++ b/crates/basilgrade_fleet/tests/outage.rs
@@ -30,3 +30,29 @@
     assert!(!detector.is_doubtful(at(7200)));
     assert_eq!(detector.read_pause(at(7200), interval), interval);
 }
+
+/// Guards against live upstreams that are removed because their registrations lapsed while the
+/// store was away.
+#[test]
+fn outage_that_lets_registrations_lapse_raises_doubt() {
+    let mut during = outage::OutageDetector::new(HEARTBEAT);
+    during.record_read(at(0));
+    during.record_failure();
+    let after = detector_after_outage(2400);
+
+    assert!(during.is_doubtful(at(2400)));
+    assert!(after.is_doubtful(at(2400)) && after.is_doubtful(at(4599)));
+    assert!(!after.is_doubtful(at(4600)));
+}
+
+/// Guards against requests to a deregistered upstream because one call to the store failed.
+#[test]
+fn short_failure_raises_no_doubt() {
+    let mut during = outage::OutageDetector::new(HEARTBEAT);
+    during.record_read(at(0));
+    during.record_failure();
+    let after = detector_after_outage(2300);
+
+    assert!(!during.is_doubtful(at(2300)));
+    assert!(!after.is_doubtful(at(2300)));
+}
