Log the prompt parts of requests whose engine broke the connection

The logs could not tell a request that crashes engines from an engine that is at fault: they name the request and the engine, but not the parts of the prompt that requests have in common. `engine-broke` names the run of the engine and the shared parts, at each of the four places where a connection can break after a request was sent. No decision reads it.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -5,6 +5,8 @@
 
 use arc_swap::ArcSwap;
 use basilgrade_fleet::budget;
+use basilgrade_fleet::directory::upstream;
+use basilgrade_fleet::model::prompt;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use tokio_util::sync::CancellationToken;
@@ -121,6 +123,22 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Records that the connection to `entry` broke while it ran a request with `prompt`.
+    pub fn record_break(&self, entry: &upstream::Upstream, prompt: Option<&prompt::Prompt>) {
+        if let Some(prompt) = prompt {
+            let parts: Vec<_> = prompt
+                .shared_ids()
+                .map(|part| format!("{part:016x}"))
+                .collect();
+            log::info!(
+                "event=engine-broke upstream={} started_at={} parts={}",
+                entry.id,
+                entry.started_at.unwrap_or_default(),
+                parts.join(",")
+            );
+        }
+    }
+
     /// Replaces the settings and the configuration of the retry budget.
     pub fn reload(&self, settings: settings::Settings) {
         self.budget().set_config(settings.retries);
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -191,6 +191,8 @@
     let response = connection.send(message).await.inspect_err(|failure| {
         if failure.verdict == verdict::Verdict::NotRun {
             request.end_unexecuted();
+        } else {
+            core.record_break(entry, request.head.prompt.as_ref());
         }
         entry.stats.record(core.now(), health::Outcome::Unreachable);
     })?;
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -134,7 +134,7 @@
         Ok(answered) => answered,
         Err(failure) => return outcome_of_error(failure),
     };
-    read(core, entry, answered).await
+    read(core, request, entry, answered).await
 }
 
 /// Outcome of a send that failed before the head of an answer arrived.
@@ -148,6 +148,7 @@
 /// Reads the body of an answer and classifies the outcome.
 pub async fn read(
     core: &core::Core,
+    request: &request::Request,
     entry: &upstream::Upstream,
     answered: attempt::UnreadAnswer,
 ) -> Outcome {
@@ -174,6 +175,7 @@
         Ok(body) => body,
         Err(failure) => {
             entry.stats.record(core.now(), health::Outcome::Unreachable);
+            core.record_break(entry, request.head.prompt.as_ref());
             return Outcome::Failed(failure.reason, None);
         }
     };
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -217,7 +217,11 @@
                     self.outcome = "complete";
                     return None;
                 }
-                Ok(StreamItem::Broken(reason)) => reason,
+                Ok(StreamItem::Broken(reason)) => {
+                    let prompt = self.request.head.prompt.as_ref();
+                    self.service.core.record_break(&source.entry, prompt);
+                    reason
+                }
                 Err(_) if limit == left => return Some(Err(self.fail("the deadline has passed"))),
                 Err(_) => "no event within the time-out".to_owned(),
             };
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -140,7 +140,7 @@
         Err(failure) => return OpenOutcome::Ended(buffered::outcome_of_error(failure)),
     };
     if !answered.answer.status.is_success() || answered.answer.is_unexecuted {
-        return OpenOutcome::Ended(buffered::read(core, &entry, answered).await);
+        return OpenOutcome::Ended(buffered::read(core, request, &entry, answered).await);
     }
     if let Some(reason) = buffered::unusable_reason(&answered.answer) {
         entry.stats.record(core.now(), health::Outcome::Failed);
@@ -168,6 +168,7 @@
                 .entry
                 .stats
                 .record(core.now(), health::Outcome::Unreachable);
+            core.record_break(&source.entry, request.head.prompt.as_ref());
             OpenOutcome::Ended(buffered::Outcome::Failed(reason, None))
         }
     }
--- a/crates/basilgrade_fleet/src/model/prompt.rs
+++ b/crates/basilgrade_fleet/src/model/prompt.rs
@@ -38,6 +38,12 @@
         self.parts.get(index).copied()
     }
 
+    /// Ids of the parts that other prompts may share.
+    pub fn shared_ids(&self) -> impl Iterator<Item = u64> {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.id)
+    }
+
     /// Total tokens of the parts that other prompts may share.
     pub fn shared_tokens(&self) -> u64 {
         let shared = self.parts.len().saturating_sub(1);
