Block prompt parts that crash engines at every daemon

A broken connection counted against the engine alone, nothing connected it with the request, and nothing was shared between daemons.

`basilgrade_fleet::suspects` keeps for each shared part the runs of engines that broke a request with it, and clears them as soon as a request with the part is answered completely, which never happens to a part that crashes engines. Three open crashes block a part; a request is let through if another blocked part, not in it, explains the crashes, so that a sound part that ran only beside the deadly one is cleared again. Connections that break to four engines within 0.3 s are this daemon's network. Daemons publish their evidence in the topic of daemons, so it arrives by the ways that exist, at a restarted daemon too.

--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -37,6 +37,9 @@
     Slow(u64),
     /// Runs requests and never answers.
     Silent,
+    /// Runs requests; closes the connection without an answer if the prompt has the part named
+    /// here.
+    CrashesOn(&'static str),
 }
 
 /// One run of a request, as the upstream received it.
@@ -189,6 +192,12 @@
         }
         let mut answer = match behaviour {
             Behaviour::Mute => return None,
+            Behaviour::CrashesOn(part)
+                if header_text(request.headers(), "x-prefix-hash")
+                    .is_some_and(|parts| parts.contains(part)) =>
+            {
+                return None;
+            }
             Behaviour::Silent => std::future::pending().await,
             _ if request.uri().path().starts_with("/stream") => self.events(&request, behaviour),
             _ => Response::new(server::full_body(format!("{} {name}", self.id))),
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -7,6 +7,7 @@
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::model::prompt;
+use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use tokio_util::sync::CancellationToken;
@@ -27,6 +28,10 @@
     pub connections: pool::ConnectionPool,
     pub metrics: metrics::Metrics,
     budget: sync::Mutex<budget::Budget>,
+    /// Evidence about prompt parts that crash engines.
+    suspects: sync::Mutex<suspects::Suspects>,
+    /// Notified when this daemon has new evidence.
+    pub evidence_changed: tokio::sync::Notify,
     draining: atomic::AtomicBool,
     /// Unix time in milliseconds by which open requests must be answered before the process ends;
     /// `u64::MAX` while the daemon is not shutting down.
@@ -60,6 +65,8 @@
             view: ArcSwap::from_pointee(view),
             connections: pool::ConnectionPool::default(),
             metrics: metrics::Metrics::new()?,
+            suspects: sync::Mutex::default(),
+            evidence_changed: tokio::sync::Notify::new(),
             draining: atomic::AtomicBool::new(false),
             closing_at: atomic::AtomicU64::new(u64::MAX),
             closing: CancellationToken::new(),
@@ -123,6 +130,32 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Evidence of all daemons about prompt parts that crash engines.
+    pub fn suspects(&self) -> sync::MutexGuard<'_, suspects::Suspects> {
+        self.suspects
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Whether requests with `prompt` must not reach engines, because a part of it crashes them.
+    pub fn is_blocked(&self, prompt: Option<&prompt::Prompt>) -> bool {
+        let Some(prompt) = prompt else {
+            return false;
+        };
+        let parts: Vec<_> = prompt.shared_ids().collect();
+        self.suspects().is_blocked(&parts)
+    }
+
+    /// Records that a request with `prompt` was refused because a part of it crashes engines.
+    pub fn record_blocked(&self, prompt: Option<&prompt::Prompt>) {
+        self.metrics.blocked.inc();
+        if let Some(prompt) = prompt {
+            let now = self.now();
+            self.suspects().record_refusal(now, prompt.shared_ids());
+            self.evidence_changed.notify_one();
+        }
+    }
+
     /// Records that the connection to `entry` broke while it ran a request with `prompt`.
     pub fn record_break(&self, entry: &upstream::Upstream, prompt: Option<&prompt::Prompt>) {
         if let Some(prompt) = prompt {
@@ -136,6 +169,19 @@
                 entry.started_at.unwrap_or_default(),
                 parts.join(",")
             );
+            let now = self.now();
+            self.suspects()
+                .record_break(now, entry, prompt.shared_ids());
+            self.evidence_changed.notify_one();
+        }
+    }
+
+    /// Records that an upstream answered a request with `prompt` completely.
+    pub fn record_complete(&self, prompt: Option<&prompt::Prompt>) {
+        if let Some(prompt) = prompt {
+            let now = self.now();
+            self.suspects().record_success(now, prompt.shared_ids());
+            self.evidence_changed.notify_one();
         }
     }
 
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::core;
+use crate::follow::evidence_log;
 use crate::follow::mirrors;
 use crate::follow::reader;
 use crate::follow::register;
@@ -150,6 +151,7 @@
         sync::Arc::clone(&core),
         sync::Arc::clone(&mirrors),
     ));
+    tokio::spawn(evidence_log::publish(sync::Arc::clone(&core)));
     let follower = peer_sync::Follower {
         core: sync::Arc::clone(&core),
         mirrors,
--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -4,6 +4,7 @@
 //! domain reads the store for the others. A daemon that the store does not answer fetches newer
 //! records from other daemons. The offset of a mirror never decreases.
 
+pub mod evidence_log;
 pub mod mirror;
 pub mod mirrors;
 pub mod origin;
--- /dev/null
+++ b/crates/basilgrade_edge/src/follow/evidence_log.rs
@@ -0,0 +1,69 @@
+//! Publication of this daemon's evidence about prompt parts that crash engines.
+//!
+//! The evidence is part of the topic of daemons, so every daemon learns it like the registrations:
+//! from the store or from its reader, and at its start.
+
+use std::sync;
+
+use basilgrade_adapter::evidence;
+use basilgrade_adapter::record;
+use basilgrade_adapter::store;
+use basilgrade_fleet::suspects;
+use basilgrade_types::clock;
+
+use crate::core;
+use crate::follow::reader;
+
+/// Delay before evidence is published, which collects the requests that one crash breaks.
+const BATCH_DELAY: clock::Millis = clock::Millis(100);
+
+/// Interval between checks for expired evidence while there is no new evidence.
+const EXPIRY_INTERVAL: clock::Millis = clock::Millis(20_000);
+
+/// Wait after a failed publication.
+const RETRY_DELAY: clock::Millis = clock::Millis(500);
+
+/// Publishes evidence whenever it has changed; never returns.
+pub async fn publish(core: sync::Arc<core::Core>) {
+    loop {
+        let notified = core.evidence_changed.notified();
+        // After the time-out, evidence may have expired.
+        let _ = tokio::time::timeout(EXPIRY_INTERVAL.duration(), notified).await;
+        tokio::time::sleep(BATCH_DELAY.duration()).await;
+        let name = core.settings.load().name.clone();
+        let (expired, changed) = {
+            let mut suspects = core.suspects();
+            (suspects.expire(core.now()), suspects.take_changed(&name))
+        };
+        if changed.is_empty() && expired.is_empty() {
+            continue;
+        }
+        let removal = |part: &suspects::PartId| record::Record {
+            key: evidence::key(*part, &name),
+            value: None,
+        };
+        let mut records: Vec<_> = expired.iter().map(removal).collect();
+        for (part, known) in &changed {
+            match evidence::encode(known) {
+                Ok(value) => records.push(record::Record {
+                    key: evidence::key(*part, &name),
+                    value: Some(value),
+                }),
+                Err(reason) => log::error!("event=evidence-failed reason={:?}", reason.to_string()),
+            }
+            log::info!(
+                "event=evidence part={part:016x} crashes={} cleared={} blocked={}",
+                known.crashes.len(),
+                known.cleared.len(),
+                core.suspects().is_blocked(&[*part])
+            );
+        }
+        if let Err(reason) = reader::append(&core, store::Topic::Daemons, &records).await {
+            log::warn!("event=evidence-failed reason={reason:?}");
+            core.suspects()
+                .restore_changed(changed.iter().map(|(part, _)| *part));
+            tokio::time::sleep(RETRY_DELAY.duration()).await;
+            core.evidence_changed.notify_one();
+        }
+    }
+}
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -5,14 +5,17 @@
 
 use basilgrade_adapter::configuration;
 use basilgrade_adapter::daemon_registration as registration;
+use basilgrade_adapter::evidence;
 use basilgrade_adapter::store;
 use basilgrade_adapter::upstream_registration;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
 use basilgrade_fleet::outage;
+use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use bytes::Bytes;
 use compact_str::CompactString;
+use indexmap::IndexMap;
 
 use crate::core;
 use crate::follow::mirror;
@@ -399,7 +402,26 @@
             .records()
             .clone();
         let mut daemons = Vec::new();
+        let mut others = IndexMap::<_, IndexMap<_, _>>::new();
         for (key, value) in &records {
+            if evidence::is_key(key) {
+                match evidence::decode(key, value) {
+                    Ok(((part, daemon), evidence))
+                        if evidence.seen_at.plus(suspects::EVIDENCE_TTL) >= now =>
+                    {
+                        others.entry(part).or_default().insert(daemon, evidence);
+                    }
+                    Ok(_) => {}
+                    Err(reason) => {
+                        self.core.metrics.unreadable_records.inc();
+                        log::warn!(
+                            "event=evidence-unreadable key={key:?} reason={:?}",
+                            reason.to_string()
+                        );
+                    }
+                }
+                continue;
+            }
             match registration::decode(key, value) {
                 Ok(daemon) if daemon.seen_at.plus(REGISTRATION_AGE) >= now => daemons.push(daemon),
                 Ok(_) => {}
@@ -412,18 +434,22 @@
                 }
             }
         }
+        self.core.suspects().replace_others(others);
         let own = self.core.settings.load().name.clone();
         let domain = self.core.settings.load().domain.clone();
         let is_own = |daemon: &daemon::Daemon| daemon.name == own;
         let others = daemons.iter().filter(|daemon| !is_own(daemon)).count();
         let is_domain_peer = |daemon: &&daemon::Daemon| daemon.domain == domain && !is_own(daemon);
         let domain_peers = daemons.iter().filter(is_domain_peer).count();
-        *self.lock_daemons() = daemons;
-        log::info!(
-            "event=daemons-changed daemons={} domain={}",
-            others + 1,
-            domain_peers + 1
-        );
+        let known = std::mem::replace(&mut *self.lock_daemons(), daemons.clone());
+        let identity = |daemon: &daemon::Daemon| (daemon.name.clone(), daemon.address);
+        if !known.iter().map(identity).eq(daemons.iter().map(identity)) {
+            log::info!(
+                "event=daemons-changed daemons={} domain={}",
+                others + 1,
+                domain_peers + 1
+            );
+        }
         self.core.view.rcu(|view| view::View {
             daemons: others + 1,
             ..view::View::clone(view)
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -259,19 +259,19 @@
         .map_err(|failure| failure.to_string())
 }
 
-/// Appends a record to `topic`.
+/// Appends records to `topic`, all or none.
 ///
 /// # Errors
 ///
-/// A message for the log; the record may have been appended nevertheless.
+/// A message for the log; the records may have been appended nevertheless.
 pub(super) async fn append(
     core: &core::Core,
     topic: store::Topic,
-    record: &record::Record,
+    records: &[record::Record],
 ) -> Result<(), String> {
     let address = core.settings.load().store;
     let message =
-        store::append_request(address, topic, record).map_err(|reason| reason.to_string())?;
+        store::append_request(address, topic, records).map_err(|reason| reason.to_string())?;
     let answer = call(core, message, clock::Millis::ZERO).await?;
     store::check_append_answer(answer.status).map_err(|reason| reason.to_string())
 }
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -57,7 +57,7 @@
             key: CompactString::new(own.name.as_str()),
             value: Some(value),
         };
-        match reader::append(&core, store::Topic::Daemons, &record).await {
+        match reader::append(&core, store::Topic::Daemons, &[record]).await {
             // The mirror receives the record with the next read of the topic of daemons.
             Ok(()) => log::info!("event=registered name={}", own.name),
             Err(reason) => log::warn!("event=registration-failed reason={reason:?}"),
@@ -71,7 +71,7 @@
         key: CompactString::new(own_registration(core).name.as_str()),
         value: None,
     };
-    match reader::append(core, store::Topic::Daemons, &record).await {
+    match reader::append(core, store::Topic::Daemons, &[record]).await {
         Ok(()) => log::info!("event=unregistered"),
         // Other daemons skip this daemon after their first failed call to it.
         Err(reason) => log::warn!("event=unregistration-failed reason={reason:?}"),
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -59,6 +59,8 @@
     served = "served",
     /// Requests that did not run and were answered with an error.
     refused = "refused",
+    /// Requests refused because a part of their prompt crashes engines.
+    blocked = "blocked",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
     /// Retries of requests at another upstream.
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -33,6 +33,9 @@
 /// recomputing shared prompt prefixes.
 const RESULT_COST_MS_PER_MB: f64 = 10.0;
 
+/// Reason of a refusal of a request with a prompt part that crashes engines.
+pub const BLOCKED: &str = "a part of the prompt crashes engines; do not send it again";
+
 /// Guard that counts a request and its unread prompt tokens at an upstream until it is dropped.
 pub struct LoadGuard {
     stats: sync::Arc<health::Stats>,
@@ -169,6 +172,9 @@
     let mut connection = connection::Connection::open(entry.address, CONNECT_TIMEOUT.duration())
         .await
         .inspect_err(|_| entry.stats.record(core.now(), health::Outcome::Unreachable))?;
+    if core.is_blocked(request.head.prompt.as_ref()) {
+        return Err(error::SendError::unsent(BLOCKED));
+    }
     let sent = core.now();
     let forward = forwarded_head::ForwardedHead {
         upstream: &entry.id,
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -197,6 +197,7 @@
     entry
         .stats
         .record(now, health::Outcome::Answered(now - sent));
+    core.record_complete(request.head.prompt.as_ref());
     Outcome::Answered(buffered)
 }
 
@@ -237,6 +238,10 @@
         if !self.may_repeat(core, request) {
             return None;
         }
+        if core.is_blocked(request.head.prompt.as_ref()) {
+            self.last_reason = Some(attempt::BLOCKED.to_owned());
+            return None;
+        }
         let entry = attempt::choose(core, request, results, &self.tried);
         if entry.is_none() {
             self.last_reason
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -215,6 +215,8 @@
                 }
                 Ok(StreamItem::End) => {
                     self.outcome = "complete";
+                    let prompt = self.request.head.prompt.as_ref();
+                    self.service.core.record_complete(prompt);
                     return None;
                 }
                 Ok(StreamItem::Broken(reason)) => {
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod outage;
 pub mod placement;
 pub mod ranking;
+pub mod suspects;
--- /dev/null
+++ b/crates/basilgrade_fleet/src/suspects.rs
@@ -0,0 +1,238 @@
+//! Detection of prompt parts that crash engines, from the evidence of all daemons.
+//!
+//! A crash breaks every request that its engine runs, so the parts of all of them become suspects.
+//! A part is cleared as soon as an engine has answered a request with it completely, which happens
+//! soon to a sound part and never to one that crashes engines. What remains after a few crashes is
+//! blocked, except in requests without another blocked part that explains all of its crashes: such
+//! a request is let through, and its answer clears the part.
+
+use std::collections::VecDeque;
+
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::directory::upstream;
+
+/// Number of crashes of different runs of engines, with no complete answer since, after which a
+/// part is blocked.
+const CRASHES_TO_BLOCK: usize = 3;
+
+/// Time within which broken connections to several engines count as one failure of this daemon's
+/// network.
+const NETWORK_FAILURE_SPAN: clock::Millis = clock::Millis(300);
+
+/// Number of engines to which connections break at the same time if the network of this daemon
+/// fails.
+const NETWORK_FAILURE_ENGINES: usize = 4;
+
+/// Maximum number of crashes kept for a part.
+const MAX_CRASHES: usize = 16;
+
+/// Maximum number of parts about which this daemon keeps evidence, beside the blocked ones; the
+/// oldest are dropped.
+const MAX_SUSPECTS: usize = 32;
+
+/// Time without news after which evidence about a part that is not blocked expires.
+const SUSPECT_TTL: clock::Millis = clock::Millis(60_000);
+
+/// Time without news after which evidence about any part expires; requests with a blocked part
+/// count as news.
+pub const EVIDENCE_TTL: clock::Millis = clock::Millis(30 * 60_000);
+
+/// Hash of the name of a prompt part.
+pub type PartId = u64;
+
+/// Evidence of one daemon about one part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Evidence {
+    /// Runs of engines that broke requests with the part.
+    pub crashes: IndexSet<CompactString>,
+    /// Runs of engines whose crash was not caused by the part.
+    pub cleared: IndexSet<CompactString>,
+    /// Unix time of the last change.
+    pub seen_at: clock::Millis,
+}
+
+impl Evidence {
+    fn merge(&mut self, other: &Self) {
+        self.crashes.extend(other.crashes.iter().cloned());
+        self.cleared.extend(other.cleared.iter().cloned());
+        self.seen_at = self.seen_at.max(other.seen_at);
+    }
+}
+
+/// Name of a run of an engine, for comparison only.
+fn run_name(entry: &upstream::Upstream) -> CompactString {
+    let started_at = entry.started_at.unwrap_or_default();
+    compact_str::format_compact!("{}@{}", entry.id, started_at.0)
+}
+
+/// Evidence of all daemons about prompt parts.
+#[derive(Debug, Default)]
+pub struct Suspects {
+    own: IndexMap<PartId, Evidence>,
+    /// Evidence of other daemons, and of earlier processes of this one.
+    others: IndexMap<PartId, IndexMap<id::VmId, Evidence>>,
+    /// Blocked parts, each with the crashes that are not cleared.
+    blocked: IndexMap<PartId, IndexSet<CompactString>>,
+    /// Parts whose own evidence has changed since it was last taken.
+    changed: IndexSet<PartId>,
+    /// Recent broken connections, with the runs of the engines.
+    breaks: VecDeque<(clock::Millis, CompactString)>,
+}
+
+impl Suspects {
+    /// Records that the connection to `entry` broke while the engine ran a request with `parts`.
+    pub fn record_break(
+        &mut self,
+        now: clock::Millis,
+        entry: &upstream::Upstream,
+        parts: impl Iterator<Item = PartId>,
+    ) {
+        let run = run_name(entry);
+        self.breaks.push_back((now, run.clone()));
+        let is_old = |at: clock::Millis| at.plus(NETWORK_FAILURE_SPAN) < now;
+        while self.breaks.front().is_some_and(|(at, _)| is_old(*at)) {
+            self.breaks.pop_front();
+        }
+        let engines: IndexSet<_> = self.breaks.iter().map(|(_, run)| run).collect();
+        if engines.len() >= NETWORK_FAILURE_ENGINES {
+            return;
+        }
+        for part in parts {
+            let evidence = self.own.entry(part).or_default();
+            if evidence.crashes.len() < MAX_CRASHES && evidence.crashes.insert(run.clone()) {
+                evidence.seen_at = now;
+                self.changed.insert(part);
+                self.update_blocked(part);
+            }
+        }
+        let mut surplus = self.own.len().saturating_sub(MAX_SUSPECTS);
+        let blocked = &self.blocked;
+        self.own.retain(|part, _| {
+            let is_kept = surplus == 0 || blocked.contains_key(part);
+            surplus -= usize::from(!is_kept);
+            is_kept
+        });
+    }
+
+    /// Records that an engine answered a request with `parts` completely.
+    pub fn record_success(&mut self, now: clock::Millis, parts: impl Iterator<Item = PartId>) {
+        for part in parts {
+            let open = self.open_crashes(part);
+            if open.is_empty() {
+                continue;
+            }
+            let evidence = self.own.entry(part).or_default();
+            evidence.cleared.extend(open);
+            evidence.seen_at = now;
+            self.changed.insert(part);
+            self.update_blocked(part);
+        }
+    }
+
+    fn update_blocked(&mut self, part: PartId) {
+        let crashes = self.open_crashes(part);
+        if crashes.len() >= CRASHES_TO_BLOCK {
+            self.blocked.insert(part, crashes);
+        } else {
+            self.blocked.swap_remove(&part);
+        }
+    }
+
+    /// Evidence of all daemons about `part`.
+    fn all_evidence(&self, part: PartId) -> Evidence {
+        let mut all = self.own.get(&part).cloned().unwrap_or_default();
+        let others = self.others.get(&part);
+        for evidence in others.into_iter().flat_map(IndexMap::values) {
+            all.merge(evidence);
+        }
+        all
+    }
+
+    /// Crashes of engines that ran a request with `part` and are not cleared.
+    fn open_crashes(&self, part: PartId) -> IndexSet<CompactString> {
+        let all = self.all_evidence(part);
+        &all.crashes - &all.cleared
+    }
+
+    /// Records that a request with `parts` was refused, which keeps blocked parts from expiring.
+    pub fn record_refusal(&mut self, now: clock::Millis, parts: impl Iterator<Item = PartId>) {
+        for part in parts {
+            let mut all = self.all_evidence(part);
+            let is_due = all.seen_at.plus(clock::Millis(EVIDENCE_TTL.0 / 2)) < now;
+            if is_due && self.blocked.contains_key(&part) {
+                all.seen_at = now;
+                self.own.insert(part, all);
+                self.changed.insert(part);
+            }
+        }
+    }
+
+    /// Whether a request with the shared parts `parts` must not reach engines.
+    pub fn is_blocked(&self, parts: &[PartId]) -> bool {
+        if self.blocked.is_empty() {
+            return false;
+        }
+        let mut crashes = parts.iter().filter_map(|part| self.blocked.get(part));
+        crashes.any(|crashes| {
+            let explains = |(other, known): (&PartId, &IndexSet<CompactString>)| {
+                !parts.contains(other) && crashes.is_subset(known)
+            };
+            !self.blocked.iter().any(explains)
+        })
+    }
+
+    /// Replaces the evidence of other daemons, and of earlier processes of this one.
+    pub fn replace_others(&mut self, others: IndexMap<PartId, IndexMap<id::VmId, Evidence>>) {
+        self.others = others;
+        let own = self.own.keys().chain(self.blocked.keys());
+        let known: IndexSet<_> = own.chain(self.others.keys()).copied().collect();
+        for part in known {
+            self.update_blocked(part);
+        }
+    }
+
+    /// Takes the evidence of this daemon, named `own`, that has changed since the last call.
+    pub fn take_changed(&mut self, own: &id::VmId) -> Vec<(PartId, Evidence)> {
+        let changed = std::mem::take(&mut self.changed);
+        let mut taken = Vec::new();
+        for part in changed {
+            let mut evidence = self.own.get(&part).cloned().unwrap_or_default();
+            // The record of an earlier process is replaced, so its evidence is kept in the new one.
+            let earlier = self.others.get(&part).and_then(|known| known.get(own));
+            if let Some(earlier) = earlier {
+                evidence.merge(earlier);
+            }
+            taken.push((part, evidence));
+        }
+        taken
+    }
+
+    /// Marks evidence as changed again, because it could not be published.
+    pub fn restore_changed(&mut self, parts: impl Iterator<Item = PartId>) {
+        self.changed.extend(parts);
+    }
+
+    /// Drops own evidence that has expired; returns its parts.
+    pub fn expire(&mut self, now: clock::Millis) -> Vec<PartId> {
+        let is_expired = |(part, evidence): (&PartId, &Evidence)| {
+            let ttl = if self.blocked.contains_key(part) {
+                EVIDENCE_TTL
+            } else {
+                SUSPECT_TTL
+            };
+            (evidence.seen_at.plus(ttl) <= now).then_some(*part)
+        };
+        let expired: Vec<_> = self.own.iter().filter_map(is_expired).collect();
+        for part in &expired {
+            self.own.shift_remove(part);
+            self.changed.swap_remove(part);
+            self.update_blocked(*part);
+        }
+        expired
+    }
+}
--- /dev/null
+++ b/crates/basilgrade_fleet/tests/suspects.rs
@@ -0,0 +1,167 @@
+//! Tests of the detection of prompt parts that crash engines.
+
+mod common;
+
+use basilgrade_fleet::suspects;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+const DEADLY: suspects::PartId = 1;
+const SOUND: suspects::PartId = 2;
+
+/// Time between two crashes that do not look like a failure of the daemon's network.
+const STEP: u64 = 1000;
+
+fn name(text: &str) -> id::VmId {
+    text.parse().expect("valid name")
+}
+
+/// Records that requests with `parts` broke at `count` engines, the first at engine `first`, with
+/// `step` ms between them.
+fn record_breaks(
+    known: &mut suspects::Suspects,
+    first: u16,
+    count: u16,
+    step: u64,
+    parts: &[suspects::PartId],
+) {
+    for number in first..first + count {
+        let now = clock::Millis(10_000 + step * u64::from(number));
+        let entry = common::upstream(number, "a");
+        known.record_break(now, &entry, parts.iter().copied());
+    }
+}
+
+/// Passes the changed evidence of the daemon named `daemon` to another.
+fn share(from: &mut suspects::Suspects, daemon: &str, to: &mut suspects::Suspects) {
+    let mut others = IndexMap::<_, IndexMap<_, _>>::new();
+    for (part, evidence) in from.take_changed(&name(daemon)) {
+        let known = others.entry(part).or_default();
+        known.insert(name(daemon), evidence);
+    }
+    to.replace_others(others);
+}
+
+/// Guards against requests that crash one engine after the other.
+#[test]
+fn part_behind_three_crashes_is_blocked() {
+    let mut known = suspects::Suspects::default();
+
+    record_breaks(&mut known, 0, 2, STEP, &[DEADLY]);
+    let after_two = known.is_blocked(&[DEADLY]);
+    record_breaks(&mut known, 2, 1, STEP, &[DEADLY]);
+
+    assert!(!after_two && known.is_blocked(&[DEADLY]));
+}
+
+/// Guards against the refusal of sound requests that ran beside those that crashed the engines.
+#[test]
+fn part_of_a_complete_answer_is_not_blocked() {
+    let mut known = suspects::Suspects::default();
+
+    record_breaks(&mut known, 0, 2, STEP, &[DEADLY, SOUND]);
+    known.record_success(clock::Millis(12_500), [SOUND].into_iter());
+    record_breaks(&mut known, 2, 2, STEP, &[DEADLY, SOUND]);
+
+    assert!(known.is_blocked(&[DEADLY]) && !known.is_blocked(&[SOUND]));
+}
+
+/// Guards against a daemon that learns of a deadly part only from crashes of its own.
+#[test]
+fn evidence_of_another_daemon_counts_like_own() {
+    let (mut one, mut other) = <(suspects::Suspects, suspects::Suspects)>::default();
+    record_breaks(&mut one, 0, 2, STEP, &[DEADLY, SOUND]);
+    record_breaks(&mut other, 5, 1, STEP, &[DEADLY, SOUND]);
+
+    share(&mut one, "vm-1", &mut other);
+    let before = other.is_blocked(&[DEADLY, SOUND]);
+    other.record_success(clock::Millis(20_000), [SOUND].into_iter());
+    share(&mut other, "vm-2", &mut one);
+
+    assert!(before);
+    assert!(one.is_blocked(&[DEADLY]) && !one.is_blocked(&[SOUND]));
+}
+
+/// Guards against sound parts that are blocked because the daemon's own network failed.
+#[test]
+fn simultaneous_breaks_of_many_engines_are_no_evidence() {
+    let mut known = suspects::Suspects::default();
+    record_breaks(&mut known, 0, 3, 10, &[DEADLY]);
+
+    record_breaks(&mut known, 3, 9, 10, &[SOUND]);
+
+    assert!(!known.is_blocked(&[SOUND]));
+}
+
+/// Guards against a restart that lifts a block, as the record of the new process replaces that of
+/// the old one.
+#[test]
+fn evidence_of_an_earlier_process_is_kept() {
+    let (mut before, mut after) = <(suspects::Suspects, suspects::Suspects)>::default();
+    record_breaks(&mut before, 0, 2, STEP, &[DEADLY]);
+    share(&mut before, "vm-1", &mut after);
+
+    record_breaks(&mut after, 5, 1, STEP, &[DEADLY]);
+
+    let published = after.take_changed(&name("vm-1"));
+    assert!(after.is_blocked(&[DEADLY]));
+    assert_eq!(published[0].1.crashes.len(), 3);
+}
+
+/// Guards against a block that ends while requests with the part still come, or that never ends.
+#[test]
+fn block_lasts_while_requests_come() {
+    let mut known = suspects::Suspects::default();
+    record_breaks(&mut known, 0, 3, STEP, &[DEADLY]);
+    let moment = clock::Millis(1);
+    let later = clock::Millis(12_000).plus(suspects::EVIDENCE_TTL) - moment;
+
+    known.record_refusal(later, [DEADLY].into_iter());
+
+    let end = later.plus(suspects::EVIDENCE_TTL);
+    assert!(known.expire(end - moment).is_empty() && known.is_blocked(&[DEADLY]));
+    assert_eq!(known.expire(end), [DEADLY]);
+    assert!(!known.is_blocked(&[DEADLY]));
+}
+
+/// Guards against evidence that grows without bound while engines crash for other reasons.
+#[test]
+fn evidence_about_old_parts_is_dropped() {
+    let mut known = suspects::Suspects::default();
+    record_breaks(&mut known, 0, 3, STEP, &[DEADLY]);
+
+    for part in 100..1100 {
+        record_breaks(&mut known, 9, 1, STEP, &[part]);
+        let _ = known.take_changed(&name("vm-1"));
+    }
+
+    assert!(known.is_blocked(&[DEADLY]));
+    assert!(known.expire(clock::Millis(200_000)).len() <= 40);
+}
+
+/// Guards against a sound part that stays blocked, as no request with it reaches an engine and
+/// clears it.
+#[test]
+fn part_is_let_through_if_another_explains_its_crashes() {
+    let mut known = suspects::Suspects::default();
+    record_breaks(&mut known, 0, 1, STEP, &[DEADLY]);
+
+    record_breaks(&mut known, 1, 3, STEP, &[DEADLY, SOUND]);
+
+    assert!(known.is_blocked(&[SOUND, DEADLY]) && known.is_blocked(&[DEADLY]));
+    assert!(!known.is_blocked(&[SOUND]));
+}
+
+/// Guards against a deadly part that is let through for good, because a sound part was in all of
+/// its requests so far.
+#[test]
+fn part_that_crashes_an_engine_alone_is_blocked_alone() {
+    let mut known = suspects::Suspects::default();
+    record_breaks(&mut known, 0, 3, STEP, &[DEADLY, SOUND]);
+    let before = known.is_blocked(&[DEADLY]);
+
+    record_breaks(&mut known, 3, 1, STEP, &[DEADLY]);
+
+    assert!(!before && known.is_blocked(&[DEADLY]));
+}
