End streams whose event exceeds 256 KiB

An upstream in trouble may send bytes without end. Heads were cut at 64 KiB and bodies at 8 MiB, but an event of a stream was buffered without limit, and the whole buffer was searched again for each chunk, until the deadline of the request. Such a stream is now broken off like one that ends within an event.

`event_without_end_is_rejected` guards the limit. `endless_answers` plays a head, bytes that are no HTTP, a body and an event without end against a daemon process: the connection is closed after less than 24 MiB, the caller gets 502 and the daemon stays ready.

--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -99,6 +99,11 @@
                     match self.events.push(&data) {
                         events::Output::Complete(events) if events.is_empty() => {}
                         events::Output::Complete(events) => return StreamItem::Events(events),
+                        events::Output::TooLong => {
+                            return StreamItem::Broken(
+                                "an event of the stream exceeds the size limit".to_owned(),
+                            );
+                        }
                         events::Output::OutOfOrder => {
                             return StreamItem::Broken(
                                 "an event of the stream is missing".to_owned(),
--- a/crates/basilgrade_fleet/src/events.rs
+++ b/crates/basilgrade_fleet/src/events.rs
@@ -4,6 +4,9 @@
 
 mod boundary;
 
+/// Maximum size of an event; what is longer is no event.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Buffers bytes of a stream and returns complete events.
 ///
 /// An upstream can fail in the middle of an event. The incomplete event must not reach the caller,
@@ -21,6 +24,8 @@
     Complete(Vec<u8>),
     /// An event id was skipped, so at least one event of the stream is lost.
     OutOfOrder,
+    /// An event exceeds [`MAX_EVENT_BYTES`] and has no end yet.
+    TooLong,
 }
 
 impl EventSplitter {
@@ -68,6 +73,9 @@
             complete.extend_from_slice(event);
         }
         self.pending.drain(..start);
+        if self.pending.len() > MAX_EVENT_BYTES {
+            return Output::TooLong;
+        }
         Output::Complete(complete)
     }
 }
--- a/crates/basilgrade_fleet/tests/events.rs
+++ b/crates/basilgrade_fleet/tests/events.rs
@@ -10,7 +10,7 @@
 fn complete(output: events::Output) -> String {
     match output {
         events::Output::Complete(bytes) => String::from_utf8(bytes).expect("events are UTF-8"),
-        events::Output::OutOfOrder => panic!("expected complete events, got `OutOfOrder`"),
+        other => panic!("expected complete events, got {other:?}"),
     }
 }
 
@@ -77,3 +77,16 @@
     assert_eq!(out, ": ping\n\ndata: x\r\n\r\n");
     assert_eq!(events.last_id(), None);
 }
+
+/// Guards against an event without end that fills the memory.
+#[test]
+fn event_without_end_is_rejected() {
+    let mut splitter = events::EventSplitter::default();
+    let chunk = [b'z'; 16 << 10];
+    let fitting = events::MAX_EVENT_BYTES / chunk.len();
+
+    let accepted = (0..fitting).all(|_| splitter.push(&chunk) != events::Output::TooLong);
+
+    assert!(accepted);
+    assert_eq!(splitter.push(&chunk), events::Output::TooLong);
+}
