Read the directory again when a connection to an upstream is open

Requests and piece calls now look once more when the connection is open, and are not sent if the upstream has begun to leave; a request then goes to another upstream.

`call_is_not_repeated_once_it_is_forbidden` failed without the check before the repeat.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -1,5 +1,6 @@
 //! State shared by all tasks of the daemon.
 
+use std::net;
 use std::sync;
 use std::sync::atomic;
 
@@ -85,6 +86,14 @@
         !self.is_draining() && view.configuration.is_some() && view.has_upstreams
     }
 
+    /// Whether the upstream `id` at `address` accepts new requests, as far as this daemon knows now.
+    pub fn accepts(&self, id: &id::UpstreamId, address: net::SocketAddr) -> bool {
+        let view = self.view.load();
+        view.directory
+            .get(id)
+            .is_some_and(|entry| entry.address == address && entry.state == upstream::State::Ready)
+    }
+
     /// Whether graceful shutdown has started.
     pub fn is_draining(&self) -> bool {
         self.draining.load(atomic::Ordering::Relaxed)
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -251,7 +251,9 @@
         let sent = self
             .core
             .connections
-            .call(call.address, message, "", CONNECT_TIMEOUT)
+            .call_while(call.address, message, "", CONNECT_TIMEOUT, || {
+                self.core.accepts(&call.upstream, call.address)
+            })
             .await;
         let buffered = match sent {
             Ok(buffered) => buffered,
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -6,6 +6,7 @@
 use basilgrade_adapter::answer;
 use basilgrade_types::clock;
 use basilgrade_types::clock::Clock as _;
+use basilgrade_types::verdict;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::HeaderMap;
@@ -113,6 +114,32 @@
         request_id: &str,
         connect_timeout: clock::Millis,
     ) -> Result<BufferedAnswer, error::SendError> {
+        self.call_while(address, message, request_id, connect_timeout, || true)
+            .await
+    }
+
+    /// Like [`ConnectionPool::call`], but sends nothing unless `is_allowed` holds when a connection
+    /// is open.
+    ///
+    /// # Errors
+    ///
+    /// [`error::SendError`] with the verdict on whether the call may have run.
+    pub async fn call_while(
+        &self,
+        address: net::SocketAddr,
+        message: Request<Full<Bytes>>,
+        request_id: &str,
+        connect_timeout: clock::Millis,
+        is_allowed: impl Fn() -> bool,
+    ) -> Result<BufferedAnswer, error::SendError> {
+        let mut verdict = verdict::Verdict::NotRun;
+        let forbidden = |verdict| error::SendError {
+            verdict,
+            reason: "the upstream gets no more calls".to_owned(),
+        };
+        if !is_allowed() {
+            return Err(forbidden(verdict));
+        }
         if let Some(connection) = self.take(address) {
             match self
                 .exchange(address, connection, message.clone(), request_id)
@@ -122,11 +149,15 @@
                 // new connection.
                 Err(failure) => {
                     log::debug!("event=kept-connection-lost reason={:?}", failure.reason);
+                    verdict = failure.verdict;
                 }
                 outcome => return outcome,
             }
         }
         let connection = connection::Connection::open(address, connect_timeout.duration()).await?;
+        if !is_allowed() {
+            return Err(forbidden(verdict));
+        }
         self.exchange(address, connection, message, request_id)
             .await
     }
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -175,6 +175,9 @@
     if core.is_blocked(request.head.prompt.as_ref()) {
         return Err(error::SendError::unsent(BLOCKED));
     }
+    if !core.accepts(&entry.id, entry.address) {
+        return Err(error::SendError::unsent("the upstream is leaving"));
+    }
     let sent = core.now();
     let forward = forwarded_head::ForwardedHead {
         upstream: &entry.id,
