Use one term for uncertain registrations

The new detector said doubtful where the mirrors, the log key and the messages between daemons say uncertain, and peer where a follower's reader is meant. No change of behaviour.

--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -168,7 +168,7 @@
     /// Whether registrations of live upstreams may be missing, because the store is or was recently
     /// unreachable.
     pub fn is_uncertain(&self) -> bool {
-        self.lock_outages().is_doubtful(self.core.now())
+        self.lock_outages().is_uncertain(self.core.now())
     }
 
     /// Pause before the next read of the registrations, which are read every `interval`.
@@ -184,11 +184,11 @@
         let is_uncertain = {
             let mut outages = self.lock_outages();
             match (is_reader, reply.is_store_reachable) {
-                (true, true) => outages.record_peer_answer(now, reply.is_uncertain),
-                (true, false) => outages.record_peer_failure(),
+                (true, true) => outages.record_reader_answer(now, reply.is_uncertain),
+                (true, false) => outages.record_reader_failure(),
                 (false, _) => {}
             }
-            outages.is_update_doubtful(reply.is_uncertain)
+            outages.is_update_uncertain(reply.is_uncertain)
         };
         for update in reply.updates {
             self.apply_from_peer(update, is_uncertain);
--- a/crates/basilgrade_fleet/src/outage.rs
+++ b/crates/basilgrade_fleet/src/outage.rs
@@ -13,15 +13,15 @@
 pub struct OutageDetector {
     /// Shortest outage that can make the registration of a live upstream lapse.
     min_length: clock::Millis,
-    /// Last answer of the store to this daemon or to the daemon that reads for it.
+    /// Last answer of the store to this daemon or its reader.
     answered_at: Option<clock::Millis>,
     /// Last answer of the store to this daemon.
     read_at: Option<clock::Millis>,
     has_failed: bool,
     ended_at: Option<clock::Millis>,
-    /// Whether this daemon's own reads refute the doubt of the daemon that reads for it; `None`
-    /// while that daemon has none.
-    refutes_doubt: Option<bool>,
+    /// Whether this daemon's own reads prove that there was no outage although its reader, the
+    /// daemon that reads the store for it, is uncertain; `None` while the reader is certain.
+    overrules_reader: Option<bool>,
 }
 
 impl OutageDetector {
@@ -35,7 +35,7 @@
             read_at: None,
             has_failed: false,
             ended_at: None,
-            refutes_doubt: None,
+            overrules_reader: None,
         }
     }
 
@@ -45,18 +45,15 @@
         self.record_answer(now);
     }
 
-    /// Records that the store answers the daemon that reads for this one.
-    ///
-    /// `is_doubtful` tells whether that daemon holds that registrations of live upstreams may be
-    /// missing.
-    pub fn record_peer_answer(&mut self, now: clock::Millis, is_doubtful: bool) {
-        if is_doubtful {
+    /// Records that the store answers the reader of this daemon, which is uncertain or not.
+    pub fn record_reader_answer(&mut self, now: clock::Millis, is_uncertain: bool) {
+        if is_uncertain {
             let has_read_lately = self
                 .read_at
                 .is_some_and(|at| now < at.plus(self.min_length));
-            self.refutes_doubt.get_or_insert(has_read_lately);
+            self.overrules_reader.get_or_insert(has_read_lately);
         } else {
-            self.refutes_doubt = None;
+            self.overrules_reader = None;
         }
         self.record_answer(now);
     }
@@ -72,12 +69,12 @@
     /// Records that the store did not answer this daemon.
     pub fn record_failure(&mut self) {
         self.has_failed = true;
-        self.refutes_doubt = None;
+        self.overrules_reader = None;
     }
 
-    /// Records that the store does not answer the daemon that reads for this one.
-    pub fn record_peer_failure(&mut self) {
-        self.refutes_doubt = None;
+    /// Records that the store does not answer the reader of this daemon.
+    pub fn record_reader_failure(&mut self) {
+        self.overrules_reader = None;
     }
 
     /// Whether the store has failed to answer for long enough to make registrations lapse.
@@ -86,29 +83,29 @@
         self.has_failed && self.answered_at.is_none_or(is_silent)
     }
 
-    fn doubtful_until(&self) -> Option<clock::Millis> {
+    fn uncertain_until(&self) -> Option<clock::Millis> {
         self.ended_at.map(|at| at.plus(RETURN_GRACE))
     }
 
     /// Pause before the next read of the registrations, which are read every `interval`.
     ///
-    /// Ends with the doubt, so that upstreams that are still missing then are removed at once.
+    /// Ends with the uncertainty, so that upstreams that are still missing then are removed at once.
     pub fn read_pause(&self, now: clock::Millis, interval: clock::Millis) -> clock::Millis {
-        let doubt = self.doubtful_until().filter(|until| *until > now);
-        doubt.map_or(interval, |until| interval.min(until - now))
+        let end = self.uncertain_until().filter(|until| *until > now);
+        end.map_or(interval, |until| interval.min(until - now))
     }
 
     /// Whether registrations of live upstreams may be missing, because there is or recently was an
     /// outage.
-    pub fn is_doubtful(&self, now: clock::Millis) -> bool {
+    pub fn is_uncertain(&self, now: clock::Millis) -> bool {
         self.answered_at.is_none()
             || self.is_out(now)
-            || self.doubtful_until().is_some_and(|until| now < until)
+            || self.uncertain_until().is_some_and(|until| now < until)
     }
 
-    /// Whether registrations may be missing in an update from another daemon, which reports its own
-    /// doubt in `is_doubtful`.
-    pub fn is_update_doubtful(&self, is_doubtful: bool) -> bool {
-        is_doubtful && self.refutes_doubt != Some(true)
+    /// Whether registrations may be missing in an update from another daemon, which is uncertain or
+    /// not.
+    pub fn is_update_uncertain(&self, is_uncertain: bool) -> bool {
+        is_uncertain && self.overrules_reader != Some(true)
     }
 }
