Bound the evidence about prompt parts and remove what is dropped

The newest 32 runs are kept in each list, and dropped evidence is removed from the store like expired evidence. `prompt::PartId` is a type of its own, printed and parsed in one place; decoding of evidence moves out of `update_daemons`.

`part_that_becomes_deadly_after_many_cleared_crashes_is_blocked` and the stricter `evidence_about_old_parts_is_dropped` guard both.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -168,10 +168,7 @@
     /// Records that the connection to `entry` broke while it ran a request with `prompt`.
     pub fn record_break(&self, entry: &upstream::Upstream, prompt: Option<&prompt::Prompt>) {
         if let Some(prompt) = prompt {
-            let parts: Vec<_> = prompt
-                .shared_ids()
-                .map(|part| format!("{part:016x}"))
-                .collect();
+            let parts: Vec<_> = prompt.shared_ids().map(|part| part.to_string()).collect();
             log::info!(
                 "event=engine-broke upstream={} started_at={} parts={}",
                 entry.id,
--- a/crates/basilgrade_edge/src/follow/evidence_log.rs
+++ b/crates/basilgrade_edge/src/follow/evidence_log.rs
@@ -8,7 +8,7 @@
 use basilgrade_adapter::evidence;
 use basilgrade_adapter::record;
 use basilgrade_adapter::store;
-use basilgrade_fleet::suspects;
+use basilgrade_fleet::model::prompt;
 use basilgrade_types::clock;
 
 use crate::core;
@@ -31,18 +31,21 @@
         let _ = tokio::time::timeout(EXPIRY_INTERVAL.duration(), notified).await;
         tokio::time::sleep(BATCH_DELAY.duration()).await;
         let name = core.settings.load().name.clone();
-        let (expired, changed) = {
+        let (dropped, changed) = {
             let mut suspects = core.suspects();
-            (suspects.expire(core.now()), suspects.take_changed(&name))
+            (
+                suspects.take_dropped(core.now()),
+                suspects.take_changed(&name),
+            )
         };
-        if changed.is_empty() && expired.is_empty() {
+        if changed.is_empty() && dropped.is_empty() {
             continue;
         }
-        let removal = |part: &suspects::PartId| record::Record {
+        let removal = |part: &prompt::PartId| record::Record {
             key: evidence::key(*part, &name),
             value: None,
         };
-        let mut records: Vec<_> = expired.iter().map(removal).collect();
+        let mut records: Vec<_> = dropped.iter().map(removal).collect();
         for (part, known) in &changed {
             match evidence::encode(known) {
                 Ok(value) => records.push(record::Record {
@@ -52,7 +55,7 @@
                 Err(reason) => log::error!("event=evidence-failed reason={:?}", reason.to_string()),
             }
             log::info!(
-                "event=evidence part={part:016x} crashes={} cleared={} blocked={}",
+                "event=evidence part={part} crashes={} cleared={} blocked={}",
                 known.crashes.len(),
                 known.cleared.len(),
                 core.suspects().is_blocked(&[*part])
@@ -60,8 +63,8 @@
         }
         if let Err(reason) = reader::append(&core, store::Topic::Daemons, &records).await {
             log::warn!("event=evidence-failed reason={reason:?}");
-            core.suspects()
-                .restore_changed(changed.iter().map(|(part, _)| *part));
+            let changed = changed.iter().map(|(part, _)| *part);
+            core.suspects().restore(changed, dropped);
             tokio::time::sleep(RETRY_DELAY.duration()).await;
             core.evidence_changed.notify_one();
         }
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -10,9 +10,11 @@
 use basilgrade_adapter::upstream_registration;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
+use basilgrade_fleet::model::prompt;
 use basilgrade_fleet::outage;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use bytes::Bytes;
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -396,6 +398,28 @@
         self.publish_directory(directory);
     }
 
+    /// Decodes evidence about a prompt part; `None` if it has expired or is unreadable.
+    fn decode_evidence(
+        &self,
+        key: &str,
+        value: &Bytes,
+    ) -> Option<((prompt::PartId, id::VmId), suspects::Evidence)> {
+        match evidence::decode(key, value) {
+            Ok((known, evidence)) => {
+                let is_valid = evidence.seen_at.plus(suspects::EVIDENCE_TTL) >= self.core.now();
+                is_valid.then_some((known, evidence))
+            }
+            Err(reason) => {
+                self.core.metrics.unreadable_records.inc();
+                log::warn!(
+                    "event=evidence-unreadable key={key:?} reason={:?}",
+                    reason.to_string()
+                );
+                None
+            }
+        }
+    }
+
     fn update_daemons(&self) {
         let now = self.core.now();
         let records = self.lock()[topic_index(store::Topic::Daemons)]
@@ -405,20 +429,8 @@
         let mut others = IndexMap::<_, IndexMap<_, _>>::new();
         for (key, value) in &records {
             if evidence::is_key(key) {
-                match evidence::decode(key, value) {
-                    Ok(((part, daemon), evidence))
-                        if evidence.seen_at.plus(suspects::EVIDENCE_TTL) >= now =>
-                    {
-                        others.entry(part).or_default().insert(daemon, evidence);
-                    }
-                    Ok(_) => {}
-                    Err(reason) => {
-                        self.core.metrics.unreadable_records.inc();
-                        log::warn!(
-                            "event=evidence-unreadable key={key:?} reason={:?}",
-                            reason.to_string()
-                        );
-                    }
+                if let Some(((part, daemon), evidence)) = self.decode_evidence(key, value) {
+                    others.entry(part).or_default().insert(daemon, evidence);
                 }
                 continue;
             }
--- a/crates/basilgrade_fleet/src/model/prompt.rs
+++ b/crates/basilgrade_fleet/src/model/prompt.rs
@@ -1,5 +1,9 @@
 //! Prompt of a generation request, as described by the caller's request headers.
 
+use std::fmt;
+use std::num;
+use std::str;
+
 use xxhash_rust::xxh3;
 
 /// Length of a prompt and the parts that it shares with other prompts.
@@ -14,11 +18,28 @@
     pub parts: Vec<Part>,
 }
 
+/// Hash of the name of a prompt part; printed with 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl str::FromStr for PartId {
+    type Err = num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// Contiguous part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Part {
-    /// Hash of the part's name.
-    pub id: u64,
+    pub id: PartId,
     /// Length of the part in tokens.
     pub tokens: u64,
 }
@@ -26,7 +47,7 @@
 impl Part {
     /// Creates a part named `id`.
     pub fn new(id: &str, tokens: u64) -> Self {
-        let id = xxh3::xxh3_64(id.as_bytes());
+        let id = PartId(xxh3::xxh3_64(id.as_bytes()));
         Self { id, tokens }
     }
 }
@@ -39,7 +60,7 @@
     }
 
     /// Ids of the parts that other prompts may share.
-    pub fn shared_ids(&self) -> impl Iterator<Item = u64> {
+    pub fn shared_ids(&self) -> impl Iterator<Item = PartId> {
         let shared = self.parts.len().saturating_sub(1);
         self.parts[..shared].iter().map(|part| part.id)
     }
--- a/crates/basilgrade_fleet/src/placement.rs
+++ b/crates/basilgrade_fleet/src/placement.rs
@@ -161,7 +161,7 @@
         !candidate.stats.is_backing_off(now) && !candidate.stats.is_unreliable()
     };
     for candidate in candidates.iter().filter(is_healthy) {
-        let weight = ranking::weight(last_shared.id, candidate.id.as_str());
+        let weight = ranking::weight(last_shared.id.0, candidate.id.as_str());
         let scope = (!is_global).then_some(&candidate.domain);
         let entry = best.entry(scope).or_insert((weight, &candidate.id));
         if weight > entry.0 {
--- a/crates/basilgrade_fleet/src/suspects.rs
+++ b/crates/basilgrade_fleet/src/suspects.rs
@@ -7,6 +7,7 @@
 //! a request is let through, and its answer clears the part.
 
 use std::collections::VecDeque;
+use std::mem;
 
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -15,6 +16,7 @@
 use indexmap::IndexSet;
 
 use crate::directory::upstream;
+use crate::model::prompt;
 
 /// Number of crashes of different runs of engines, with no complete answer since, after which a
 /// part is blocked.
@@ -28,8 +30,9 @@
 /// fails.
 const NETWORK_FAILURE_ENGINES: usize = 4;
 
-/// Maximum number of crashes kept for a part.
-const MAX_CRASHES: usize = 16;
+/// Maximum number of runs of engines kept for a part, in each list of a daemon; the oldest are
+/// dropped.
+const MAX_RUNS: usize = 32;
 
 /// Maximum number of parts about which this daemon keeps evidence, beside the blocked ones; the
 /// oldest are dropped.
@@ -42,9 +45,6 @@
 /// count as news.
 pub const EVIDENCE_TTL: clock::Millis = clock::Millis(30 * 60_000);
 
-/// Hash of the name of a prompt part.
-pub type PartId = u64;
-
 /// Evidence of one daemon about one part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evidence {
@@ -70,16 +70,24 @@
     compact_str::format_compact!("{}@{}", entry.id, started_at.0)
 }
 
+/// Drops the oldest runs above the limit.
+fn keep_newest(runs: &mut IndexSet<CompactString>) {
+    let surplus = runs.len().saturating_sub(MAX_RUNS);
+    runs.drain(..surplus);
+}
+
 /// Evidence of all daemons about prompt parts.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    own: IndexMap<PartId, Evidence>,
+    own: IndexMap<prompt::PartId, Evidence>,
     /// Evidence of other daemons, and of earlier processes of this one.
-    others: IndexMap<PartId, IndexMap<id::VmId, Evidence>>,
+    others: IndexMap<prompt::PartId, IndexMap<id::VmId, Evidence>>,
     /// Blocked parts, each with the crashes that are not cleared.
-    blocked: IndexMap<PartId, IndexSet<CompactString>>,
+    blocked: IndexMap<prompt::PartId, IndexSet<CompactString>>,
     /// Parts whose own evidence has changed since it was last taken.
-    changed: IndexSet<PartId>,
+    changed: IndexSet<prompt::PartId>,
+    /// Parts whose own evidence was dropped since this was last asked.
+    dropped: Vec<prompt::PartId>,
     /// Recent broken connections, with the runs of the engines.
     breaks: VecDeque<(clock::Millis, CompactString)>,
 }
@@ -90,7 +98,7 @@
         &mut self,
         now: clock::Millis,
         entry: &upstream::Upstream,
-        parts: impl Iterator<Item = PartId>,
+        parts: impl Iterator<Item = prompt::PartId>,
     ) {
         let run = run_name(entry);
         self.breaks.push_back((now, run.clone()));
@@ -104,23 +112,37 @@
         }
         for part in parts {
             let evidence = self.own.entry(part).or_default();
-            if evidence.crashes.len() < MAX_CRASHES && evidence.crashes.insert(run.clone()) {
+            if evidence.crashes.insert(run.clone()) {
+                keep_newest(&mut evidence.crashes);
                 evidence.seen_at = now;
                 self.changed.insert(part);
                 self.update_blocked(part);
             }
         }
+        self.drop_surplus();
+    }
+
+    /// Drops the oldest own evidence above the limit.
+    fn drop_surplus(&mut self) {
         let mut surplus = self.own.len().saturating_sub(MAX_SUSPECTS);
         let blocked = &self.blocked;
         self.own.retain(|part, _| {
             let is_kept = surplus == 0 || blocked.contains_key(part);
-            surplus -= usize::from(!is_kept);
+            if !is_kept {
+                surplus -= 1;
+                self.changed.swap_remove(part);
+                self.dropped.push(*part);
+            }
             is_kept
         });
     }
 
     /// Records that an engine answered a request with `parts` completely.
-    pub fn record_success(&mut self, now: clock::Millis, parts: impl Iterator<Item = PartId>) {
+    pub fn record_success(
+        &mut self,
+        now: clock::Millis,
+        parts: impl Iterator<Item = prompt::PartId>,
+    ) {
         for part in parts {
             let open = self.open_crashes(part);
             if open.is_empty() {
@@ -128,13 +150,14 @@
             }
             let evidence = self.own.entry(part).or_default();
             evidence.cleared.extend(open);
+            keep_newest(&mut evidence.cleared);
             evidence.seen_at = now;
             self.changed.insert(part);
             self.update_blocked(part);
         }
     }
 
-    fn update_blocked(&mut self, part: PartId) {
+    fn update_blocked(&mut self, part: prompt::PartId) {
         let crashes = self.open_crashes(part);
         if crashes.len() >= CRASHES_TO_BLOCK {
             self.blocked.insert(part, crashes);
@@ -144,7 +167,7 @@
     }
 
     /// Evidence of all daemons about `part`.
-    fn all_evidence(&self, part: PartId) -> Evidence {
+    fn all_evidence(&self, part: prompt::PartId) -> Evidence {
         let mut all = self.own.get(&part).cloned().unwrap_or_default();
         let others = self.others.get(&part);
         for evidence in others.into_iter().flat_map(IndexMap::values) {
@@ -154,13 +177,17 @@
     }
 
     /// Crashes of engines that ran a request with `part` and are not cleared.
-    fn open_crashes(&self, part: PartId) -> IndexSet<CompactString> {
+    fn open_crashes(&self, part: prompt::PartId) -> IndexSet<CompactString> {
         let all = self.all_evidence(part);
         &all.crashes - &all.cleared
     }
 
     /// Records that a request with `parts` was refused, which keeps blocked parts from expiring.
-    pub fn record_refusal(&mut self, now: clock::Millis, parts: impl Iterator<Item = PartId>) {
+    pub fn record_refusal(
+        &mut self,
+        now: clock::Millis,
+        parts: impl Iterator<Item = prompt::PartId>,
+    ) {
         for part in parts {
             let mut all = self.all_evidence(part);
             let is_due = all.seen_at.plus(clock::Millis(EVIDENCE_TTL.0 / 2)) < now;
@@ -173,13 +200,13 @@
     }
 
     /// Whether a request with the shared parts `parts` must not reach engines.
-    pub fn is_blocked(&self, parts: &[PartId]) -> bool {
+    pub fn is_blocked(&self, parts: &[prompt::PartId]) -> bool {
         if self.blocked.is_empty() {
             return false;
         }
         let mut crashes = parts.iter().filter_map(|part| self.blocked.get(part));
         crashes.any(|crashes| {
-            let explains = |(other, known): (&PartId, &IndexSet<CompactString>)| {
+            let explains = |(other, known): (&prompt::PartId, &IndexSet<CompactString>)| {
                 !parts.contains(other) && crashes.is_subset(known)
             };
             !self.blocked.iter().any(explains)
@@ -187,7 +214,10 @@
     }
 
     /// Replaces the evidence of other daemons, and of earlier processes of this one.
-    pub fn replace_others(&mut self, others: IndexMap<PartId, IndexMap<id::VmId, Evidence>>) {
+    pub fn replace_others(
+        &mut self,
+        others: IndexMap<prompt::PartId, IndexMap<id::VmId, Evidence>>,
+    ) {
         self.others = others;
         let own = self.own.keys().chain(self.blocked.keys());
         let known: IndexSet<_> = own.chain(self.others.keys()).copied().collect();
@@ -197,8 +227,8 @@
     }
 
     /// Takes the evidence of this daemon, named `own`, that has changed since the last call.
-    pub fn take_changed(&mut self, own: &id::VmId) -> Vec<(PartId, Evidence)> {
-        let changed = std::mem::take(&mut self.changed);
+    pub fn take_changed(&mut self, own: &id::VmId) -> Vec<(prompt::PartId, Evidence)> {
+        let changed = mem::take(&mut self.changed);
         let mut taken = Vec::new();
         for part in changed {
             let mut evidence = self.own.get(&part).cloned().unwrap_or_default();
@@ -212,14 +242,20 @@
         taken
     }
 
-    /// Marks evidence as changed again, because it could not be published.
-    pub fn restore_changed(&mut self, parts: impl Iterator<Item = PartId>) {
-        self.changed.extend(parts);
+    /// Marks evidence as changed or dropped again, because that could not be published.
+    pub fn restore(
+        &mut self,
+        changed: impl Iterator<Item = prompt::PartId>,
+        dropped: Vec<prompt::PartId>,
+    ) {
+        self.changed.extend(changed);
+        self.dropped.extend(dropped);
     }
 
-    /// Drops own evidence that has expired; returns its parts.
-    pub fn expire(&mut self, now: clock::Millis) -> Vec<PartId> {
-        let is_expired = |(part, evidence): (&PartId, &Evidence)| {
+    /// Drops own evidence that has expired; returns the parts of all evidence that was dropped since
+    /// the last call.
+    pub fn take_dropped(&mut self, now: clock::Millis) -> Vec<prompt::PartId> {
+        let is_expired = |(part, evidence): (&prompt::PartId, &Evidence)| {
             let ttl = if self.blocked.contains_key(part) {
                 EVIDENCE_TTL
             } else {
@@ -228,11 +264,15 @@
             (evidence.seen_at.plus(ttl) <= now).then_some(*part)
         };
         let expired: Vec<_> = self.own.iter().filter_map(is_expired).collect();
-        for part in &expired {
-            self.own.shift_remove(part);
-            self.changed.swap_remove(part);
-            self.update_blocked(*part);
+        for part in expired {
+            self.own.shift_remove(&part);
+            self.changed.swap_remove(&part);
+            self.update_blocked(part);
+            self.dropped.push(part);
         }
-        expired
+        let mut dropped = mem::take(&mut self.dropped);
+        // A dropped part may have become a suspect again.
+        dropped.retain(|part| !self.own.contains_key(part));
+        dropped
     }
 }
--- a/crates/basilgrade_fleet/tests/suspects.rs
+++ b/crates/basilgrade_fleet/tests/suspects.rs
@@ -2,13 +2,14 @@
 
 mod common;
 
+use basilgrade_fleet::model::prompt;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use indexmap::IndexMap;
 
-const DEADLY: suspects::PartId = 1;
-const SOUND: suspects::PartId = 2;
+const DEADLY: prompt::PartId = prompt::PartId(1);
+const SOUND: prompt::PartId = prompt::PartId(2);
 
 /// Time between two crashes that do not look like a failure of the daemon's network.
 const STEP: u64 = 1000;
@@ -24,7 +25,7 @@
     first: u16,
     count: u16,
     step: u64,
-    parts: &[suspects::PartId],
+    parts: &[prompt::PartId],
 ) {
     for number in first..first + count {
         let now = clock::Millis(10_000 + step * u64::from(number));
@@ -120,8 +121,8 @@
     known.record_refusal(later, [DEADLY].into_iter());
 
     let end = later.plus(suspects::EVIDENCE_TTL);
-    assert!(known.expire(end - moment).is_empty() && known.is_blocked(&[DEADLY]));
-    assert_eq!(known.expire(end), [DEADLY]);
+    assert!(known.take_dropped(end - moment).is_empty() && known.is_blocked(&[DEADLY]));
+    assert_eq!(known.take_dropped(end), [DEADLY]);
     assert!(!known.is_blocked(&[DEADLY]));
 }
 
@@ -132,12 +133,14 @@
     record_breaks(&mut known, 0, 3, STEP, &[DEADLY]);
 
     for part in 100..1100 {
-        record_breaks(&mut known, 9, 1, STEP, &[part]);
-        let _ = known.take_changed(&name("vm-1"));
+        record_breaks(&mut known, 9, 1, STEP, &[prompt::PartId(part)]);
     }
 
+    let dropped = known.take_dropped(clock::Millis(20_000)).len();
+    let kept = known.take_changed(&name("vm-1")).len();
     assert!(known.is_blocked(&[DEADLY]));
-    assert!(known.expire(clock::Millis(200_000)).len() <= 40);
+    assert_eq!(dropped + kept, 1001);
+    assert!(kept <= 33, "{kept} parts are kept");
 }
 
 /// Guards against a sound part that stays blocked, as no request with it reaches an engine and
@@ -165,3 +168,18 @@
 
     assert!(!before && known.is_blocked(&[DEADLY]));
 }
+
+/// Guards against a part whose list of cleared crashes is full, so that further ones do not count.
+#[test]
+fn part_that_becomes_deadly_after_many_cleared_crashes_is_blocked() {
+    let mut known = suspects::Suspects::default();
+    for number in 0..100 {
+        record_breaks(&mut known, number, 1, STEP, &[DEADLY]);
+        let now = clock::Millis(10_500 + STEP * u64::from(number));
+        known.record_success(now, [DEADLY].into_iter());
+    }
+
+    record_breaks(&mut known, 100, 3, STEP, &[DEADLY]);
+
+    assert!(known.is_blocked(&[DEADLY]));
+}
