Let the stand-in store take several records in one append

The platform's store takes any number of records in a call. The stand-in took the body for one record, so daemons that publish several at once stored an unreadable value (`evidence-unreadable ... trailing characters`). Found when `deadly_prompts` timed out.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -125,12 +125,17 @@
         Response::new(server::full_body(page.to_string()))
     }
 
-    /// Appends the record in `body`: four bytes of length, one byte of key length, key and value.
+    /// Appends the records in `body`, each with four bytes of length, one byte of key length, key and
+    /// value.
     fn append(&self, topic: &str, body: &Bytes) -> Response<server::Body> {
-        let key_length = body[4] as usize;
-        let key = String::from_utf8_lossy(&body[5..5 + key_length]).into_owned();
-        let value = String::from_utf8_lossy(&body[5 + key_length..]).into_owned();
-        self.put(topic, &key, &value);
+        let mut rest = &body[..];
+        while let Some((length, content)) = rest.split_first_chunk() {
+            let (record, next) = content.split_at(u32::from_be_bytes(*length) as usize);
+            rest = next;
+            let (key, value) = record[1..].split_at(record[0] as usize);
+            let (key, value) = (String::from_utf8_lossy(key), String::from_utf8_lossy(value));
+            self.put(topic, &key, &value);
+        }
         Response::new(server::full_body("{}"))
     }
 }
