Count engines that crash together as one crash

Crashes within 0.5 s of each other now count once, whether a rack or the daemon's own network fails; the count of engines within 0.3 s goes. A complete answer clears the crashes before it by time instead of by name, so a record stays small.

--- a/crates/basilgrade_edge/src/follow/evidence_log.rs
+++ b/crates/basilgrade_edge/src/follow/evidence_log.rs
@@ -55,9 +55,9 @@
                 Err(reason) => log::error!("event=evidence-failed reason={:?}", reason.to_string()),
             }
             log::info!(
-                "event=evidence part={part} crashes={} cleared={} blocked={}",
+                "event=evidence part={part} crashes={} answered_at={} blocked={}",
                 known.crashes.len(),
-                known.cleared.len(),
+                known.answered_at,
                 core.suspects().is_blocked(&[*part])
             );
         }
--- a/crates/basilgrade_fleet/src/suspects.rs
+++ b/crates/basilgrade_fleet/src/suspects.rs
@@ -6,7 +6,6 @@
 //! blocked, except in requests without another blocked part that explains all of its crashes: such
 //! a request is let through, and its answer clears the part.
 
-use std::collections::VecDeque;
 use std::mem;
 
 use basilgrade_types::clock;
@@ -18,21 +17,15 @@
 use crate::directory::upstream;
 use crate::model::prompt;
 
-/// Number of crashes of different runs of engines, with no complete answer since, after which a
-/// part is blocked.
+/// Number of separate crashes, with no complete answer since, after which a part is blocked.
 const CRASHES_TO_BLOCK: usize = 3;
 
-/// Time within which broken connections to several engines count as one failure of this daemon's
-/// network.
-const NETWORK_FAILURE_SPAN: clock::Millis = clock::Millis(300);
+/// Engines that crash within this time of each other count as one crash: they fail together, for
+/// example with their rack, or the network of the daemon fails.
+const CRASH_SPACING: clock::Millis = clock::Millis(500);
 
-/// Number of engines to which connections break at the same time if the network of this daemon
-/// fails.
-const NETWORK_FAILURE_ENGINES: usize = 4;
-
-/// Maximum number of runs of engines kept for a part, in each list of a daemon; the oldest are
-/// dropped.
-const MAX_RUNS: usize = 32;
+/// Maximum number of runs of engines that a daemon keeps for a part; the oldest are dropped.
+const MAX_RUNS: usize = 8;
 
 /// Maximum number of parts about which this daemon keeps evidence, beside the blocked ones; the
 /// oldest are dropped.
@@ -48,18 +41,21 @@
 /// Evidence of one daemon about one part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evidence {
-    /// Runs of engines that broke requests with the part.
-    pub crashes: IndexSet<CompactString>,
-    /// Runs of engines whose crash was not caused by the part.
-    pub cleared: IndexSet<CompactString>,
+    /// Runs of engines that broke requests with the part, with the Unix time of the first one.
+    pub crashes: IndexMap<CompactString, clock::Millis>,
+    /// Unix time of the last complete answer after a crash; it clears the crashes up to then.
+    pub answered_at: clock::Millis,
     /// Unix time of the last change.
     pub seen_at: clock::Millis,
 }
 
 impl Evidence {
     fn merge(&mut self, other: &Self) {
-        self.crashes.extend(other.crashes.iter().cloned());
-        self.cleared.extend(other.cleared.iter().cloned());
+        for (run, at) in &other.crashes {
+            let known = self.crashes.entry(run.clone()).or_insert(*at);
+            *known = (*known).min(*at);
+        }
+        self.answered_at = self.answered_at.max(other.answered_at);
         self.seen_at = self.seen_at.max(other.seen_at);
     }
 }
@@ -70,10 +66,19 @@
     compact_str::format_compact!("{}@{}", entry.id, started_at.0)
 }
 
-/// Drops the oldest runs above the limit.
-fn keep_newest(runs: &mut IndexSet<CompactString>) {
-    let surplus = runs.len().saturating_sub(MAX_RUNS);
-    runs.drain(..surplus);
+/// Number of crashes at `times` that are apart by `CRASH_SPACING`.
+fn count_separate(times: impl Iterator<Item = clock::Millis>) -> usize {
+    let mut times: Vec<_> = times.collect();
+    times.sort_unstable();
+    let mut count = 0;
+    let mut next = clock::Millis::ZERO;
+    for at in times {
+        if at >= next {
+            count += 1;
+            next = at.plus(CRASH_SPACING);
+        }
+    }
+    count
 }
 
 /// Evidence of all daemons about prompt parts.
@@ -83,13 +88,11 @@
     /// Evidence of other daemons, and of earlier processes of this one.
     others: IndexMap<prompt::PartId, IndexMap<id::VmId, Evidence>>,
     /// Blocked parts, each with the crashes that are not cleared.
-    blocked: IndexMap<prompt::PartId, IndexSet<CompactString>>,
+    blocked: IndexMap<prompt::PartId, IndexMap<CompactString, clock::Millis>>,
     /// Parts whose own evidence has changed since it was last taken.
     changed: IndexSet<prompt::PartId>,
     /// Parts whose own evidence was dropped since this was last asked.
     dropped: Vec<prompt::PartId>,
-    /// Recent broken connections, with the runs of the engines.
-    breaks: VecDeque<(clock::Millis, CompactString)>,
 }
 
 impl Suspects {
@@ -101,19 +104,12 @@
         parts: impl Iterator<Item = prompt::PartId>,
     ) {
         let run = run_name(entry);
-        self.breaks.push_back((now, run.clone()));
-        let is_old = |at: clock::Millis| at.plus(NETWORK_FAILURE_SPAN) < now;
-        while self.breaks.front().is_some_and(|(at, _)| is_old(*at)) {
-            self.breaks.pop_front();
-        }
-        let engines: IndexSet<_> = self.breaks.iter().map(|(_, run)| run).collect();
-        if engines.len() >= NETWORK_FAILURE_ENGINES {
-            return;
-        }
         for part in parts {
             let evidence = self.own.entry(part).or_default();
-            if evidence.crashes.insert(run.clone()) {
-                keep_newest(&mut evidence.crashes);
+            if !evidence.crashes.contains_key(&run) {
+                evidence.crashes.insert(run.clone(), now);
+                let surplus = evidence.crashes.len().saturating_sub(MAX_RUNS);
+                evidence.crashes.drain(..surplus);
                 evidence.seen_at = now;
                 self.changed.insert(part);
                 self.update_blocked(part);
@@ -149,8 +145,7 @@
                 continue;
             }
             let evidence = self.own.entry(part).or_default();
-            evidence.cleared.extend(open);
-            keep_newest(&mut evidence.cleared);
+            evidence.answered_at = now;
             evidence.seen_at = now;
             self.changed.insert(part);
             self.update_blocked(part);
@@ -159,7 +154,7 @@
 
     fn update_blocked(&mut self, part: prompt::PartId) {
         let crashes = self.open_crashes(part);
-        if crashes.len() >= CRASHES_TO_BLOCK {
+        if count_separate(crashes.values().copied()) >= CRASHES_TO_BLOCK {
             self.blocked.insert(part, crashes);
         } else {
             self.blocked.swap_remove(&part);
@@ -177,9 +172,10 @@
     }
 
     /// Crashes of engines that ran a request with `part` and are not cleared.
-    fn open_crashes(&self, part: prompt::PartId) -> IndexSet<CompactString> {
-        let all = self.all_evidence(part);
-        &all.crashes - &all.cleared
+    fn open_crashes(&self, part: prompt::PartId) -> IndexMap<CompactString, clock::Millis> {
+        let mut all = self.all_evidence(part);
+        all.crashes.retain(|_, at| *at > all.answered_at);
+        all.crashes
     }
 
     /// Records that a request with `parts` was refused, which keeps blocked parts from expiring.
@@ -206,10 +202,11 @@
         }
         let mut crashes = parts.iter().filter_map(|part| self.blocked.get(part));
         crashes.any(|crashes| {
-            let explains = |(other, known): (&prompt::PartId, &IndexSet<CompactString>)| {
-                !parts.contains(other) && crashes.is_subset(known)
-            };
-            !self.blocked.iter().any(explains)
+            let mut others = self.blocked.iter();
+            let is_explained = others.any(|(other, known)| {
+                !parts.contains(other) && crashes.keys().all(|run| known.contains_key(run))
+            });
+            !is_explained
         })
     }
 
