Log the request limits that upstreams name

The log showed to which engine a request went, but not whether that engine had named a limit in its answers, so it was unknown whether nobody reads the limit, repeats exceed it, or placement prefers the engines in need.

Answers are decoded with their limit, each daemon remembers it for the run of the upstream, and logs changes (`limit-changed`, counter `basilgrade_limit_changes`). No request is treated differently yet.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -5,12 +5,14 @@
 use std::sync::atomic;
 
 use arc_swap::ArcSwap;
+use basilgrade_adapter::answer;
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::model::prompt;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use basilgrade_types::rate;
 use tokio_util::sync::CancellationToken;
 
 use crate::http::pool;
@@ -191,6 +193,29 @@
         }
     }
 
+    /// Records the limit on the rate of requests that an answer of `entry` names, or the end of it.
+    pub fn record_limit(&self, entry: &upstream::Upstream, answer: &answer::Answer) {
+        // A rejection may come from another upstream at the address, or from a proxy before it.
+        if answer.request_limit.is_none() && answer.is_unexecuted {
+            return;
+        }
+        let rate = answer.request_limit;
+        if entry.stats.limit().record_answer(self.now(), rate) {
+            self.log_limit(entry, rate);
+        }
+    }
+
+    fn log_limit(&self, entry: &upstream::Upstream, rate: Option<rate::RequestRate>) {
+        self.metrics.limit_changes.inc();
+        log::info!(
+            "event=limit-changed upstream={} pool={} domain={} limit={}",
+            entry.id,
+            entry.pool,
+            entry.domain,
+            rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+        );
+    }
+
     /// Replaces the settings and the configuration of the retry budget.
     pub fn reload(&self, settings: settings::Settings) {
         self.budget().set_config(settings.retries);
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -263,6 +263,9 @@
             }
         };
         let answer = answer::Answer::decode(buffered.status, &buffered.headers, "");
+        if let Some(entry) = self.core.view.load().directory.get(&call.upstream) {
+            self.core.record_limit(entry, &answer);
+        }
         piece_calls::decode_answer(
             buffered.status,
             answer.is_unexecuted,
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -61,6 +61,8 @@
     refused = "refused",
     /// Requests refused because a part of their prompt crashes engines.
     blocked = "blocked",
+    /// Changes of the limits on the rate of requests that upstreams name.
+    limit_changes = "limit_changes",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
     /// Retries of requests at another upstream.
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -213,6 +213,7 @@
             "the answer echoes the id of another request",
         ));
     }
+    core.record_limit(entry, &answer);
     if answer.is_unexecuted {
         request.end_unexecuted();
         entry.stats.record(core.now(), health::Outcome::Full);
--- a/crates/basilgrade_fleet/src/health.rs
+++ b/crates/basilgrade_fleet/src/health.rs
@@ -1,9 +1,12 @@
 //! Passive health checks: what this daemon has observed of an upstream, and whether to choose it.
 
+use std::sync;
 use std::sync::atomic;
 
 use basilgrade_types::clock;
 
+use crate::limit;
+
 /// Consecutive failures after which an upstream is backed off, with [`Outcome::Unreachable`]
 /// counted twice; single failures are normal.
 const FAILURE_THRESHOLD: u32 = 3;
@@ -30,6 +33,7 @@
     backoff_until: atomic::AtomicU64,
     failure_rate: atomic::AtomicU64,
     latency: atomic::AtomicU64,
+    limit: sync::Mutex<limit::Limit>,
 }
 
 /// How a call to an upstream ended, as far as the upstream's health is concerned.
@@ -109,6 +113,13 @@
         }
     }
 
+    /// Limit of the upstream on the rate of requests.
+    pub fn limit(&self) -> sync::MutexGuard<'_, limit::Limit> {
+        self.limit
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     /// Whether the upstream is backed off at `now` after consecutive failures.
     pub fn is_backing_off(&self, now: clock::Millis) -> bool {
         now.0 < self.backoff_until.load(atomic::Ordering::Relaxed)
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod events;
 pub mod health;
+pub mod limit;
 pub mod model;
 pub mod outage;
 pub mod placement;
