--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -59,6 +59,8 @@
     pub(crate) id: String,
     pub(crate) behaviour: sync::Mutex<Behaviour>,
     pub(crate) runs: sync::Mutex<Vec<Run>>,
+    /// Limit on the rate of requests that the answers name.
+    pub(crate) limit: sync::Mutex<Option<&'static str>>,
     /// Address that the store lists for this upstream.
     pub(crate) address: sync::OnceLock<std::net::SocketAddr>,
     /// Whether the data of each event names the upstream and the run that produced the event.
@@ -75,6 +77,11 @@
         *self.behaviour.lock().expect("no holder of the lock panics") = behaviour;
     }
 
+    /// Has all further answers name the limit `limit`, in requests per second.
+    pub(crate) fn name_limit(&self, limit: Option<&'static str>) {
+        *self.limit.lock().expect("no holder of the lock panics") = limit;
+    }
+
     /// Returns all runs in order of arrival.
     pub(crate) fn runs(&self) -> Vec<Run> {
         self.runs
@@ -159,6 +166,18 @@
         self: sync::Arc<Self>,
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
+        let mut answer = self.answer(request).await?;
+        let limit = *self.limit.lock().expect("no holder of the lock panics");
+        if let Some(limit) = limit {
+            let limit = hyper::header::HeaderValue::from_static(limit);
+            answer.headers_mut().insert("server-limit", limit);
+        }
+        Some(answer)
+    }
+}
+
+impl Upstream {
+    async fn answer(&self, request: Request<Bytes>) -> Option<Response<server::Body>> {
         if request.uri().path() == "/basilgrade/stage-free" {
             return Some(Response::new(server::full_body("")));
         }
