Grant permits for requests to upstreams that name a limit

Cause: no daemon read the limit. An even split among daemons cannot keep it: limits of one or two requests a second are shared by 9 to 380 daemons.

One daemon, the holder, now grants a permit for each request. The holder is the first by rank in the failure domain of the upstream; two substitutes may grant 0.3 and 0.2 of the limit, so that daemons that cannot reach each other stay within one and a half times the limit together. A holder that has not seen the limit begin grants half of it for 4 s. Daemons that have not heard from a run ask first, and while an upstream of the pool has a limit also those that have not heard for 2 s. Reports of the limit travel with asks and replies, with their age.

First sends, repeats, second answers, resumed streams, piece calls and releases of results take a permit, which is checked again when the connection is open and is void after 0.5 s. Requests that gain much from cached prompt parts may take any permit, others only those that would be lost. If all upstreams of a pool are at their limits, a request waits up to a third of its time and is then refused with the time until a permit.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -8,6 +8,7 @@
 use basilgrade_adapter::answer;
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
+use basilgrade_fleet::limit;
 use basilgrade_fleet::model::prompt;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
@@ -17,6 +18,7 @@
 
 use crate::http::pool;
 use crate::metrics;
+use crate::peers::links;
 use crate::settings;
 use crate::view;
 
@@ -29,6 +31,8 @@
     pub view: ArcSwap<view::View>,
     /// Idle keep-alive connections to upstreams and the store.
     pub connections: pool::ConnectionPool,
+    /// Connections to other daemons.
+    pub links: links::PeerLinks,
     pub metrics: metrics::Metrics,
     budget: sync::Mutex<budget::Budget>,
     /// Evidence about prompt parts that crash engines.
@@ -67,6 +71,7 @@
             clock: clock::SystemClock::new(),
             view: ArcSwap::from_pointee(view),
             connections: pool::ConnectionPool::default(),
+            links: links::PeerLinks::default(),
             metrics: metrics::Metrics::new()?,
             suspects: sync::Mutex::default(),
             evidence_changed: tokio::sync::Notify::new(),
@@ -193,6 +198,14 @@
         }
     }
 
+    /// Takes over what another daemon knows of the limit of `entry`, unless it is older.
+    pub fn merge_limit(&self, entry: &upstream::Upstream, report: limit::Report) {
+        let has_changed = entry.stats.limit().merge(self.now(), report);
+        if has_changed {
+            self.log_limit(entry, report.rate);
+        }
+    }
+
     /// Records the limit on the rate of requests that an answer of `entry` names, or the end of it.
     pub fn record_limit(&self, entry: &upstream::Upstream, answer: &answer::Answer) {
         // A rejection may come from another upstream at the address, or from a proxy before it.
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -23,7 +23,6 @@
 use crate::gather::job_router;
 use crate::listener;
 use crate::logger;
-use crate::peers::links;
 use crate::peers::rpc_server;
 use crate::peers::sync as peer_sync;
 use crate::readiness;
@@ -67,6 +66,7 @@
         configuration: None,
         directory: sync::Arc::default(),
         topology: sync::Arc::new(topology),
+        registered: sync::Arc::default(),
         daemons: 1,
         has_upstreams: false,
     }
@@ -106,13 +106,11 @@
     let metrics = settings.metrics;
     let core = sync::Arc::new(core::Core::new(settings.clone(), initial_view(&settings))?);
     let mirrors = sync::Arc::new(mirrors::Mirrors::new(sync::Arc::clone(&core)));
-    let links = sync::Arc::new(links::PeerLinks::default());
     let (consumed, consumed_inputs) = mpsc::unbounded_channel();
     let gatherers = sync::Arc::new(gatherers::Gatherers::new(sync::Arc::clone(&core), consumed));
     let duty_client = sync::Arc::new(duty_client::DutyClient::new(
         sync::Arc::clone(&core),
         sync::Arc::clone(&mirrors),
-        sync::Arc::clone(&links),
     ));
     let job_router = sync::Arc::new(job_router::JobRouter::new(
         sync::Arc::clone(&core),
@@ -155,7 +153,6 @@
     let follower = peer_sync::Follower {
         core: sync::Arc::clone(&core),
         mirrors,
-        links,
     };
     tokio::spawn(follower.run());
     tokio::spawn(sync::Arc::clone(&job_client).release_consumed(consumed_inputs));
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -462,7 +462,9 @@
                 domain_peers + 1
             );
         }
+        let registered = sync::Arc::new(daemons);
         self.core.view.rcu(|view| view::View {
+            registered: sync::Arc::clone(&registered),
             daemons: others + 1,
             ..view::View::clone(view)
         });
--- a/crates/basilgrade_edge/src/gather/duty_client.rs
+++ b/crates/basilgrade_edge/src/gather/duty_client.rs
@@ -14,7 +14,6 @@
 
 use crate::core;
 use crate::follow::mirrors;
-use crate::peers::links;
 use crate::peers::service;
 
 /// Time-out of load queries and releases, several times the round trip between regions plus the
@@ -29,20 +28,11 @@
 pub struct DutyClient {
     core: sync::Arc<core::Core>,
     mirrors: sync::Arc<mirrors::Mirrors>,
-    links: sync::Arc<links::PeerLinks>,
 }
 
 impl DutyClient {
-    pub fn new(
-        core: sync::Arc<core::Core>,
-        mirrors: sync::Arc<mirrors::Mirrors>,
-        links: sync::Arc<links::PeerLinks>,
-    ) -> Self {
-        Self {
-            core,
-            mirrors,
-            links,
-        }
+    pub fn new(core: sync::Arc<core::Core>, mirrors: sync::Arc<mirrors::Mirrors>) -> Self {
+        Self { core, mirrors }
     }
 
     /// Daemon that performs `duty`, or `None` if this daemon does.
@@ -56,7 +46,7 @@
             if daemon.name == own {
                 return !self.core.is_draining();
             }
-            !self.links.is_backing_off(daemon.address)
+            !self.core.links.is_backing_off(daemon.address)
         };
         let assignee = daemons.into_iter().find(is_usable)?;
         (assignee.name != own).then_some(assignee)
@@ -76,6 +66,7 @@
         let limit = job.time_left.plus(OUTCOME_SLACK);
         let (pool, request) = (duty.pool.clone(), job.request.clone());
         let outcome = self
+            .core
             .links
             .call(daemon.address, limit, |peer, context| async move {
                 peer.gather(context, duty, job).await
@@ -83,7 +74,7 @@
             .await;
         match &outcome {
             Ok(service::GatherReply::Ended(..)) => {}
-            Ok(service::GatherReply::Leaving) => self.links.mark_leaving(daemon.address),
+            Ok(service::GatherReply::Leaving) => self.core.links.mark_leaving(daemon.address),
             Err(reason) => log::info!(
                 "event=gatherer-failed request={request} pool={pool} daemon={} reason={reason:?}",
                 daemon.name
@@ -104,6 +95,7 @@
         bytes: u64,
     ) -> service::ReleaseReply {
         let outcome = self
+            .core
             .links
             .call(daemon.address, ANSWER_TIMEOUT, |peer, context| async move {
                 peer.release(context, pool, domain, handles, bytes).await
@@ -111,7 +103,7 @@
             .await;
         match outcome {
             Ok(service::ReleaseReply::Accepted) => return service::ReleaseReply::Accepted,
-            Ok(service::ReleaseReply::Leaving) => self.links.mark_leaving(daemon.address),
+            Ok(service::ReleaseReply::Leaving) => self.core.links.mark_leaving(daemon.address),
             Err(reason) => log::info!(
                 "event=release-failed daemon={} reason={reason:?}",
                 daemon.name
@@ -132,6 +124,7 @@
         let answers = requests.into_iter().map(|(address, duties)| async move {
             let asked = duties.clone();
             let loads = self
+                .core
                 .links
                 .call(address, ANSWER_TIMEOUT, |peer, context| async move {
                     peer.loads(context, asked).await
@@ -140,7 +133,7 @@
             // After a failed call, `links.call` has already stopped new calls to the daemon.
             let loads = loads.unwrap_or_else(|_| Some(Vec::new()));
             if loads.is_none() {
-                self.links.mark_leaving(address);
+                self.core.links.mark_leaving(address);
             }
             duties.into_iter().zip(loads.unwrap_or_default())
         });
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -12,6 +12,7 @@
 use basilgrade_fleet::batch::queue;
 use basilgrade_fleet::directory;
 use basilgrade_fleet::directory::upstream;
+use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
 use basilgrade_fleet::model::pool;
 use basilgrade_types::clock;
@@ -23,6 +24,7 @@
 
 use crate::core;
 use crate::gather::result_releases;
+use crate::permits;
 
 /// Time-out for connecting to an upstream: two round trips between regions and a scheduling delay.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(400);
@@ -248,11 +250,20 @@
 
     async fn exchange(&self, call: &call::Call) -> Result<outcome::CallOutcome, String> {
         let message = piece_calls::compute_request(call).map_err(|reason| reason.to_string())?;
+        let entry = self.core.view.load().directory.get(&call.upstream).cloned();
+        let entry = entry.ok_or("the upstream is not registered")?;
+        let permit = match permits::acquire(&self.core, &entry, limit::Claim::Any, false).await {
+            Ok(permit) => permit,
+            Err(until) => return Ok(outcome::CallOutcome::Held(until - self.core.now())),
+        };
         let sent = self
             .core
             .connections
-            .call_while(call.address, message, "", CONNECT_TIMEOUT, || {
+            .call_while(call.address, message, "", CONNECT_TIMEOUT, |is_resend| {
+                let is_counted = permit != limit::Permit::Unlimited;
                 self.core.accepts(&call.upstream, call.address)
+                    && entry.stats.limit().allows(self.core.now(), permit)
+                    && !(is_resend && is_counted)
             })
             .await;
         let buffered = match sent {
@@ -263,9 +274,7 @@
             }
         };
         let answer = answer::Answer::decode(buffered.status, &buffered.headers, "");
-        if let Some(entry) = self.core.view.load().directory.get(&call.upstream) {
-            self.core.record_limit(entry, &answer);
-        }
+        self.core.record_limit(&entry, &answer);
         piece_calls::decode_answer(
             buffered.status,
             answer.is_unexecuted,
@@ -287,6 +296,7 @@
     match outcome {
         outcome::CallOutcome::Answered(_) => "answered",
         outcome::CallOutcome::Full => "full",
+        outcome::CallOutcome::Held(_) => "held",
         outcome::CallOutcome::WrongUpstream => "wrong-upstream",
         outcome::CallOutcome::Broken => "broken",
     }
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -4,12 +4,14 @@
 use std::sync;
 
 use basilgrade_adapter::piece_calls;
+use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
 use compact_str::CompactString;
 use indexmap::IndexMap;
 
 use crate::core;
+use crate::permits;
 
 /// Delay before results are freed, which collects the results of one call into one request. Until
 /// then the results take up memory at their upstreams.
@@ -82,6 +84,17 @@
             );
             return;
         };
+        let entry = self.core.view.load().directory.at(address).cloned();
+        if let Some(entry) = entry
+            && permits::acquire(&self.core, &entry, limit::Claim::Any, false)
+                .await
+                .is_err()
+        {
+            log::info!(
+                "event=release-skipped holder={holder} reason=\"the upstream is at its request limit\""
+            );
+            return;
+        }
         let message = match piece_calls::free_request(holder, handles) {
             Ok(message) => message,
             Err(reason) => {
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -114,12 +114,12 @@
         request_id: &str,
         connect_timeout: clock::Millis,
     ) -> Result<BufferedAnswer, error::SendError> {
-        self.call_while(address, message, request_id, connect_timeout, || true)
+        self.call_while(address, message, request_id, connect_timeout, |_| true)
             .await
     }
 
     /// Like [`ConnectionPool::call`], but sends nothing unless `is_allowed` holds when a connection
-    /// is open.
+    /// is open; its argument tells whether the call may have reached the address before.
     ///
     /// # Errors
     ///
@@ -130,14 +130,14 @@
         message: Request<Full<Bytes>>,
         request_id: &str,
         connect_timeout: clock::Millis,
-        is_allowed: impl Fn() -> bool,
+        is_allowed: impl Fn(bool) -> bool,
     ) -> Result<BufferedAnswer, error::SendError> {
         let mut verdict = verdict::Verdict::NotRun;
         let forbidden = |verdict| error::SendError {
             verdict,
             reason: "the upstream gets no more calls".to_owned(),
         };
-        if !is_allowed() {
+        if !is_allowed(false) {
             return Err(forbidden(verdict));
         }
         if let Some(connection) = self.take(address) {
@@ -155,7 +155,7 @@
             }
         }
         let connection = connection::Connection::open(address, connect_timeout.duration()).await?;
-        if !is_allowed() {
+        if !is_allowed(verdict != verdict::Verdict::NotRun) {
             return Err(forbidden(verdict));
         }
         self.exchange(address, connection, message, request_id)
--- a/crates/basilgrade_edge/src/lib.rs
+++ b/crates/basilgrade_edge/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logger;
 pub mod metrics;
 pub mod peers;
+pub mod permits;
 pub mod readiness;
 pub mod serve;
 pub mod settings;
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -63,6 +63,10 @@
     blocked = "blocked",
     /// Changes of the limits on the rate of requests that upstreams name.
     limit_changes = "limit_changes",
+    /// Permits for requests to upstreams that name a limit.
+    permits = "permits",
+    /// Asks for such a permit that were denied.
+    denied_permits = "denied_permits",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
     /// Retries of requests at another upstream.
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -6,6 +6,7 @@
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
+use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
 use basilgrade_peer::postcard_format;
 use basilgrade_types::clock;
@@ -25,6 +26,7 @@
 use crate::peers::links;
 use crate::peers::service;
 use crate::peers::service::Peer as _;
+use crate::permits;
 
 /// Handler of the remote procedure calls of other daemons.
 #[derive(Clone)]
@@ -104,6 +106,21 @@
             updates,
         }
     }
+
+    async fn permit(
+        self,
+        _: context::Context,
+        upstream: id::UpstreamId,
+        started_at: Option<clock::Millis>,
+        claim: limit::Claim,
+        report: limit::Report,
+    ) -> service::PermitReply {
+        if self.core.is_draining() {
+            return service::PermitReply::Leaving;
+        }
+        let (grant, report) = permits::decide(&self.core, &upstream, started_at, claim, report);
+        service::PermitReply::Decided(grant, report)
+    }
 }
 
 impl RpcServer {
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -7,6 +7,7 @@
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::load;
 use basilgrade_fleet::batch::outcome;
+use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -33,6 +34,15 @@
     Leaving,
 }
 
+/// Reply to [`Peer::permit`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub enum PermitReply {
+    /// Decision on the request, and what the replying daemon knows of the limit.
+    Decided(limit::Grant, limit::Report),
+    /// The daemon is shutting down; another daemon must be asked.
+    Leaving,
+}
+
 /// Reply to [`Peer::follow`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Updates {
@@ -66,4 +76,12 @@
     /// Updates for a caller whose mirrors are at the offsets `positions`; waits up to `wait` for a
     /// change if there are none.
     async fn follow(positions: [Option<u64>; 3], wait: clock::Millis) -> Updates;
+    /// Asks for a permit for one request to the run of `upstream` that started at `started_at`, of
+    /// whose limit the caller knows `report`.
+    async fn permit(
+        upstream: id::UpstreamId,
+        started_at: Option<clock::Millis>,
+        claim: limit::Claim,
+        report: limit::Report,
+    ) -> PermitReply;
 }
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -14,7 +14,6 @@
 
 use crate::core;
 use crate::follow::mirrors;
-use crate::peers::links;
 use crate::peers::service;
 
 /// Long-poll time: how long the reader waits for a change before it answers without updates.
@@ -36,7 +35,6 @@
 pub struct Follower {
     pub core: sync::Arc<core::Core>,
     pub mirrors: sync::Arc<mirrors::Mirrors>,
-    pub links: sync::Arc<links::PeerLinks>,
 }
 
 impl Follower {
@@ -77,7 +75,7 @@
         daemons.retain(is_domain_peer);
         daemon::rank("reader", &mut daemons);
         let is_usable = |daemon: &daemon::Daemon| {
-            daemon.name == settings.name || !self.links.is_backing_off(daemon.address)
+            daemon.name == settings.name || !self.core.links.is_backing_off(daemon.address)
         };
         let reader = daemons.into_iter().find(is_usable)?;
         (reader.name != settings.name).then_some(reader)
@@ -111,7 +109,8 @@
         limit: clock::Millis,
     ) -> Result<service::Updates, String> {
         let positions = self.mirrors.positions();
-        self.links
+        self.core
+            .links
             .call(address, limit, |peer, context| async move {
                 peer.follow(context, positions, wait).await
             })
@@ -126,7 +125,7 @@
         let known = daemons.iter().map(|daemon| daemon.address);
         let addresses: Vec<_> = known
             .chain(settings.seeds.iter().copied())
-            .filter(|peer| *peer != settings.peers && !self.links.is_backing_off(*peer))
+            .filter(|peer| *peer != settings.peers && !self.core.links.is_backing_off(*peer))
             .collect();
         addresses.choose(&mut rand::rng()).copied()
     }
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -6,6 +6,7 @@
 use basilgrade_adapter::forwarded_head;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
+use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
 use basilgrade_fleet::model::prompt;
 use basilgrade_fleet::placement;
@@ -28,6 +29,12 @@
 /// After a lost packet, TCP retransmits only after 1 s; by then another upstream can have answered.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(400);
 
+/// Pause of a request that was denied permits for several upstreams and has no other candidate.
+const HOLD_PAUSE: clock::Millis = clock::Millis(50);
+
+/// Reason why a request is not sent to an upstream that names a limit.
+pub const LIMITED: &str = "the upstreams are at the request limits that they name; retry later";
+
 /// Cost, in milliseconds of delay, of transferring a megabyte of stage results to another failure
 /// domain: the transfer time plus the billed price, converted to delay at the rate that applies to
 /// recomputing shared prompt prefixes.
@@ -98,31 +105,76 @@
         result_domain: None,
         transfer_cost: 0.0,
         tried: &[],
+        held: &[],
     };
     let ready = view.directory.ready(&request.pool);
     let chosen = placement::choose(core.now(), &view.topology, &demand, ready)?;
     Some(chosen.domain.clone())
 }
 
+/// Choice of the upstream for a send.
+pub enum Choice {
+    /// The best upstream, the permits that the request may take there, and whether an upstream of the
+    /// pool names a limit.
+    Chosen(sync::Arc<upstream::Upstream>, limit::Claim, bool),
+    /// Every candidate is at its limit until this time or later.
+    Held(clock::Millis),
+    /// The pool has no candidate.
+    Nothing,
+}
+
 /// Chooses a ready upstream for `request` that is not in `tried`, by load, distance and the
 /// location of `results`.
+///
+/// Upstreams with a limit are left out while this daemon gets no permit for them, and all of them if
+/// `skips_limited` is set.
 pub fn choose(
     core: &core::Core,
     request: &request::Request,
     results: &stage_results::StageResults,
     tried: &[id::UpstreamId],
-) -> Option<sync::Arc<upstream::Upstream>> {
+    skips_limited: bool,
+) -> Choice {
     let view = core.view.load();
+    let now = core.now();
+    let ready = || view.directory.ready(&request.pool);
+    let is_limited = |entry: &&sync::Arc<upstream::Upstream>| entry.stats.limit().rate().is_some();
+    let is_pool_limited = ready().any(|entry| is_limited(&entry));
+    // Requests that others serve as well leave the permits to those that gain from cached parts.
+    let claim = match &request.head.prompt {
+        Some(prompt)
+            if !placement::gains_from_cache(prompt) && !ready().all(|entry| is_limited(&entry)) =>
+        {
+            limit::Claim::Spare
+        }
+        _ => limit::Claim::Any,
+    };
+    let mut held = Vec::new();
+    let mut held_until: Option<clock::Millis> = None;
+    if is_pool_limited {
+        for entry in ready().filter(|entry| !tried.contains(&entry.id)) {
+            let known = entry.stats.limit();
+            let until = match known.need(now, claim, true) {
+                limit::Need::Held(until) => until,
+                _ if skips_limited && known.rate().is_some() => now.plus(HOLD_PAUSE),
+                _ => continue,
+            };
+            held.push(entry.id.clone());
+            held_until = Some(held_until.map_or(until, |known| known.min(until)));
+        }
+    }
     let holder = largest_holder(&view.directory, results);
     let demand = placement::Demand {
         prompt: request.head.prompt.as_ref(),
         result_domain: holder.as_ref().map(|(domain, _)| domain),
         transfer_cost: holder.as_ref().map_or(0.0, |(_, cost)| *cost),
         tried,
+        held: &held,
+    };
+    let chosen = placement::choose(now, &view.topology, &demand, ready());
+    let Some(chosen) = chosen else {
+        return held_until.map_or(Choice::Nothing, Choice::Held);
     };
-    let now = core.now();
-    let ready = view.directory.ready(&request.pool);
-    let chosen = placement::choose(now, &view.topology, &demand, ready)?;
     log::info!(
         "event=placed request={} upstream={} pool={} domain={} active={} tokens={} tried={} \
          version={}",
@@ -135,7 +187,7 @@
         tried.len(),
         view.configuration.as_ref().map_or(0, |known| known.version)
     );
-    Some(sync::Arc::clone(chosen))
+    Choice::Chosen(sync::Arc::clone(chosen), claim, is_pool_limited)
 }
 
 /// Failure domain that holds the most bytes of `results`, and the cost, in milliseconds of delay,
@@ -166,6 +218,7 @@
     core: &core::Core,
     request: &request::Request,
     entry: &upstream::Upstream,
+    permit: limit::Permit,
     extras: &SendExtras,
 ) -> Result<UnreadAnswer, error::SendError> {
     let load = LoadGuard::begin(entry, request.head.prompt.as_ref());
@@ -179,6 +232,9 @@
         return Err(error::SendError::unsent("the upstream is leaving"));
     }
     let sent = core.now();
+    if !entry.stats.limit().allows(sent, permit) {
+        return Err(error::SendError::unsent(LIMITED));
+    }
     let forward = forwarded_head::ForwardedHead {
         upstream: &entry.id,
         time_left: request.time_left(sent),
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -5,6 +5,7 @@
 use basilgrade_adapter::answer;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
+use basilgrade_fleet::limit;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::verdict;
@@ -17,6 +18,7 @@
 use crate::core;
 use crate::http::connection;
 use crate::http::error;
+use crate::permits;
 use crate::serve;
 use crate::serve::attempt;
 use crate::serve::request;
@@ -38,6 +40,16 @@
 /// arrive earlier.
 const MIN_ANSWER_TIMEOUT: clock::Millis = clock::Millis(60);
 
+/// Maximum number of permits that a request is denied in a row before it leaves out upstreams with
+/// limits.
+const MAX_DENIALS: usize = 3;
+
+/// Part of the time left that a request waits for an upstream that is at its limit.
+const LIMIT_WAIT_DIVISOR: u64 = 3;
+
+/// Delay for each priority level of a request that waited for an upstream at its limit.
+const PRIORITY_DELAY: clock::Millis = clock::Millis(4);
+
 /// Reason of a refusal by an upstream that cannot fetch the stage results of a request.
 pub const INPUTS_GONE: &str = "stage results are gone";
 
@@ -76,7 +88,7 @@
     let mut sends = SendHistory::default();
     let mut fallback = None;
     loop {
-        let Some(entry) = sends.next(core, request, results) else {
+        let Some((entry, permit)) = sends.next(core, request, results).await else {
             return match fallback {
                 Some(answer) => Ok(respond(core, request, answer, &sends)),
                 None => Err(sends.failure(core, request)),
@@ -86,7 +98,7 @@
             results: results.of(request.route.last_stages()),
             last_event: request.head.last_event,
         };
-        let sending = exchange(core, request, &entry, &extras);
+        let sending = exchange(core, request, &entry, permit, &extras);
         let limit = answer_timeout(core, request, &entry, &sends);
         let ended = tokio::time::timeout(limit.duration(), sending).await;
         let ended = ended.unwrap_or_else(|_| {
@@ -128,9 +140,10 @@
     core: &core::Core,
     request: &request::Request,
     entry: &upstream::Upstream,
+    permit: limit::Permit,
     extras: &attempt::SendExtras,
 ) -> Outcome {
-    let answered = match attempt::send(core, request, entry, extras).await {
+    let answered = match attempt::send(core, request, entry, permit, extras).await {
         Ok(answered) => answered,
         Err(failure) => return outcome_of_error(failure),
     };
@@ -225,16 +238,19 @@
     last_reason: Option<String>,
     has_failed: bool,
     refusals: usize,
+    /// Time after which an upstream may take the request; zero if that is unknown.
+    wait: clock::Millis,
 }
 
 impl SendHistory {
-    /// Chooses the upstream for the next send; `None` if no further send is permitted or possible.
-    pub fn next(
+    /// Chooses the upstream for the next send and gets the permit for it; `None` if no further send
+    /// is permitted or possible.
+    pub async fn next(
         &mut self,
         core: &core::Core,
         request: &request::Request,
         results: &stage_results::StageResults,
-    ) -> Option<sync::Arc<upstream::Upstream>> {
+    ) -> Option<(sync::Arc<upstream::Upstream>, limit::Permit)> {
         if !self.may_repeat(core, request) {
             return None;
         }
@@ -242,21 +258,59 @@
             self.last_reason = Some(attempt::BLOCKED.to_owned());
             return None;
         }
-        let entry = attempt::choose(core, request, results, &self.tried);
-        if entry.is_none() {
-            self.last_reason
-                .get_or_insert_with(|| "the pool has no ready upstream; retry later".to_owned());
+        let is_repeat = !self.tried.is_empty();
+        if is_repeat && !core.try_withdraw_retry(&request.pool) {
+            self.last_reason = Some("the retry budget of the pool is exhausted".to_owned());
+            return None;
         }
-        let entry = entry?;
-        if !self.tried.is_empty() {
-            if !core.try_withdraw_retry(&request.pool) {
-                self.last_reason = Some("the retry budget of the pool is exhausted".to_owned());
-                return None;
-            }
+        let (entry, permit) = self.select(core, request, results).await?;
+        if is_repeat {
             core.metrics.repeats.inc();
         }
         self.tried.push(entry.id.clone());
-        Some(entry)
+        Some((entry, permit))
+    }
+
+    /// Chooses an upstream that may get the request now; waits for one if all are at their limits.
+    async fn select(
+        &mut self,
+        core: &core::Core,
+        request: &request::Request,
+        results: &stage_results::StageResults,
+    ) -> Option<(sync::Arc<upstream::Upstream>, limit::Permit)> {
+        let start = core.now();
+        let left = request.time_left(start);
+        let wait_end = start.plus(clock::Millis(left.0 / LIMIT_WAIT_DIVISOR));
+        let mut denials = 0;
+        loop {
+            let skips_limited = denials >= MAX_DENIALS;
+            match attempt::choose(core, request, results, &self.tried, skips_limited) {
+                attempt::Choice::Chosen(entry, claim, is_pool_limited) => {
+                    match permits::acquire(core, &entry, claim, is_pool_limited).await {
+                        Ok(permit) => return Some((entry, permit)),
+                        Err(_) => denials += 1,
+                    }
+                }
+                attempt::Choice::Held(until) => {
+                    let now = core.now();
+                    if until > wait_end {
+                        self.last_reason = Some(attempt::LIMITED.to_owned());
+                        self.wait = until - now;
+                        return None;
+                    }
+                    // Urgent requests ask first.
+                    let delay = clock::Millis(u64::from(request.priority().0) * PRIORITY_DELAY.0);
+                    tokio::time::sleep((until - now).plus(delay).duration()).await;
+                    denials = 0;
+                }
+                attempt::Choice::Nothing => {
+                    self.last_reason.get_or_insert_with(|| {
+                        "the pool has no ready upstream; retry later".to_owned()
+                    });
+                    return None;
+                }
+            }
+        }
     }
 
     /// Whether the request may be sent once more.
@@ -324,8 +378,7 @@
             .unwrap_or("the pool has no ready upstream; retry later");
         if !self.has_failed {
             let left = request.time_left(core.now());
-            let wait =
-                basilgrade_fleet::admission::retry_after(left, clock::Millis::ZERO, rand::random());
+            let wait = basilgrade_fleet::admission::retry_after(left, self.wait, rand::random());
             return request_failure::RequestFailure::refused(reason, wait);
         }
         request_failure::RequestFailure::uncertain(StatusCode::BAD_GATEWAY, reason)
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -273,7 +273,8 @@
             }
         };
         loop {
-            let Some(entry) = self.sends.next(&core, &self.request, &results) else {
+            let next = self.sends.next(&core, &self.request, &results);
+            let Some((entry, permit)) = next.await else {
                 return false;
             };
             let extras = attempt::SendExtras {
@@ -281,7 +282,13 @@
                 last_event: self.last_event.or(self.request.head.last_event),
             };
             let left = self.request.time_left(core.now());
-            let opening = opening::open(&core, &self.request, sync::Arc::clone(&entry), &extras);
+            let opening = opening::open(
+                &core,
+                &self.request,
+                sync::Arc::clone(&entry),
+                permit,
+                &extras,
+            );
             match tokio::time::timeout(left.duration(), opening).await {
                 Ok(opening::OpenOutcome::Stream(source, first)) => {
                     log::info!(
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -3,7 +3,9 @@
 use std::sync;
 
 use basilgrade_adapter::answer;
+use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
+use basilgrade_fleet::limit;
 use basilgrade_types::clock;
 use hyper::Response;
 use hyper::header;
@@ -42,7 +44,7 @@
     let mut sends = buffered::SendHistory::default();
     let mut fallback = None;
     loop {
-        let Some(entry) = sends.next(core, &request, &results) else {
+        let Some((entry, permit)) = sends.next(core, &request, &results).await else {
             return match fallback {
                 Some(answer) => Ok(buffered::respond(core, &request, answer, &sends)),
                 None => Err(sends.failure(core, &request)),
@@ -53,7 +55,7 @@
             last_event: request.head.last_event,
         };
         let limit = first_event_timeout(core, &request, &sends);
-        let opening = open(core, &request, sync::Arc::clone(&entry), &extras);
+        let opening = open(core, &request, sync::Arc::clone(&entry), permit, &extras);
         let opened = tokio::time::timeout(limit.duration(), opening).await;
         let opened = opened.unwrap_or_else(|_| {
             entry.stats.record(core.now(), health::Outcome::Failed);
@@ -132,10 +134,11 @@
 pub(super) async fn open(
     core: &core::Core,
     request: &request::Request,
-    entry: sync::Arc<basilgrade_fleet::directory::upstream::Upstream>,
+    entry: sync::Arc<upstream::Upstream>,
+    permit: limit::Permit,
     extras: &attempt::SendExtras,
 ) -> OpenOutcome {
-    let answered = match attempt::send(core, request, &entry, extras).await {
+    let answered = match attempt::send(core, request, &entry, permit, extras).await {
         Ok(answered) => answered,
         Err(failure) => return OpenOutcome::Ended(buffered::outcome_of_error(failure)),
     };
--- a/crates/basilgrade_edge/src/view.rs
+++ b/crates/basilgrade_edge/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
 use basilgrade_fleet::model::configuration;
 use basilgrade_fleet::placement;
@@ -15,6 +16,8 @@
     pub directory: sync::Arc<directory::Directory>,
     /// This VM's failure domain and the region of each failure domain.
     pub topology: sync::Arc<placement::Topology>,
+    /// Registered daemons; includes this one once its registration has been read.
+    pub registered: sync::Arc<Vec<daemon::Daemon>>,
     /// Number of registered daemons, including this one.
     pub daemons: usize,
     /// Whether the list of upstreams has been received at least once.
--- a/crates/basilgrade_edge/tests/certainty.rs
+++ b/crates/basilgrade_edge/tests/certainty.rs
@@ -51,6 +51,7 @@
         configuration: None,
         directory: sync::Arc::default(),
         topology: sync::Arc::new(topology),
+        registered: sync::Arc::default(),
         daemons: 1,
         has_upstreams: false,
     };
--- a/crates/basilgrade_edge/tests/connection_pool.rs
+++ b/crates/basilgrade_edge/tests/connection_pool.rs
@@ -48,7 +48,7 @@
     let connections = pool::ConnectionPool::default();
     let limit = clock::Millis(5000);
 
-    let check = || is_allowed.load(atomic::Ordering::SeqCst);
+    let check = |_| is_allowed.load(atomic::Ordering::SeqCst);
     let first = connections.call_while(address, new_call(), "", limit, check);
     let first = first.await.map(|answer| answer.status.as_u16()).ok();
     let second = connections.call_while(address, new_call(), "", limit, check);
--- a/crates/basilgrade_fleet/src/batch/outcome.rs
+++ b/crates/basilgrade_fleet/src/batch/outcome.rs
@@ -1,5 +1,6 @@
 //! Outcomes of jobs, pieces and calls.
 
+use basilgrade_types::clock;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -40,6 +41,9 @@
     Answered(Vec<PieceOutcome>),
     /// The upstream was at capacity and computed nothing.
     Full,
+    /// The call was not sent, as the upstream is at the request limit that it names; it may be sent
+    /// after this time.
+    Held(clock::Millis),
     /// Another upstream has taken over the address.
     WrongUpstream,
     /// The call failed or its answer was unusable, so the pieces may have been computed.
--- a/crates/basilgrade_fleet/src/batch/queue/ending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/ending.rs
@@ -42,6 +42,12 @@
                 self.record_outcomes(now, running, outcomes);
             }
             outcome::CallOutcome::Full => self.requeue(running, |worker| worker.on_full(now, id)),
+            outcome::CallOutcome::Held(wait) => {
+                self.release_worker(&running, |worker| worker.on_held(now, id, wait));
+                for (job, piece, _) in running.pieces {
+                    self.queue_again(job, piece);
+                }
+            }
             outcome::CallOutcome::WrongUpstream => {
                 self.workers.swap_remove(&running.upstream);
                 self.requeue(running, |_| ());
@@ -69,21 +75,37 @@
     }
 
     fn requeue(&mut self, running: running::RunningCall, update: impl FnOnce(&mut worker::Worker)) {
+        self.release_worker(&running, update);
+        for (job, piece, _) in running.pieces {
+            self.retry_piece(job, piece);
+        }
+    }
+
+    /// Updates the upstream of a call that computed nothing.
+    fn release_worker(
+        &mut self,
+        running: &running::RunningCall,
+        update: impl FnOnce(&mut worker::Worker),
+    ) {
         if let Some(worker) = self.workers.get_mut(&running.upstream) {
             worker.release(running.result_bytes);
             update(worker);
         }
-        for (job, piece, _) in running.pieces {
-            self.retry_piece(job, piece);
+    }
+
+    /// Has a piece sent again, without counting that as a retry.
+    fn queue_again(&mut self, job: call::JobId, piece: u32) {
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.unsent.push(piece);
+            entry.fetched = entry.fetched.saturating_sub(1);
         }
     }
 
     fn retry_piece(&mut self, job: call::JobId, piece: u32) {
+        self.queue_again(job, piece);
         let Some(entry) = self.jobs.get_mut(&job) else {
             return;
         };
-        entry.unsent.push(piece);
-        entry.fetched = entry.fetched.saturating_sub(1);
         entry.retries += 1;
         if entry.retries > RETRIES_PER_PIECE * entry.job.pieces.max(1) {
             self.finish(job, outcome::JobOutcome::Failed);
--- a/crates/basilgrade_fleet/src/batch/worker.rs
+++ b/crates/basilgrade_fleet/src/batch/worker.rs
@@ -114,6 +114,12 @@
         self.backoff_until = now.plus(FULL_BACKOFF);
     }
 
+    /// Records that a call was not sent, as the upstream is at its request limit for `wait`.
+    pub(super) fn on_held(&mut self, now: clock::Millis, call: u64, wait: clock::Millis) {
+        self.calls.retain(|other| other.0 != call);
+        self.backoff_until = now.plus(wait);
+    }
+
     pub(super) fn on_failure(&mut self, now: clock::Millis, call: u64) {
         self.calls.retain(|other| other.0 != call);
         let backoff = clock::Millis(BASE_BACKOFF.0 << self.failures.min(4)).min(MAX_BACKOFF);
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -70,11 +70,15 @@
         self.upstreams.keys()
     }
 
+    /// The upstream at `address`.
+    pub fn at(&self, address: net::SocketAddr) -> Option<&sync::Arc<upstream::Upstream>> {
+        let mut entries = self.upstreams.values();
+        entries.find(|entry| entry.address == address)
+    }
+
     /// The failure domain of the upstream at `address`.
     pub fn domain(&self, address: net::SocketAddr) -> Option<&id::DomainId> {
-        let mut entries = self.upstreams.values();
-        let found = entries.find(|entry| entry.address == address)?;
-        Some(&found.domain)
+        self.at(address).map(|found| &found.domain)
     }
 
     pub fn get(&self, id: &id::UpstreamId) -> Option<&sync::Arc<upstream::Upstream>> {
--- a/crates/basilgrade_fleet/src/placement.rs
+++ b/crates/basilgrade_fleet/src/placement.rs
@@ -30,6 +30,9 @@
 
 /// Cost of an upstream that fails often, so that other upstreams are preferred.
 const UNRELIABLE_COST_MS: f64 = 400.0;
+/// Cost of an upstream that names a limit, less the delay that the cached parts of a prompt save
+/// there, so that its few requests are those that gain most.
+const LIMITED_COST_MS: f64 = 60.0;
 /// Cost of an upstream that is backed off, so that it is chosen only if all others are backed off
 /// too.
 const BACKOFF_COST_MS: f64 = 100_000.0;
@@ -72,6 +75,8 @@
     pub transfer_cost: f64,
     /// Upstreams that the request was already sent to.
     pub tried: &'a [id::UpstreamId],
+    /// Upstreams that get no request now because of their limits.
+    pub held: &'a [id::UpstreamId],
 }
 
 /// Cost of sending `demand` to `candidate`, in milliseconds of delay; the lowest cost wins.
@@ -88,16 +93,18 @@
     let stats = &candidate.stats;
     let mut cost = topology.crossing_cost(&topology.domain, &candidate.domain);
     cost += f64::from(stats.active()) * ACTIVE_REQUEST_COST_MS;
+    let mut saved = 0.0;
     if let Some(prompt) = demand.prompt {
         // Requests of other daemons are spread evenly over the engines, so they do not affect the
         // choice.
         let pending = stats.pending_tokens() as f64;
-        let prefill = if is_preferred {
-            prompt.tokens.saturating_sub(prompt.shared_tokens())
+        let cached = if is_preferred {
+            prompt.shared_tokens().min(prompt.tokens)
         } else {
-            prompt.tokens
+            0
         };
-        cost += (pending + prefill as f64) / PREFILL_TOKENS_PER_MS;
+        saved = cached as f64 / PREFILL_TOKENS_PER_MS;
+        cost += (pending + prompt.tokens as f64) / PREFILL_TOKENS_PER_MS - saved;
     } else {
         cost += stats.latency().as_f64();
     }
@@ -107,6 +114,9 @@
     {
         cost += demand.transfer_cost;
     }
+    if stats.limit().rate().is_some() {
+        cost += (LIMITED_COST_MS - saved).max(0.0);
+    }
     if stats.is_unreliable() {
         cost += UNRELIABLE_COST_MS;
     }
@@ -116,7 +126,7 @@
     cost
 }
 
-/// The candidate with the lowest cost, or `None` if every candidate was already tried.
+/// The candidate with the lowest cost, or `None` if every candidate was already tried or is held.
 pub fn choose<'a>(
     now: clock::Millis,
     topology: &Topology,
@@ -128,10 +138,11 @@
         .collect();
     let preferred_engines = demand
         .prompt
-        .map(|prompt| preferred_engines(now, prompt, &candidates));
+        .map(|prompt| preferred_engines(now, prompt, &candidates, demand.held));
     let preferred_engines = preferred_engines.unwrap_or_default();
     candidates
         .into_iter()
+        .filter(|candidate| !demand.held.contains(&candidate.id))
         .map(|candidate| {
             let is_preferred = preferred_engines.contains(&&candidate.id);
             (
@@ -143,30 +154,58 @@
         .map(|(_, candidate)| candidate)
 }
 
+/// Whether prefilling the shared parts of `prompt` again costs more than crossing into another
+/// region.
+pub fn gains_from_cache(prompt: &prompt::Prompt) -> bool {
+    prompt.shared_tokens() as f64 / PREFILL_TOKENS_PER_MS > REGION_CROSSING_COST_MS
+}
+
 /// Engines that receive all requests with the shared part of this prompt, while they have capacity.
 ///
 /// Returns one engine for all failure domains if prefilling the shared parts again costs more than
-/// crossing into another region, and one engine in each failure domain otherwise.
+/// crossing into another region, and one engine in each failure domain otherwise. While that engine
+/// is in `held`, an engine without a limit takes its place.
 fn preferred_engines<'a>(
     now: clock::Millis,
     prompt: &prompt::Prompt,
     candidates: &[&'a sync::Arc<upstream::Upstream>],
+    held: &[id::UpstreamId],
 ) -> Vec<&'a id::UpstreamId> {
     let Some(last_shared) = prompt.last_shared() else {
         return Vec::new();
     };
-    let is_global = prompt.shared_tokens() as f64 / PREFILL_TOKENS_PER_MS > REGION_CROSSING_COST_MS;
-    let mut best: IndexMap<Option<&id::DomainId>, (u64, &id::UpstreamId)> = IndexMap::new();
+    let is_global = gains_from_cache(prompt);
     let is_healthy = |candidate: &&&sync::Arc<upstream::Upstream>| {
         !candidate.stats.is_backing_off(now) && !candidate.stats.is_unreliable()
     };
+    let mut best: IndexMap<Option<&id::DomainId>, Preferred<'_>> = IndexMap::new();
     for candidate in candidates.iter().filter(is_healthy) {
-        let weight = ranking::weight(last_shared.id.0, candidate.id.as_str());
+        let ranked = Some((
+            ranking::weight(last_shared.id.0, candidate.id.as_str()),
+            &candidate.id,
+        ));
         let scope = (!is_global).then_some(&candidate.domain);
-        let entry = best.entry(scope).or_insert((weight, &candidate.id));
-        if weight > entry.0 {
-            *entry = (weight, &candidate.id);
+        let entry = best.entry(scope).or_default();
+        entry.first = entry.first.max(ranked);
+        if candidate.stats.limit().rate().is_none() {
+            entry.unlimited = entry.unlimited.max(ranked);
         }
     }
-    best.into_values().map(|(_, id)| id).collect()
+    let engines = best.into_values().filter_map(|entry| {
+        let is_held = entry.first.is_some_and(|(_, id)| held.contains(id));
+        if is_held {
+            entry.unlimited
+        } else {
+            entry.first
+        }
+    });
+    engines.map(|(_, id)| id).collect()
+}
+
+/// Engines with the highest weights for a shared part, each with its weight.
+#[derive(Default)]
+struct Preferred<'a> {
+    first: Option<(u64, &'a id::UpstreamId)>,
+    /// The first one among those without a limit.
+    unlimited: Option<(u64, &'a id::UpstreamId)>,
 }
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -40,6 +40,7 @@
         result_domain: None,
         transfer_cost: 0.0,
         tried,
+        held: &[],
     }
 }
 
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -314,6 +314,31 @@
     assert!(queue.take_consumed().is_empty());
 }
 
+/// Guards against jobs that fail because the limit of their upstream delays them.
+#[test]
+fn calls_held_by_a_limit_do_not_count_as_retries() {
+    let mut queue = queue(1);
+    queue.submit(START, job("first", 2));
+    let mut now = START;
+    for _ in 0..20 {
+        let call = queue.dispatch(now).remove(0);
+        let wait = clock::Millis(200);
+        queue.complete(now, call.id, outcome::CallOutcome::Held(wait));
+        assert!(queue.dispatch(now.plus(clock::Millis(100))).is_empty());
+        now = now.plus(wait);
+    }
+
+    let call = queue.dispatch(now).remove(0);
+    let answer = all_completed(&call);
+    queue.complete(now.plus(clock::Millis(220)), call.id, answer);
+
+    let finished = queue.take_finished();
+    assert!(matches!(
+        finished[..],
+        [(_, outcome::JobOutcome::Completed(_))]
+    ));
+}
+
 /// Guards against a slow upstream that delays every request sent to it.
 #[test]
 fn slow_upstream_gets_only_probes() {
