--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -14,11 +14,16 @@
 /// Keys and values of one topic, in the order of their offsets.
 type Records = Vec<(String, Vec<u8>)>;
 
+/// Copy of all topics of a store.
+pub(crate) struct Copy(IndexMap<String, Records>);
+
 /// The topics by name; a record with an empty value removes its key.
 #[derive(Default)]
 pub(crate) struct Store {
     topics: sync::Mutex<IndexMap<String, Records>>,
     changed: tokio::sync::Notify,
+    /// Number of times that the topics were replaced by an older copy.
+    era: std::sync::atomic::AtomicU64,
     /// Reads of the topic `keyed.servers`.
     reads: std::sync::atomic::AtomicUsize,
 }
@@ -41,6 +46,21 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies all topics.
+    pub(crate) fn copy(&self) -> Copy {
+        let topics = self.topics.lock().expect("no holder of the lock panics");
+        Copy(topics.clone())
+    }
+
+    /// Replaces all topics by an older copy; later records get their offsets again.
+    pub(crate) fn restore(&self, copy: &Copy) {
+        let mut topics = self.topics.lock().expect("no holder of the lock panics");
+        topics.clone_from(&copy.0);
+        self.era.fetch_add(1, sync::atomic::Ordering::Relaxed);
+        drop(topics);
+        self.changed.notify_waiters();
+    }
+
     /// Returns the keys of a topic with their newest values.
     pub(crate) fn newest(&self, topic: &str) -> IndexMap<String, Vec<u8>> {
         self.newest_and_end(topic).0
@@ -105,6 +125,11 @@
             // A time-out is no error: the answer then holds no records.
             let _ = tokio::time::timeout(wait, changed).await;
         }
+        if self.end_offset(topic) < from {
+            let mut gone = Response::new(server::full_body(r#"{"first":0}"#));
+            *gone.status_mut() = hyper::StatusCode::GONE;
+            return gone;
+        }
         Response::new(server::full_body(self.encode_records(topic, from)))
     }
 
@@ -146,12 +171,14 @@
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
         let topic = query_parameter(&request, "topic")?;
-        let answer = match request.uri().path() {
+        let mut answer = match request.uri().path() {
             "/basilgrade/log-read" => self.read(&request, &topic).await,
             "/basilgrade/log-newest" => self.newest_page(&topic),
             "/basilgrade/log-append" => self.append(&topic, request.body()),
             _ => return None,
         };
+        let era = self.era.load(sync::atomic::Ordering::Relaxed);
+        answer.headers_mut().insert("store-era", era.into());
         Some(answer)
     }
 }
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -227,6 +227,11 @@
         } = update;
         // A newer update of another daemon may have been applied during the read.
         if !self.lock()[topic_index(topic)].apply(position, &changes) {
+            log::info!(
+                "event=update-ignored topic={} position={position} origin={}",
+                topic.as_str(),
+                origin.as_str()
+            );
             return;
         }
         match topic {
