Order positions in the store by its era

Cause: a mirror took an offset for the age of its records.

A position now is the era of the store, which it names in each answer, and the offset; positions of a later era follow all earlier ones, in the store and between daemons. A read that is answered in another era loads the topic again, and so does a listing whose pages are of two eras. What only the copy has forgotten is kept:

- the configuration in force, which only yields to a higher version, whatever its position; a daemon that starts asks another one for it;
- registrations of upstreams that are older than those read before do not replace them, nor bring back removed ones; missing ones get the time to return that they have after an outage;
- evidence about prompt parts, whose owners publish it again.

Registrations of daemons were already written again when they are missing. A follower's own reads of the copy do not overrule its reader's doubt: the test of upstreams failed until then.

--- a/crates/basilgrade/tests/edge_support/deployment.rs
+++ b/crates/basilgrade/tests/edge_support/deployment.rs
@@ -164,6 +164,12 @@
 
     /// Writes the registration of the upstream `{pool}-{number}` with `state` to the store.
     pub(crate) fn register(&self, pool: &str, number: usize, state: &str) {
+        self.register_again(pool, number, state, 1);
+    }
+
+    /// Writes the registration with the number `sequence` of the upstream `{pool}-{number}` with
+    /// `state` to the store.
+    pub(crate) fn register_again(&self, pool: &str, number: usize, state: &str, sequence: u64) {
         let id = format!("{pool}-{number}");
         let address = self
             .upstream(&id)
@@ -171,7 +177,7 @@
             .get()
             .expect("the upstream was started");
         let entry = serde_json::json!({"service": pool, "address": address, "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "sequence": 1});
+            "version": "v1", "slots": 8, "state": state, "sequence": sequence});
         self.store.put("keyed.servers", &id, &entry.to_string());
     }
 
--- a/crates/basilgrade/tests/restored_store.rs
+++ b/crates/basilgrade/tests/restored_store.rs
@@ -48,3 +48,74 @@
 
     wait_until_served(&deployment, "key-three").await;
 }
+
+/// Guards against a daemon that starts while the store holds an older configuration, and serves by
+/// it although the other daemons have a newer one.
+#[tokio::test(flavor = "multi_thread")]
+async fn starting_daemon_learns_the_configuration_that_the_store_has_lost() {
+    let mut deployment = deployment::start(&["a", "b"]).await;
+    let copy = deployment.store.copy();
+    deployment.publish(&deployment::configuration(2, &["key-one", "key-two"]));
+    wait_until_served(&deployment, "key-two").await;
+    deployment.store.restore(&copy);
+
+    for domain in ["a", "c"] {
+        deployment.add_daemon(&format!("vm-new-{domain}"), domain);
+        deployment
+            .wait_until_ready(deployment.daemons.len() - 1)
+            .await;
+    }
+
+    wait_until_served(&deployment, "key-two").await;
+}
+
+/// Guards against requests to an upstream that had left before the copy was taken over, and against
+/// losing one that came after the copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_are_known_after_the_store_was_restored() {
+    let mut deployment = deployment::start(&["a", "a", "b"]).await;
+    deployment.register_again("desk", 0, "ready", 7);
+    let copy = deployment.store.copy();
+    deployment.add_upstream("desk", 2).await;
+    deployment.register_again("desk", 0, "draining", 8);
+    deployment.register_again("desk", 1, "draining", 8);
+    deployment.store.put("keyed.servers", "desk-1", "");
+    let send = |id: String| {
+        let addresses: Vec<_> = deployment
+            .daemons
+            .iter()
+            .map(|daemon| daemon.caller_address)
+            .collect();
+        async move {
+            for address in addresses {
+                let request = client::request(&id, "GET", "/safe/x");
+                let answer = client::send(address, request, "").await;
+                let answer = answer.expect("the daemon answers");
+                assert_eq!(answer.status, 200, "{id}: {}", answer.body);
+            }
+        }
+    };
+    deployment::wait_until("only the new upstream gets requests", || async {
+        send("before".to_owned()).await;
+        let runs = |number| deployment.upstream(&format!("desk-{number}")).runs().len();
+        let old = runs(0) + runs(1);
+        send("again".to_owned()).await;
+        runs(0) + runs(1) == old
+    })
+    .await;
+
+    deployment.store.restore(&copy);
+    let restored_at = time::Instant::now();
+    let mut number = 0;
+    while restored_at.elapsed() < time::Duration::from_secs(2) {
+        send(format!("after-{number}")).await;
+        number += 1;
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+
+    for upstream in ["desk-0", "desk-1"] {
+        let runs = deployment.upstream(upstream).runs();
+        let late = runs.iter().filter(|run| run.request.starts_with("after"));
+        assert_eq!(late.count(), 0, "`{upstream}` got requests");
+    }
+}
--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -8,5 +8,6 @@
 pub mod mirror;
 pub mod mirrors;
 pub mod origin;
+pub mod position;
 pub mod reader;
 pub mod register;
--- a/crates/basilgrade_edge/src/follow/mirror.rs
+++ b/crates/basilgrade_edge/src/follow/mirror.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::follow::position;
+
 /// Maximum number of recent batches of changes kept to update other daemons incrementally.
 const MAX_RECENT_BATCHES: usize = 64;
 
@@ -24,23 +26,36 @@
     Some(KeyedChanges),
 }
 
-/// Changes that bring a mirror of a topic to an offset.
+impl Changes {
+    /// Records that are set, oldest first.
+    pub fn records(&self) -> impl Iterator<Item = (&CompactString, &Bytes)> {
+        let (all, some) = match self {
+            Self::All(records) => (Some(records), None),
+            Self::Some(records) => (None, Some(records)),
+        };
+        let all = all.into_iter().flatten().map(|(key, value)| (key, value));
+        let some = some.into_iter().flatten();
+        all.chain(some.filter_map(|(key, value)| Some((key, value.as_ref()?))))
+    }
+}
+
+/// Changes that bring a mirror of a topic to a position.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Update {
     pub topic: store::Topic,
-    /// Offset of the first record after the included ones.
-    pub position: u64,
+    /// Position of the first record after the included ones.
+    pub position: position::Position,
     pub changes: Changes,
 }
 
-/// Newest record of each key of a topic, as of an offset.
+/// Newest record of each key of a topic, as of a position.
 #[derive(Clone, Debug)]
 pub struct Mirror {
     topic: store::Topic,
-    position: Option<u64>,
+    position: Option<position::Position>,
     records: IndexMap<CompactString, Bytes>,
-    /// Recent batches of changes, each with the mirror's offset before the batch.
-    recent: VecDeque<(u64, KeyedChanges)>,
+    /// Recent batches of changes, each with the mirror's position before the batch.
+    recent: VecDeque<(position::Position, KeyedChanges)>,
 }
 
 impl Mirror {
@@ -54,8 +69,8 @@
         }
     }
 
-    /// Offset of the first record that is not in the mirror; `None` before the first read.
-    pub fn position(&self) -> Option<u64> {
+    /// Position of the first record that is not in the mirror; `None` before the first read.
+    pub fn position(&self) -> Option<position::Position> {
         self.position
     }
 
@@ -64,9 +79,9 @@
         &self.records
     }
 
-    /// Applies changes up to the offset `position`; `false`, without effect, if the mirror is
+    /// Applies changes up to `position`; `false`, without effect, if the mirror is
     /// newer.
-    pub fn apply(&mut self, position: u64, changes: &Changes) -> bool {
+    pub fn apply(&mut self, position: position::Position, changes: &Changes) -> bool {
         if self.position.is_some_and(|known| known > position) {
             return false;
         }
@@ -93,11 +108,16 @@
         true
     }
 
-    /// Update for a mirror at the offset `known`, or `None` if that mirror is up to date.
+    /// Sets a record without a change of the position.
+    pub fn put(&mut self, key: CompactString, value: Bytes) {
+        self.records.insert(key, value);
+    }
+
+    /// Update for a mirror at the position `known`, or `None` if that mirror is up to date.
     ///
     /// Contains only the changes since `known` if they are among the recent batches, and all
     /// records otherwise.
-    pub fn since(&self, known: Option<u64>) -> Option<Update> {
+    pub fn since(&self, known: Option<position::Position>) -> Option<Update> {
         let position = self.position?;
         if known.is_some_and(|known| known >= position) {
             return None;
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -10,6 +10,7 @@
 use basilgrade_adapter::upstream_registration;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
+use basilgrade_fleet::directory::latest;
 use basilgrade_fleet::model::prompt;
 use basilgrade_fleet::outage;
 use basilgrade_fleet::suspects;
@@ -22,6 +23,7 @@
 use crate::core;
 use crate::follow::mirror;
 use crate::follow::origin;
+use crate::follow::position;
 use crate::peers::service;
 use crate::view;
 
@@ -35,12 +37,13 @@
     daemons: sync::Mutex<Vec<daemon::Daemon>>,
     is_store_reachable: atomic::AtomicBool,
     outages: sync::Mutex<outage::OutageDetector>,
+    latest: sync::Mutex<latest::Latest>,
     regained: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
     is_reading: tokio::sync::watch::Sender<bool>,
 }
 
-/// All topics, in the order of their offsets in [`Mirrors::positions`].
+/// All topics, in the order of [`Mirrors::positions`].
 pub const TOPICS: [store::Topic; 3] = [
     store::Topic::Operators,
     store::Topic::Upstreams,
@@ -65,6 +68,7 @@
             daemons: sync::Mutex::default(),
             is_store_reachable: atomic::AtomicBool::new(false),
             outages: sync::Mutex::new(outage::OutageDetector::new(heartbeat)),
+            latest: sync::Mutex::default(),
             regained: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
             is_reading: tokio::sync::watch::Sender::new(true),
@@ -77,15 +81,15 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Offset of the first record that is not in the mirror of `topic`; `None` before the first
+    /// Position of the first record that is not in the mirror of `topic`; `None` before the first
     /// read.
-    pub fn position(&self, topic: store::Topic) -> Option<u64> {
+    pub fn position(&self, topic: store::Topic) -> Option<position::Position> {
         self.lock()[topic_index(topic)].position()
     }
 
-    /// Updates for a daemon whose mirrors are at the offsets `positions`, in the order of
+    /// Updates for a daemon whose mirrors are at `positions`, in the order of
     /// [`TOPICS`].
-    pub fn since(&self, positions: [Option<u64>; 3]) -> Vec<mirror::Update> {
+    pub fn since(&self, positions: [Option<position::Position>; 3]) -> Vec<mirror::Update> {
         let mirrors = self.lock();
         let pairs = mirrors.iter().zip(positions);
         pairs
@@ -93,8 +97,8 @@
             .collect()
     }
 
-    /// Offsets of all mirrors, in the order of [`TOPICS`].
-    pub fn positions(&self) -> [Option<u64>; 3] {
+    /// Positions of all mirrors, in the order of [`TOPICS`].
+    pub fn positions(&self) -> [Option<position::Position>; 3] {
         self.lock().each_ref().map(mirror::Mirror::position)
     }
 
@@ -190,7 +194,7 @@
                 (true, false) => outages.record_reader_failure(),
                 (false, _) => {}
             }
-            outages.is_update_uncertain(reply.is_uncertain)
+            outages.is_update_uncertain(now, reply.is_uncertain)
         };
         for update in reply.updates {
             self.apply_from_peer(update, is_uncertain);
@@ -223,8 +227,24 @@
         let mirror::Update {
             topic,
             position,
-            changes,
+            mut changes,
         } = update;
+        let known = self.position(topic);
+        let is_restored = known.is_some_and(|known| known.era < position.era);
+        if is_restored {
+            log::warn!(
+                "event=store-restored topic={} position={position} known={} origin={}",
+                topic.as_str(),
+                known.unwrap_or_default(),
+                origin.as_str()
+            );
+            self.lock_outages().record_restore(self.core.now());
+            self.keep_lost_records(topic, &mut changes);
+        }
+        if topic == store::Topic::Operators {
+            self.keep_configuration(&mut changes);
+        }
+        let is_uncertain = is_uncertain || is_restored;
         // A newer update of another daemon may have been applied during the read.
         if !self.lock()[topic_index(topic)].apply(position, &changes) {
             log::info!(
@@ -239,24 +259,109 @@
             store::Topic::Upstreams => self.update_upstreams(changes, origin, is_uncertain),
             store::Topic::Daemons => self.update_daemons(),
         }
+        if is_restored && topic == store::Topic::Daemons {
+            self.core.suspects().mark_all_changed();
+            self.core.evidence_changed.notify_one();
+        }
         self.changed.send_modify(|count| *count += 1);
     }
 
-    fn update_configuration(&self, changes: &mirror::Changes, origin: origin::Origin) {
-        let values: Vec<&Bytes> = match changes {
-            mirror::Changes::All(records) => records
-                .iter()
-                .filter(|(key, _)| store::is_configuration_key(key))
-                .map(|(_, value)| value)
-                .collect(),
+    /// Takes over the configuration in `updates` of another daemon if it is newer than the one in
+    /// force, whatever their positions.
+    pub fn learn_configuration(&self, updates: &[mirror::Update]) {
+        let updates = updates
+            .iter()
+            .filter(|update| update.topic == store::Topic::Operators);
+        for update in updates {
+            let mut changes = update.changes.clone();
+            self.keep_configuration(&mut changes);
+            let record = changes
+                .records()
+                .find(|(key, _)| store::is_configuration_key(key));
+            if let Some((key, value)) = record {
+                let operators = topic_index(store::Topic::Operators);
+                self.lock()[operators].put(key.clone(), value.clone());
+            }
+            self.update_configuration(&changes, origin::Origin::Peer);
+        }
+    }
+
+    /// Keeps the configuration in force if that in `changes` is older.
+    fn keep_configuration(&self, changes: &mut mirror::Changes) {
+        let view = self.core.view.load();
+        let Some(in_force) = view.configuration.as_ref().map(|known| known.version) else {
+            return;
+        };
+        let operators = topic_index(store::Topic::Operators);
+        let own = self.lock()[operators]
+            .records()
+            .iter()
+            .find(|(key, _)| store::is_configuration_key(key))
+            .map(|(key, value)| (key.clone(), value.clone()));
+        let is_older = |key: &CompactString, value: &Bytes| {
+            store::is_configuration_key(key)
+                && configuration::decode(value).is_ok_and(|found| found.version < in_force)
+        };
+        match changes {
             mirror::Changes::Some(records) => records
-                .iter()
-                .filter(|(key, _)| store::is_configuration_key(key))
-                .filter_map(|(_, value)| value.as_ref())
-                .collect(),
+                .retain(|(key, value)| !value.as_ref().is_some_and(|value| is_older(key, value))),
+            mirror::Changes::All(records) => {
+                records.retain(|(key, value)| !is_older(key, value));
+                let is_missing = !records
+                    .iter()
+                    .any(|(key, _)| store::is_configuration_key(key));
+                records.extend(own.filter(|_| is_missing));
+            }
+        }
+    }
+
+    /// Adds what a restored store has lost to all records of `topic` in `changes`, as far as nobody
+    /// writes it again or it shows that a record is outdated.
+    fn keep_lost_records(&self, topic: store::Topic, changes: &mut mirror::Changes) {
+        let mirror::Changes::All(records) = changes else {
+            return;
         };
+        let known = self.lock()[topic_index(topic)].records().clone();
+        match topic {
+            store::Topic::Operators => {}
+            store::Topic::Upstreams => {
+                let latest = self.lock_latest();
+                let found = std::mem::take(records).into_iter();
+                *records = found
+                    .filter_map(|(key, value)| {
+                        let entry = upstream_registration::decode(&key, &value).ok();
+                        if !entry.is_some_and(|entry| latest.is_outdated(&entry)) {
+                            return Some((key, value));
+                        }
+                        log::info!("event=registration-outdated upstream={key}");
+                        let value = known.get(&key)?.clone();
+                        Some((key, value))
+                    })
+                    .collect();
+            }
+            store::Topic::Daemons => {
+                let is_lost = |key: &CompactString| {
+                    evidence::is_key(key) && !records.iter().any(|(found, _)| found == key)
+                };
+                let lost: Vec<_> = known.into_iter().filter(|(key, _)| is_lost(key)).collect();
+                records.extend(lost);
+            }
+        }
+    }
+
+    fn lock_latest(&self) -> sync::MutexGuard<'_, latest::Latest> {
+        self.latest
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn update_configuration(&self, changes: &mirror::Changes, origin: origin::Origin) {
+        let records = changes.records();
         // Only the newest configuration of a batch takes effect.
-        let Some(value) = values.last() else {
+        let newest = records
+            .filter(|(key, _)| store::is_configuration_key(key))
+            .last();
+        let Some((_, value)) = newest else {
             return;
         };
         let configuration = match configuration::decode(value) {
@@ -330,6 +435,7 @@
             return false;
         };
         let Some(value) = value else {
+            self.lock_latest().record_removal(self.core.now(), &id);
             if directory.get(&id).is_none() {
                 return false;
             }
@@ -346,6 +452,7 @@
         };
         match upstream_registration::decode(key, &value) {
             Ok(entry) => {
+                self.lock_latest().record(&entry);
                 let known = directory.get(&id);
                 let is_same = known
                     .is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -12,6 +12,7 @@
 use crate::core;
 use crate::follow::mirror;
 use crate::follow::mirrors;
+use crate::follow::position;
 use crate::http::pool;
 
 /// Interval between reads of the topic of upstreams, to which each heartbeat of an upstream is
@@ -125,7 +126,7 @@
         let address = self.core.settings.load().store;
         let mut records = Vec::new();
         let mut after = None;
-        let mut position = None;
+        let mut position: Option<position::Position> = None;
         loop {
             let message = store::newest_request(address, self.topic, after.as_deref())
                 .map_err(|reason| reason.to_string())?;
@@ -134,7 +135,14 @@
                 .map_err(|reason| reason.to_string())?;
             // Reading continues at the end offset of the first page, so that records appended while
             // the later pages are loaded are not missed.
-            position.get_or_insert(page.end_offset);
+            let era = store::era(&answer.headers);
+            let first = *position.get_or_insert(position::Position {
+                era,
+                offset: page.end_offset,
+            });
+            if era != first.era {
+                return Err("the store was restored from a copy during the load".to_owned());
+            }
             records.extend(
                 page.records
                     .into_iter()
@@ -179,7 +187,7 @@
             };
             let outcome = match outcome {
                 Ok(true) => Ok(()),
-                Ok(false) => self.load_newest().await,
+                Ok(false) => self.reload().await,
                 Err(reason) => Err(reason),
             };
             if let Err(reason) = outcome {
@@ -200,20 +208,34 @@
         }
     }
 
-    /// Reads appended records once; `false` if the store has expired some that were not yet read.
+    /// Loads the newest records again, because the position of the mirror is not in the store.
+    async fn reload(&self) -> Result<(), String> {
+        let known = self.mirrors.position(self.topic);
+        self.load_newest().await?;
+        if self.mirrors.position(self.topic) == known {
+            // The store holds less than before although its era is the same.
+            tokio::time::sleep(INITIAL_BACKOFF.duration()).await;
+        }
+        Ok(())
+    }
+
+    /// Reads appended records once; `false` if the store has expired some that were not yet read, or
+    /// was restored from a copy.
     async fn read_appended(&self, wait: clock::Millis) -> Result<bool, String> {
         let from = self.mirrors.position(self.topic).unwrap_or_default();
         let address = self.core.settings.load().store;
-        let message = store::read_request(address, self.topic, from, wait)
+        let message = store::read_request(address, self.topic, from.offset, wait)
             .map_err(|reason| reason.to_string())?;
         let answer = self.call(message, wait).await?;
-        let tail = store::decode_read_answer(answer.status, answer.body, from)
+        let era = store::era(&answer.headers);
+        let tail = store::decode_read_answer(answer.status, answer.body, from.offset)
             .map_err(|reason| reason.to_string())?;
         let (records, next) = match tail {
-            store::ReadOutcome::Records { records, next } => (records, next),
-            store::ReadOutcome::Expired => {
+            // In another era, the records at these offsets may be others than those read before.
+            store::ReadOutcome::Records { records, next } if era == from.era => (records, next),
+            _ => {
                 log::info!(
-                    "event=records-expired topic={} position={from}",
+                    "event=records-expired topic={} position={from} era={era}",
                     self.topic.as_str()
                 );
                 return Ok(false);
@@ -235,7 +257,7 @@
                 .collect();
             self.mirrors.apply_from_store(mirror::Update {
                 topic: self.topic,
-                position: next,
+                position: position::Position { era, offset: next },
                 changes: mirror::Changes::Some(records),
             });
         }
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -20,6 +20,7 @@
 
 use crate::core;
 use crate::follow::mirrors;
+use crate::follow::position;
 use crate::gather::gatherers;
 use crate::gather::job_router;
 use crate::http::socket;
@@ -88,7 +89,7 @@
     async fn follow(
         self,
         _: context::Context,
-        positions: [Option<u64>; 3],
+        positions: [Option<position::Position>; 3],
         wait: clock::Millis,
     ) -> service::Updates {
         let mut changes = self.mirrors.subscribe_changes();
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -15,6 +15,7 @@
 use serde::Serialize;
 
 use crate::follow::mirror;
+use crate::follow::position;
 
 /// Reply to [`Peer::gather`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -51,13 +52,13 @@
     /// Whether registrations of live upstreams may be missing, because the store is or was recently
     /// unreachable.
     pub is_uncertain: bool,
-    /// Changes of the topics since the offsets that the caller sent.
+    /// Changes of the topics since the positions that the caller sent.
     pub updates: Vec<mirror::Update>,
 }
 
 /// Remote procedure calls between daemons.
 ///
-/// All calls are safe to repeat: pieces may be computed twice, and updates carry offsets.
+/// All calls are safe to repeat: pieces may be computed twice, and updates carry positions.
 #[tarpc::service]
 pub trait Peer {
     /// Has the pieces of `job` computed, in batches with pieces of other jobs.
@@ -73,9 +74,9 @@
     ///
     /// The call also serves as a health check.
     async fn loads(duties: Vec<duty::Duty>) -> Option<Vec<load::Load>>;
-    /// Updates for a caller whose mirrors are at the offsets `positions`; waits up to `wait` for a
+    /// Updates for a caller whose mirrors are at `positions`; waits up to `wait` for a
     /// change if there are none.
-    async fn follow(positions: [Option<u64>; 3], wait: clock::Millis) -> Updates;
+    async fn follow(positions: [Option<position::Position>; 3], wait: clock::Millis) -> Updates;
     /// Asks for a permit for one request to the run of `upstream` that started at `started_at`, of
     /// whose limit the caller knows `report`.
     async fn permit(
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -8,12 +8,14 @@
 use std::net;
 use std::sync;
 
+use basilgrade_adapter::store;
 use basilgrade_fleet::daemon;
 use basilgrade_types::clock;
 use rand::seq::IndexedRandom as _;
 
 use crate::core;
 use crate::follow::mirrors;
+use crate::follow::position;
 use crate::peers::service;
 
 /// Long-poll time: how long the reader waits for a change before it answers without updates.
@@ -28,6 +30,9 @@
 /// Interval at which a daemon that reads the store itself determines the reader again.
 const READER_CHECK_INTERVAL: clock::Millis = clock::Millis(400);
 
+/// Maximum number of daemons that a starting daemon asks for the configuration in force.
+const MAX_CONFIGURATION_ASKS: usize = 10;
+
 /// Time-out for the answer of a daemon that may be in another region.
 const CROSS_REGION_TIMEOUT: clock::Millis = clock::Millis(800);
 
@@ -41,6 +46,10 @@
     /// Fetches updates from the reader of this failure domain, if it is another daemon; never
     /// returns.
     pub async fn run(self) {
+        tokio::join!(self.learn_configuration(), self.follow());
+    }
+
+    async fn follow(&self) {
         loop {
             let Some(reader) = self.other_reader() else {
                 self.mirrors
@@ -109,6 +118,17 @@
         limit: clock::Millis,
     ) -> Result<service::Updates, String> {
         let positions = self.mirrors.positions();
+        self.fetch_updates_since(address, positions, wait, limit)
+            .await
+    }
+
+    async fn fetch_updates_since(
+        &self,
+        address: net::SocketAddr,
+        positions: [Option<position::Position>; 3],
+        wait: clock::Millis,
+        limit: clock::Millis,
+    ) -> Result<service::Updates, String> {
         self.core
             .links
             .call(address, limit, |peer, context| async move {
@@ -117,6 +137,34 @@
             .await
     }
 
+    /// Asks other daemons for the configuration in force until one has answered.
+    ///
+    /// A store that was restored from a copy may hold an older one than the other daemons have.
+    async fn learn_configuration(&self) {
+        for _ in 0..MAX_CONFIGURATION_ASKS {
+            tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
+            let Some(address) = self.fallback_address() else {
+                continue;
+            };
+            let positions = mirrors::TOPICS
+                .map(|topic| (topic != store::Topic::Operators).then_some(position::Position::MAX));
+            let updates = self
+                .fetch_updates_since(
+                    address,
+                    positions,
+                    clock::Millis::ZERO,
+                    CROSS_REGION_TIMEOUT,
+                )
+                .await;
+            if let Ok(updates) = updates
+                && !updates.updates.is_empty()
+            {
+                self.mirrors.learn_configuration(&updates.updates);
+                return;
+            }
+        }
+    }
+
     /// Address of a random daemon that has not recently failed, from the registered daemons and the
     /// seeds.
     fn fallback_address(&self) -> Option<net::SocketAddr> {
--- a/crates/basilgrade_edge/tests/certainty.rs
+++ b/crates/basilgrade_edge/tests/certainty.rs
@@ -18,7 +18,7 @@
         is_uncertain,
         updates: vec![mirror::Update {
             topic: store::Topic::Upstreams,
-            position,
+            position: position.into(),
             changes,
         }],
     }
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+pub mod latest;
 pub mod upstream;
 
 /// Upstreams by id, with the statistics that this daemon keeps about each.
--- /dev/null
+++ b/crates/basilgrade_fleet/src/directory/latest.rs
@@ -0,0 +1,58 @@
+//! Newest registrations that were read, by which outdated ones of a restored store are recognised.
+
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use indexmap::IndexMap;
+
+use crate::directory::upstream;
+
+/// Time for which a removed registration is remembered; a store is restored from a copy that is some
+/// seconds old.
+const REMOVAL_TTL: clock::Millis = clock::Millis(60_000);
+
+#[derive(Clone, Copy, Debug)]
+struct Registration {
+    started_at: Option<clock::Millis>,
+    sequence: Option<u64>,
+    removed_at: Option<clock::Millis>,
+}
+
+/// Newest registration of each upstream, and those that were removed a short time ago.
+#[derive(Clone, Debug, Default)]
+pub struct Latest {
+    registrations: IndexMap<id::UpstreamId, Registration>,
+}
+
+impl Latest {
+    /// Records a registration.
+    pub fn record(&mut self, entry: &upstream::Upstream) {
+        let registration = Registration {
+            started_at: entry.started_at,
+            sequence: entry.sequence,
+            removed_at: None,
+        };
+        self.registrations.insert(entry.id.clone(), registration);
+    }
+
+    /// Records the removal of a registration.
+    pub fn record_removal(&mut self, now: clock::Millis, id: &id::UpstreamId) {
+        if let Some(known) = self.registrations.get_mut(id) {
+            known.removed_at.get_or_insert(now);
+        }
+        self.registrations.retain(|_, known| {
+            known
+                .removed_at
+                .is_none_or(|removed_at| now < removed_at.plus(REMOVAL_TTL))
+        });
+    }
+
+    /// Whether `entry`, read from a restored store, is older than what was read before.
+    pub fn is_outdated(&self, entry: &upstream::Upstream) -> bool {
+        let Some(known) = self.registrations.get(&entry.id) else {
+            return false;
+        };
+        let found = (entry.started_at, entry.sequence);
+        let latest = (known.started_at, known.sequence);
+        found < latest || (found == latest && known.removed_at.is_some())
+    }
+}
--- a/crates/basilgrade_fleet/src/outage.rs
+++ b/crates/basilgrade_fleet/src/outage.rs
@@ -19,6 +19,8 @@
     read_at: Option<clock::Millis>,
     has_failed: bool,
     ended_at: Option<clock::Millis>,
+    /// Time at which this daemon learned that the store came back from an older copy.
+    restored_at: Option<clock::Millis>,
     /// Whether this daemon's own reads prove that there was no outage although its reader, the
     /// daemon that reads the store for it, is uncertain; `None` while the reader is certain.
     overrules_reader: Option<bool>,
@@ -35,6 +37,7 @@
             read_at: None,
             has_failed: false,
             ended_at: None,
+            restored_at: None,
             overrules_reader: None,
         }
     }
@@ -66,6 +69,17 @@
         self.answered_at = Some(now);
     }
 
+    /// Records that the store came back from an older copy, in which registrations may be missing.
+    pub fn record_restore(&mut self, now: clock::Millis) {
+        self.ended_at = Some(now);
+        self.restored_at = Some(now);
+    }
+
+    fn is_restored_lately(&self, now: clock::Millis) -> bool {
+        self.restored_at
+            .is_some_and(|at| now < at.plus(RETURN_GRACE))
+    }
+
     /// Records that the store did not answer this daemon.
     pub fn record_failure(&mut self) {
         self.has_failed = true;
@@ -105,7 +119,8 @@
 
     /// Whether registrations may be missing in an update from another daemon, which is uncertain or
     /// not.
-    pub fn is_update_uncertain(&self, is_uncertain: bool) -> bool {
-        is_uncertain && self.overrules_reader != Some(true)
+    pub fn is_update_uncertain(&self, now: clock::Millis, is_uncertain: bool) -> bool {
+        // Own reads of the copy do not show that no registration is missing from it.
+        self.is_restored_lately(now) || (is_uncertain && self.overrules_reader != Some(true))
     }
 }
--- a/crates/basilgrade_fleet/src/suspects.rs
+++ b/crates/basilgrade_fleet/src/suspects.rs
@@ -239,6 +239,11 @@
         taken
     }
 
+    /// Marks all evidence of this daemon as changed, because the published one may be lost.
+    pub fn mark_all_changed(&mut self) {
+        self.changed.extend(self.own.keys().copied());
+    }
+
     /// Marks evidence as changed or dropped again, because that could not be published.
     pub fn restore(
         &mut self,
