--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -2,7 +2,7 @@
 //!
 //! Every daemon keeps a mirror of the newest records of each topic. One daemon of each failure
 //! domain reads the store for the others. A daemon that the store does not answer fetches newer
-//! records from other daemons. The offset of a mirror never decreases.
+//! records from other daemons. The position of a mirror never decreases.
 
 pub mod evidence_log;
 pub mod mirror;
