Keep daemons with other positions apart

Positions between daemons hold the era of the store since the last change. A daemon without it would take one for an offset, far beyond the end of its topic; as a reader it would load the topic again and again.

The former call `follow` stays and always answers that the store is unreachable, so such daemons read the store themselves; the new call `updates` is unknown to them, which their callers take for a failure, with the same result.

--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -87,6 +87,19 @@
     }
 
     async fn follow(
+        self,
+        _: context::Context,
+        _: [Option<u64>; 3],
+        _: clock::Millis,
+    ) -> service::Updates {
+        service::Updates {
+            is_store_reachable: false,
+            is_uncertain: false,
+            updates: Vec::new(),
+        }
+    }
+
+    async fn updates(
         self,
         _: context::Context,
         positions: [Option<position::Position>; 3],
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -44,7 +44,7 @@
     Leaving,
 }
 
-/// Reply to [`Peer::follow`].
+/// Reply to [`Peer::updates`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Updates {
     /// Whether the replying daemon reads the store, the store answers it, and it is not draining.
@@ -74,9 +74,10 @@
     ///
     /// The call also serves as a health check.
     async fn loads(duties: Vec<duty::Duty>) -> Option<Vec<load::Load>>;
-    /// Updates for a caller whose mirrors are at `positions`; waits up to `wait` for a
-    /// change if there are none.
-    async fn follow(positions: [Option<position::Position>; 3], wait: clock::Millis) -> Updates;
+    /// Former call for updates, with positions that lack the era of the store.
+    ///
+    /// The reply always tells that the store is unreachable, so that callers read it themselves.
+    async fn follow(positions: [Option<u64>; 3], wait: clock::Millis) -> Updates;
     /// Asks for a permit for one request to the run of `upstream` that started at `started_at`, of
     /// whose limit the caller knows `report`.
     async fn permit(
@@ -85,4 +86,7 @@
         claim: limit::Claim,
         report: limit::Report,
     ) -> PermitReply;
+    /// Updates for a caller whose mirrors are at `positions`; waits up to `wait` for a change if
+    /// there are none.
+    async fn updates(positions: [Option<position::Position>; 3], wait: clock::Millis) -> Updates;
 }
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -132,7 +132,7 @@
         self.core
             .links
             .call(address, limit, |peer, context| async move {
-                peer.follow(context, positions, wait).await
+                peer.updates(context, positions, wait).await
             })
             .await
     }
