Read whether an upstream has a limit without a lock

Placement looked at the limit of every candidate under its lock, twice for each request, also when no upstream has one. A flag beside the lock tells that now, kept by the one function that changes a limit. The choice of an upstream has named fields, and the counter of permits no longer counts replies that tell of no limit.

A test of placement checks that an engine with a limit keeps its permits for requests whose shared parts it has.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -200,8 +200,8 @@
 
     /// Takes over what another daemon knows of the limit of `entry`, unless it is older.
     pub fn merge_limit(&self, entry: &upstream::Upstream, report: limit::Report) {
-        let has_changed = entry.stats.limit().merge(self.now(), report);
-        if has_changed {
+        let now = self.now();
+        if entry.stats.update_limit(|limit| limit.merge(now, report)) {
             self.log_limit(entry, report.rate);
         }
     }
@@ -212,8 +212,11 @@
         if answer.request_limit.is_none() && answer.is_unexecuted {
             return;
         }
-        let rate = answer.request_limit;
-        if entry.stats.limit().record_answer(self.now(), rate) {
+        let (now, rate) = (self.now(), answer.request_limit);
+        let has_changed = entry
+            .stats
+            .update_limit(|limit| limit.record_answer(now, rate));
+        if has_changed {
             self.log_limit(entry, rate);
         }
     }
--- a/crates/basilgrade_edge/src/permits.rs
+++ b/crates/basilgrade_edge/src/permits.rs
@@ -68,7 +68,8 @@
             .limit()
             .record_grant(asked_at, now, claim, grant);
         match outcome {
-            Ok(_) => core.metrics.permits.inc(),
+            Ok(limit::Permit::Counted(_)) => core.metrics.permits.inc(),
+            Ok(limit::Permit::Unlimited) => {}
             Err(_) => core.metrics.denied_permits.inc(),
         }
         return outcome;
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -114,9 +114,14 @@
 
 /// Choice of the upstream for a send.
 pub enum Choice {
-    /// The best upstream, the permits that the request may take there, and whether an upstream of the
-    /// pool names a limit.
-    Chosen(sync::Arc<upstream::Upstream>, limit::Claim, bool),
+    /// The best upstream.
+    Chosen {
+        entry: sync::Arc<upstream::Upstream>,
+        /// Permits that the request may take there.
+        claim: limit::Claim,
+        /// Whether an upstream of the pool names a limit.
+        pool_limited: bool,
+    },
     /// Every candidate is at its limit until this time or later.
     Held(clock::Millis),
     /// The pool has no candidate.
@@ -138,12 +143,12 @@
     let view = core.view.load();
     let now = core.now();
     let ready = || view.directory.ready(&request.pool);
-    let is_limited = |entry: &&sync::Arc<upstream::Upstream>| entry.stats.limit().rate().is_some();
-    let is_pool_limited = ready().any(|entry| is_limited(&entry));
+    let is_pool_limited = ready().any(|entry| entry.stats.is_limited());
     // Requests that others serve as well leave the permits to those that gain from cached parts.
     let claim = match &request.head.prompt {
         Some(prompt)
-            if !placement::gains_from_cache(prompt) && !ready().all(|entry| is_limited(&entry)) =>
+            if !placement::gains_from_cache(prompt)
+                && !ready().all(|entry| entry.stats.is_limited()) =>
         {
             limit::Claim::Spare
         }
@@ -187,7 +192,11 @@
         tried.len(),
         view.configuration.as_ref().map_or(0, |known| known.version)
     );
-    Choice::Chosen(sync::Arc::clone(chosen), claim, is_pool_limited)
+    Choice::Chosen {
+        entry: sync::Arc::clone(chosen),
+        claim,
+        pool_limited: is_pool_limited,
+    }
 }
 
 /// Failure domain that holds the most bytes of `results`, and the cost, in milliseconds of delay,
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -285,12 +285,14 @@
         loop {
             let skips_limited = denials >= MAX_DENIALS;
             match attempt::choose(core, request, results, &self.tried, skips_limited) {
-                attempt::Choice::Chosen(entry, claim, is_pool_limited) => {
-                    match permits::acquire(core, &entry, claim, is_pool_limited).await {
-                        Ok(permit) => return Some((entry, permit)),
-                        Err(_) => denials += 1,
-                    }
-                }
+                attempt::Choice::Chosen {
+                    entry,
+                    claim,
+                    pool_limited,
+                } => match permits::acquire(core, &entry, claim, pool_limited).await {
+                    Ok(permit) => return Some((entry, permit)),
+                    Err(_) => denials += 1,
+                },
                 attempt::Choice::Held(until) => {
                     let now = core.now();
                     if until > wait_end {
--- a/crates/basilgrade_fleet/src/health.rs
+++ b/crates/basilgrade_fleet/src/health.rs
@@ -34,6 +34,7 @@
     failure_rate: atomic::AtomicU64,
     latency: atomic::AtomicU64,
     limit: sync::Mutex<limit::Limit>,
+    is_limited: atomic::AtomicBool,
 }
 
 /// How a call to an upstream ended, as far as the upstream's health is concerned.
@@ -113,7 +114,22 @@
         }
     }
 
-    /// Limit of the upstream on the rate of requests.
+    /// Whether the upstream names a limit on the rate of requests.
+    pub fn is_limited(&self) -> bool {
+        self.is_limited.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records what this daemon or, by its report, another one has heard of the limit of the upstream;
+    /// `true` if that changes the limit.
+    pub fn update_limit(&self, update: impl FnOnce(&mut limit::Limit) -> bool) -> bool {
+        let mut limit = self.limit();
+        let has_changed = update(&mut limit);
+        let is_limited = limit.rate().is_some();
+        self.is_limited.store(is_limited, atomic::Ordering::Relaxed);
+        has_changed
+    }
+
+    /// Limit of the upstream on the rate of requests; changed by [`Stats::update_limit`].
     pub fn limit(&self) -> sync::MutexGuard<'_, limit::Limit> {
         self.limit
             .lock()
--- a/crates/basilgrade_fleet/src/placement.rs
+++ b/crates/basilgrade_fleet/src/placement.rs
@@ -114,7 +114,7 @@
     {
         cost += demand.transfer_cost;
     }
-    if stats.limit().rate().is_some() {
+    if stats.is_limited() {
         cost += (LIMITED_COST_MS - saved).max(0.0);
     }
     if stats.is_unreliable() {
@@ -187,7 +187,7 @@
         let scope = (!is_global).then_some(&candidate.domain);
         let entry = best.entry(scope).or_default();
         entry.first = entry.first.max(ranked);
-        if candidate.stats.limit().rate().is_none() {
+        if !candidate.stats.is_limited() {
             entry.unlimited = entry.unlimited.max(ranked);
         }
     }
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -15,6 +15,7 @@
 use basilgrade_fleet::placement;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use basilgrade_types::rate;
 use common::domain;
 use common::upstream;
 
@@ -341,3 +342,39 @@
 
     assert_eq!(directory.ready(&common::pool_id("pool")).count(), 0);
 }
+
+/// Guards against permits of an engine with a limit that are spent on requests which any engine
+/// serves as well, and against requests that leave the engine with their shared parts.
+#[test]
+fn engine_with_a_limit_serves_requests_with_shared_parts_first() {
+    let engines: Vec<_> = (0..4)
+        .map(|number| sync::Arc::new(upstream(number, "a")))
+        .collect();
+    let shared = prompt("subject");
+    let home = choose(&engines, &demand(&[], Some(&shared))).expect("there is an engine");
+    let limited = engines
+        .iter()
+        .find(|engine| engine.id.as_str() == home)
+        .expect("the engine exists");
+    let rate = Some(rate::RequestRate(1.0));
+    limited
+        .stats
+        .update_limit(|limit| limit.record_answer(NOW, rate));
+    let held = [limited.id.clone()];
+
+    let with_parts = choose(&engines, &demand(&[], Some(&shared)));
+    let plain: Vec<_> = (0..20)
+        .map(|_| choose(&engines, &demand(&[], None)))
+        .collect();
+    let elsewhere = choose(
+        &engines,
+        &placement::Demand {
+            held: &held,
+            ..demand(&[], Some(&shared))
+        },
+    );
+
+    assert_eq!(with_parts, Some(home.clone()));
+    assert!(!plain.contains(&Some(home.clone())));
+    assert!(elsewhere.is_some_and(|id| id != home));
+}
