Ask for the configuration in force after each restore of the store

A daemon that had missed the last configuration before the store came back from a copy, cut off at that moment, would have kept the older one until the operator's next write reached the store. It now asks three random daemons, as a starting daemon does; a starting daemon asked only one. At 380 daemons that is about 1,140 calls within some seconds, each with one configuration.

What is kept of a topic after a restore moves to a file of its own.

--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -11,3 +11,4 @@
 pub mod position;
 pub mod reader;
 pub mod register;
+mod restored;
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -24,6 +24,7 @@
 use crate::follow::mirror;
 use crate::follow::origin;
 use crate::follow::position;
+use crate::follow::restored;
 use crate::peers::service;
 use crate::view;
 
@@ -41,6 +42,8 @@
     regained: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
     is_reading: tokio::sync::watch::Sender<bool>,
+    /// Era of the store in which the operators' topic was read last.
+    era: tokio::sync::watch::Sender<u64>,
 }
 
 /// All topics, in the order of [`Mirrors::positions`].
@@ -72,6 +75,7 @@
             regained: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
             is_reading: tokio::sync::watch::Sender::new(true),
+            era: tokio::sync::watch::Sender::new(0),
         }
     }
 
@@ -117,6 +121,11 @@
         self.is_reading.subscribe()
     }
 
+    /// Receiver that is notified when the store has come back from an older copy.
+    pub fn subscribe_era(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Starts or stops reading the store; `reason` is logged on a change.
     pub fn set_reader(&self, is_reader: bool, reason: &str) {
         let changes = |known: &mut bool| std::mem::replace(known, is_reader) != is_reader;
@@ -259,13 +268,26 @@
             store::Topic::Upstreams => self.update_upstreams(changes, origin, is_uncertain),
             store::Topic::Daemons => self.update_daemons(),
         }
-        if is_restored && topic == store::Topic::Daemons {
-            self.core.suspects().mark_all_changed();
-            self.core.evidence_changed.notify_one();
+        if is_restored {
+            self.announce_restore(topic, position.era);
         }
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Has this daemon write again and learn again what the store may have lost of `topic`.
+    fn announce_restore(&self, topic: store::Topic, era: u64) {
+        match topic {
+            store::Topic::Operators => {
+                self.era.send_replace(era);
+            }
+            store::Topic::Upstreams => {}
+            store::Topic::Daemons => {
+                self.core.suspects().mark_all_changed();
+                self.core.evidence_changed.notify_one();
+            }
+        }
+    }
+
     /// Takes over the configuration in `updates` of another daemon if it is newer than the one in
     /// force, whatever their positions.
     pub fn learn_configuration(&self, updates: &[mirror::Update]) {
@@ -289,63 +311,26 @@
     /// Keeps the configuration in force if that in `changes` is older.
     fn keep_configuration(&self, changes: &mut mirror::Changes) {
         let view = self.core.view.load();
-        let Some(in_force) = view.configuration.as_ref().map(|known| known.version) else {
-            return;
-        };
-        let operators = topic_index(store::Topic::Operators);
-        let own = self.lock()[operators]
-            .records()
-            .iter()
-            .find(|(key, _)| store::is_configuration_key(key))
-            .map(|(key, value)| (key.clone(), value.clone()));
-        let is_older = |key: &CompactString, value: &Bytes| {
-            store::is_configuration_key(key)
-                && configuration::decode(value).is_ok_and(|found| found.version < in_force)
-        };
-        match changes {
-            mirror::Changes::Some(records) => records
-                .retain(|(key, value)| !value.as_ref().is_some_and(|value| is_older(key, value))),
-            mirror::Changes::All(records) => {
-                records.retain(|(key, value)| !is_older(key, value));
-                let is_missing = !records
-                    .iter()
-                    .any(|(key, _)| store::is_configuration_key(key));
-                records.extend(own.filter(|_| is_missing));
-            }
+        if let Some(in_force) = &view.configuration {
+            let operators = topic_index(store::Topic::Operators);
+            let mirrors = self.lock();
+            restored::keep_configuration(changes, mirrors[operators].records(), in_force.version);
         }
     }
 
-    /// Adds what a restored store has lost to all records of `topic` in `changes`, as far as nobody
-    /// writes it again or it shows that a record is outdated.
+    /// Keeps what a restored store has lost or holds only in an older state.
     fn keep_lost_records(&self, topic: store::Topic, changes: &mut mirror::Changes) {
         let mirror::Changes::All(records) = changes else {
             return;
         };
-        let known = self.lock()[topic_index(topic)].records().clone();
+        let mirrors = self.lock();
+        let known = mirrors[topic_index(topic)].records();
         match topic {
             store::Topic::Operators => {}
             store::Topic::Upstreams => {
-                let latest = self.lock_latest();
-                let found = std::mem::take(records).into_iter();
-                *records = found
-                    .filter_map(|(key, value)| {
-                        let entry = upstream_registration::decode(&key, &value).ok();
-                        if !entry.is_some_and(|entry| latest.is_outdated(&entry)) {
-                            return Some((key, value));
-                        }
-                        log::info!("event=registration-outdated upstream={key}");
-                        let value = known.get(&key)?.clone();
-                        Some((key, value))
-                    })
-                    .collect();
-            }
-            store::Topic::Daemons => {
-                let is_lost = |key: &CompactString| {
-                    evidence::is_key(key) && !records.iter().any(|(found, _)| found == key)
-                };
-                let lost: Vec<_> = known.into_iter().filter(|(key, _)| is_lost(key)).collect();
-                records.extend(lost);
+                restored::keep_registrations(records, known, &self.lock_latest());
             }
+            store::Topic::Daemons => restored::keep_evidence(records, known),
         }
     }
 
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -30,7 +30,10 @@
 /// Interval at which a daemon that reads the store itself determines the reader again.
 const READER_CHECK_INTERVAL: clock::Millis = clock::Millis(400);
 
-/// Maximum number of daemons that a starting daemon asks for the configuration in force.
+/// Number of daemons whose answers tell the configuration in force, as one may have missed it.
+const CONFIGURATION_ANSWERS: usize = 3;
+
+/// Maximum number of daemons that are asked for it.
 const MAX_CONFIGURATION_ASKS: usize = 10;
 
 /// Time-out for the answer of a daemon that may be in another region.
@@ -46,7 +49,7 @@
     /// Fetches updates from the reader of this failure domain, if it is another daemon; never
     /// returns.
     pub async fn run(self) {
-        tokio::join!(self.learn_configuration(), self.follow());
+        tokio::join!(self.learn_configurations(), self.follow());
     }
 
     async fn follow(&self) {
@@ -137,10 +140,20 @@
             .await
     }
 
-    /// Asks other daemons for the configuration in force until one has answered.
-    ///
-    /// A store that was restored from a copy may hold an older one than the other daemons have.
+    /// Learns the configuration in force from other daemons at the start and whenever the store has
+    /// come back from a copy, which may hold an older one than they have; never returns.
+    async fn learn_configurations(&self) {
+        let mut era = self.mirrors.subscribe_era();
+        loop {
+            self.learn_configuration().await;
+            // The sender lives as long as the mirrors, so the error is ignored.
+            let _ = era.changed().await;
+        }
+    }
+
+    /// Asks random daemons for the configuration in force, until some have answered.
     async fn learn_configuration(&self) {
+        let mut answers = 0;
         for _ in 0..MAX_CONFIGURATION_ASKS {
             tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
             let Some(address) = self.fallback_address() else {
@@ -148,18 +161,15 @@
             };
             let positions = mirrors::TOPICS
                 .map(|topic| (topic != store::Topic::Operators).then_some(position::Position::MAX));
-            let updates = self
-                .fetch_updates_since(
-                    address,
-                    positions,
-                    clock::Millis::ZERO,
-                    CROSS_REGION_TIMEOUT,
-                )
-                .await;
-            if let Ok(updates) = updates
-                && !updates.updates.is_empty()
+            let wait = clock::Millis::ZERO;
+            let reply = self.fetch_updates_since(address, positions, wait, CROSS_REGION_TIMEOUT);
+            if let Ok(reply) = reply.await
+                && !reply.updates.is_empty()
             {
-                self.mirrors.learn_configuration(&updates.updates);
+                self.mirrors.learn_configuration(&reply.updates);
+                answers += 1;
+            }
+            if answers == CONFIGURATION_ANSWERS {
                 return;
             }
         }
