--- /dev/null
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -0,0 +1,266 @@
+//! The routing snapshot as derived from the mirrors: configuration, upstreams and daemons.
+
+use std::sync;
+
+use basilgrade_adapter::configuration;
+use basilgrade_adapter::daemon_registration as registration;
+use basilgrade_adapter::evidence;
+use basilgrade_adapter::store;
+use basilgrade_adapter::upstream_registration;
+use basilgrade_fleet::daemon;
+use basilgrade_fleet::directory;
+use basilgrade_fleet::model::prompt;
+use basilgrade_fleet::suspects;
+use basilgrade_types::clock;
+use basilgrade_types::id;
+use bytes::Bytes;
+use compact_str::CompactString;
+use indexmap::IndexMap;
+
+use crate::follow::mirror;
+use crate::follow::mirrors;
+use crate::follow::origin;
+use crate::view;
+
+/// Age at which a daemon's registration expires; running daemons renew theirs earlier.
+const REGISTRATION_AGE: clock::Millis = clock::Millis(30 * 60_000);
+
+impl mirrors::Mirrors {
+    pub(super) fn update_configuration(&self, changes: &mirror::Changes, origin: origin::Origin) {
+        let records = changes.records();
+        // Only the newest configuration of a batch takes effect.
+        let newest = records
+            .filter(|(key, _)| store::is_configuration_key(key))
+            .last();
+        let Some((_, value)) = newest else {
+            return;
+        };
+        let configuration = match configuration::decode(value) {
+            Ok(configuration) => configuration,
+            Err(reason) => {
+                self.core.metrics.unreadable_records.inc();
+                log::error!(
+                    "event=configuration-unreadable reason={:?}",
+                    reason.to_string()
+                );
+                return;
+            }
+        };
+        let known = self.core.view.load().configuration.clone();
+        let version = configuration.version;
+        let previous = known.map_or(0, |known| known.version);
+        if version <= previous {
+            return;
+        }
+        let routes: usize = configuration.hosts.values().map(Vec::len).sum();
+        log::info!(
+            "event=configuration-changed version={version} previous={previous} routes={routes} \
+             origin={}",
+            origin.as_str()
+        );
+        let configuration = sync::Arc::new(configuration);
+        self.core.view.rcu(|view| view::View {
+            configuration: Some(sync::Arc::clone(&configuration)),
+            ..view::View::clone(view)
+        });
+    }
+
+    pub(super) fn update_upstreams(
+        &self,
+        changes: mirror::Changes,
+        origin: origin::Origin,
+        is_uncertain: bool,
+    ) {
+        let mut directory = directory::Directory::clone(&self.core.view.load().directory);
+        let mut has_changed = false;
+        let records = match changes {
+            mirror::Changes::Some(records) => records,
+            mirror::Changes::All(records) => {
+                let gone: Vec<_> = directory
+                    .ids()
+                    .filter(|id| !records.iter().any(|(key, _)| key == id.as_str()))
+                    .map(|id| (CompactString::new(id.as_str()), None))
+                    .collect();
+                let present = records.into_iter().map(|(key, value)| (key, Some(value)));
+                present.chain(gone).collect()
+            }
+        };
+        for (key, value) in records {
+            has_changed |= self.update_upstream(&mut directory, &key, value, origin, is_uncertain);
+        }
+        if has_changed || !self.core.view.load().has_upstreams {
+            self.publish_directory(directory);
+        }
+    }
+
+    fn update_upstream(
+        &self,
+        directory: &mut directory::Directory,
+        key: &str,
+        value: Option<Bytes>,
+        origin: origin::Origin,
+        is_uncertain: bool,
+    ) -> bool {
+        let Ok(id) = key.parse() else {
+            self.core.metrics.unreadable_records.inc();
+            return false;
+        };
+        let Some(value) = value else {
+            self.lock_latest().record_removal(self.core.now(), &id);
+            if directory.get(&id).is_none() {
+                return false;
+            }
+            log::info!(
+                "event=upstream-gone upstream={id} uncertain={is_uncertain} origin={}",
+                origin.as_str()
+            );
+            if is_uncertain {
+                directory.mark_missing(&id);
+            } else {
+                directory.remove(&id);
+            }
+            return true;
+        };
+        match upstream_registration::decode(key, &value) {
+            Ok(entry) => {
+                self.lock_latest().record(&entry);
+                let known = directory.get(&id);
+                let is_same = known
+                    .is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
+                if is_same && !directory.has_missing() {
+                    return false;
+                }
+                if !is_same {
+                    log::info!(
+                        "event=upstream-changed upstream={id} pool={} address={} domain={} \
+                         state={:?} started_at={} sequence={} origin={}",
+                        entry.pool,
+                        entry.address,
+                        entry.domain,
+                        entry.state,
+                        entry.started_at.unwrap_or_default(),
+                        entry.sequence.unwrap_or_default(),
+                        origin.as_str()
+                    );
+                }
+                directory.put(entry);
+                true
+            }
+            Err(reason) => {
+                self.core.metrics.unreadable_records.inc();
+                log::warn!(
+                    "event=upstream-unreadable upstream={id} reason={:?}",
+                    reason.to_string()
+                );
+                let was_known = directory.get(&id).is_some();
+                directory.remove(&id);
+                was_known
+            }
+        }
+    }
+
+    fn publish_directory(&self, directory: directory::Directory) {
+        let directory = sync::Arc::new(directory);
+        self.core.view.rcu(|view| view::View {
+            directory: sync::Arc::clone(&directory),
+            has_upstreams: true,
+            ..view::View::clone(view)
+        });
+    }
+
+    /// Removes upstreams whose registrations are still missing after a store outage.
+    pub fn expire_missing(&self) {
+        let view = self.core.view.load_full();
+        if !view.directory.has_missing() {
+            return;
+        }
+        let mut directory = directory::Directory::clone(&view.directory);
+        for id in directory.expire() {
+            log::info!("event=upstream-expired upstream={id}");
+        }
+        self.publish_directory(directory);
+    }
+
+    /// Decodes evidence about a prompt part; `None` if it has expired or is unreadable.
+    fn decode_evidence(
+        &self,
+        key: &str,
+        value: &Bytes,
+    ) -> Option<((prompt::PartId, id::VmId), suspects::Evidence)> {
+        match evidence::decode(key, value) {
+            Ok((known, evidence)) => {
+                let is_valid = evidence.seen_at.plus(suspects::EVIDENCE_TTL) >= self.core.now();
+                is_valid.then_some((known, evidence))
+            }
+            Err(reason) => {
+                self.core.metrics.unreadable_records.inc();
+                log::warn!(
+                    "event=evidence-unreadable key={key:?} reason={:?}",
+                    reason.to_string()
+                );
+                None
+            }
+        }
+    }
+
+    pub(super) fn update_daemons(&self) {
+        let now = self.core.now();
+        let records = self.lock()[mirrors::topic_index(store::Topic::Daemons)]
+            .records()
+            .clone();
+        let mut daemons = Vec::new();
+        let mut others = IndexMap::<_, IndexMap<_, _>>::new();
+        for (key, value) in &records {
+            if evidence::is_key(key) {
+                if let Some(((part, daemon), evidence)) = self.decode_evidence(key, value) {
+                    others.entry(part).or_default().insert(daemon, evidence);
+                }
+                continue;
+            }
+            match registration::decode(key, value) {
+                Ok(daemon) if daemon.seen_at.plus(REGISTRATION_AGE) >= now => daemons.push(daemon),
+                Ok(_) => {}
+                Err(reason) => {
+                    self.core.metrics.unreadable_records.inc();
+                    log::warn!(
+                        "event=daemon-unreadable daemon={key:?} reason={:?}",
+                        reason.to_string()
+                    );
+                }
+            }
+        }
+        self.core.suspects().replace_others(others);
+        let own = self.core.settings.load().name.clone();
+        let domain = self.core.settings.load().domain.clone();
+        let is_own = |daemon: &daemon::Daemon| daemon.name == own;
+        let others = daemons.iter().filter(|daemon| !is_own(daemon)).count();
+        let is_domain_peer = |daemon: &&daemon::Daemon| daemon.domain == domain && !is_own(daemon);
+        let domain_peers = daemons.iter().filter(is_domain_peer).count();
+        let known = std::mem::replace(&mut *self.lock_daemons(), daemons.clone());
+        let identity = |daemon: &daemon::Daemon| (daemon.name.clone(), daemon.address);
+        if !known.iter().map(identity).eq(daemons.iter().map(identity)) {
+            log::info!(
+                "event=daemons-changed daemons={} domain={}",
+                others + 1,
+                domain_peers + 1
+            );
+        }
+        let registered = sync::Arc::new(daemons);
+        self.core.view.rcu(|view| view::View {
+            registered: sync::Arc::clone(&registered),
+            daemons: others + 1,
+            ..view::View::clone(view)
+        });
+    }
+
+    fn lock_daemons(&self) -> sync::MutexGuard<'_, Vec<daemon::Daemon>> {
+        self.daemons
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// All registered daemons.
+    pub fn daemons(&self) -> Vec<daemon::Daemon> {
+        self.lock_daemons().clone()
+    }
+}
