--- a/crates/basilgrade/tests/restored_store.rs
+++ b/crates/basilgrade/tests/restored_store.rs
@@ -49,6 +49,25 @@
     wait_until_served(&deployment, "key-three").await;
 }
 
+/// Guards against a second restore that is taken for the first one, and against records that were
+/// read between the two.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_take_effect_after_two_restores_in_a_row() {
+    let deployment = deployment::start(&["a", "b"]).await;
+    let copy = deployment.store.copy();
+    deployment.publish(&deployment::configuration(2, &["key-one", "key-two"]));
+    wait_until_served(&deployment, "key-two").await;
+
+    for version in [5, 7] {
+        deployment.store.restore(&copy);
+        // The same offset holds another record after each restore.
+        let key = format!("key-{version}");
+        deployment.publish(&deployment::configuration(version, &["key-two", &key]));
+        wait_until_served(&deployment, &key).await;
+        wait_until_served(&deployment, "key-two").await;
+    }
+}
+
 /// Guards against a daemon that starts while the store holds an older configuration, and serves by
 /// it although the other daemons have a newer one.
 #[tokio::test(flavor = "multi_thread")]
