Ask for permits of unlimited upstreams only while a pool is unknown

A daemon asked a holder at its first contact with each run of an upstream, so that a newcomer keeps limits it has not heard of.

A daemon now asks only until it has heard from a pool, and, as before, while an upstream of the pool has a limit.

--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -252,7 +252,9 @@
         let message = piece_calls::compute_request(call).map_err(|reason| reason.to_string())?;
         let entry = self.core.view.load().directory.get(&call.upstream).cloned();
         let entry = entry.ok_or("the upstream is not registered")?;
-        let permit = match permits::acquire(&self.core, &entry, limit::Claim::Any, false).await {
+        let is_doubtful = !entry.stats.is_heard();
+        let claim = limit::Claim::Any;
+        let permit = match permits::acquire(&self.core, &entry, claim, is_doubtful).await {
             Ok(permit) => permit,
             Err(until) => return Ok(outcome::CallOutcome::Held(until - self.core.now())),
         };
--- a/crates/basilgrade_edge/src/permits.rs
+++ b/crates/basilgrade_edge/src/permits.rs
@@ -25,7 +25,7 @@
 
 /// Gets permission to send one request to `entry`, from the holder of its limit if it has one.
 ///
-/// `is_pool_limited` tells that an upstream of the pool has a limit.
+/// `is_doubtful` tells that other daemons may know of a limit that this one does not know.
 ///
 /// # Errors
 ///
@@ -34,12 +34,12 @@
     core: &core::Core,
     entry: &upstream::Upstream,
     claim: limit::Claim,
-    is_pool_limited: bool,
+    is_doubtful: bool,
 ) -> Result<limit::Permit, clock::Millis> {
     let asked_at = core.now();
     let report = {
         let known = entry.stats.limit();
-        match known.need(asked_at, claim, is_pool_limited) {
+        match known.need(asked_at, claim, is_doubtful) {
             limit::Need::None => return Ok(limit::Permit::Unlimited),
             limit::Need::Held(until) => return Err(until),
             limit::Need::Ask => known.report(asked_at),
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -119,8 +119,8 @@
         entry: sync::Arc<upstream::Upstream>,
         /// Permits that the request may take there.
         claim: limit::Claim,
-        /// Whether an upstream of the pool names a limit.
-        pool_limited: bool,
+        /// Whether other daemons may know of a limit that this one does not know.
+        is_doubtful: bool,
     },
     /// Every candidate is at its limit until this time or later.
     Held(clock::Millis),
@@ -144,6 +144,7 @@
     let now = core.now();
     let ready = || view.directory.ready(&request.pool);
     let is_pool_limited = ready().any(|entry| entry.stats.is_limited());
+    let is_doubtful = is_pool_limited || !ready().any(|entry| entry.stats.is_heard());
     // Requests that others serve as well leave the permits to those that gain from cached parts.
     let claim = match &request.head.prompt {
         Some(prompt)
@@ -195,7 +196,7 @@
     Choice::Chosen {
         entry: sync::Arc::clone(chosen),
         claim,
-        pool_limited: is_pool_limited,
+        is_doubtful,
     }
 }
 
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -288,8 +288,8 @@
                 attempt::Choice::Chosen {
                     entry,
                     claim,
-                    pool_limited,
-                } => match permits::acquire(core, &entry, claim, pool_limited).await {
+                    is_doubtful,
+                } => match permits::acquire(core, &entry, claim, is_doubtful).await {
                     Ok(permit) => return Some((entry, permit)),
                     Err(_) => denials += 1,
                 },
--- a/crates/basilgrade_fleet/src/health.rs
+++ b/crates/basilgrade_fleet/src/health.rs
@@ -35,6 +35,7 @@
     latency: atomic::AtomicU64,
     limit: sync::Mutex<limit::Limit>,
     is_limited: atomic::AtomicBool,
+    is_heard: atomic::AtomicBool,
 }
 
 /// How a call to an upstream ended, as far as the upstream's health is concerned.
@@ -119,6 +120,11 @@
         self.is_limited.load(atomic::Ordering::Relaxed)
     }
 
+    /// Whether an answer of the upstream is known, to this daemon or by a report of another one.
+    pub fn is_heard(&self) -> bool {
+        self.is_heard.load(atomic::Ordering::Relaxed)
+    }
+
     /// Records what this daemon or, by its report, another one has heard of the limit of the upstream;
     /// `true` if that changes the limit.
     pub fn update_limit(&self, update: impl FnOnce(&mut limit::Limit) -> bool) -> bool {
@@ -126,6 +132,8 @@
         let has_changed = update(&mut limit);
         let is_limited = limit.rate().is_some();
         self.is_limited.store(is_limited, atomic::Ordering::Relaxed);
+        self.is_heard
+            .store(limit.is_heard(), atomic::Ordering::Relaxed);
         has_changed
     }
 
--- a/crates/basilgrade_fleet/src/limit.rs
+++ b/crates/basilgrade_fleet/src/limit.rs
@@ -182,6 +182,11 @@
         self.rate
     }
 
+    /// Whether an answer of the upstream is known.
+    pub fn is_heard(&self) -> bool {
+        self.heard_at.is_some()
+    }
+
     /// Records an answer of the upstream, which names the limit `rate` or none; `true` if that
     /// changes the limit.
     pub fn record_answer(&mut self, at: clock::Millis, rate: Option<rate::RequestRate>) -> bool {
@@ -224,9 +229,9 @@
 
     /// Whether a request to the upstream needs a permit.
     ///
-    /// `is_pool_limited` tells that another upstream of the pool has a limit. Then knowledge that is
-    /// not fresh may be out of date, like that of a daemon that has not heard from this run yet.
-    pub fn need(&self, now: clock::Millis, claim: Claim, is_pool_limited: bool) -> Need {
+    /// `is_doubtful` tells that other daemons may know of a limit: another upstream of the pool has
+    /// one, or this daemon has not heard from the pool yet. Then knowledge must be fresh.
+    pub fn need(&self, now: clock::Millis, claim: Claim, is_doubtful: bool) -> Need {
         if self.rate.is_some() {
             let held_until = match claim {
                 Claim::Any => self.held_until,
@@ -239,8 +244,12 @@
             };
         }
         let known_at = self.heard_at.max(self.checked_at);
-        let is_known = known_at.is_some_and(|at| !is_pool_limited || now < at.plus(FRESH_AGE));
-        if is_known { Need::None } else { Need::Ask }
+        let is_fresh = known_at.is_some_and(|at| now < at.plus(FRESH_AGE));
+        if is_fresh || !is_doubtful {
+            Need::None
+        } else {
+            Need::Ask
+        }
     }
 
     /// Records the decision of a holder; returns the permit for a request asked for at `asked_at`.
