Log the silence of an upstream and why a stream cannot go on

What callers saw: streams that ended without their last event. The log told that a stream was broken, but not whether its upstream was silent before, nor what kept the stream from going on at another one, so the hypotheses of the incident could not be told apart.

Change: `upstream-silent` and `stream-stuck` lines, a `reason` in `stream-ended`, and a counter of silences.

--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -63,6 +63,8 @@
     blocked = "blocked",
     /// Changes of the limits on the rate of requests that upstreams name.
     limit_changes = "limit_changes",
+    /// Silences of upstreams after which another upstream was sought.
+    silences = "silences",
     /// Permits for requests to upstreams that name a limit.
     permits = "permits",
     /// Asks for such a permit that were denied.
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -370,16 +370,20 @@
         self.last_reason = Some(reason);
     }
 
+    /// Why the last send failed, or why there was no further one.
+    pub fn last_reason(&self) -> &str {
+        self.last_reason
+            .as_deref()
+            .unwrap_or("the pool has no ready upstream; retry later")
+    }
+
     /// Failure of a request that no upstream answered.
     pub fn failure(
         &self,
         core: &core::Core,
         request: &request::Request,
     ) -> request_failure::RequestFailure {
-        let reason = self
-            .last_reason
-            .as_deref()
-            .unwrap_or("the pool has no ready upstream; retry later");
+        let reason = self.last_reason();
         if !self.has_failed {
             let left = request.time_left(core.now());
             let wait = basilgrade_fleet::admission::retry_after(left, self.wait, rand::random());
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -148,6 +148,8 @@
     content_type: Option<header::HeaderValue>,
     last_event: Option<u64>,
     outcome: &'static str,
+    /// Why the stream ended without its last event.
+    reason: Option<&'static str>,
     first_event_at: clock::Millis,
     _active: core::ActiveRequest,
 }
@@ -167,7 +169,7 @@
         core.metrics.answer_time.record(now - self.request.arrived);
         log::info!(
             "event=stream-ended request={} route={} customer={} outcome={} upstream={} sends={} \
-             first={} span={} last_event={}",
+             first={} span={} last_event={} reason={:?}",
             self.request.head.request_id,
             self.request.route.name,
             self.request.customer_name(),
@@ -176,7 +178,8 @@
             self.sends.tried.len(),
             self.first_event_at - self.request.arrived,
             now - self.request.arrived,
-            self.last_event.unwrap_or_default()
+            self.last_event.unwrap_or_default(),
+            self.reason.unwrap_or("-")
         );
     }
 }
@@ -205,6 +208,7 @@
             sends,
             last_event: None,
             outcome: "caller-left",
+            reason: None,
             first_event_at,
             _active: active,
         }
@@ -255,7 +259,17 @@
                     reason
                 }
                 Err(_) if limit == left => return Some(Err(self.fail("the deadline has passed"))),
-                Err(_) => "no event within the time-out".to_owned(),
+                Err(_) => {
+                    self.service.core.metrics.silences.inc();
+                    log::info!(
+                        "event=upstream-silent request={} upstream={} limit={limit} left={left} \
+                         last_event={}",
+                        self.request.head.request_id,
+                        source.entry.id,
+                        self.last_event.unwrap_or_default()
+                    );
+                    "no event within the time-out".to_owned()
+                }
             };
             if !self.resume(reason).await {
                 return Some(Err(self.fail("the stream failed and could not be resumed")));
@@ -271,11 +285,21 @@
 
     fn fail(&mut self, reason: &'static str) -> io::Error {
         self.outcome = "broken";
+        self.reason = Some(reason);
         // An error in the body closes the connection, so the caller cannot take the response
         // for complete.
         io::Error::new(io::ErrorKind::ConnectionAborted, reason)
     }
 
+    fn log_stuck(&self, reason: &str) {
+        log::info!(
+            "event=stream-stuck request={} sends={} left={} reason={reason:?}",
+            self.request.head.request_id,
+            self.sends.tried.len(),
+            self.request.time_left(self.service.core.now())
+        );
+    }
+
     /// Resumes the stream at another upstream; `false` if that is not permitted or fails.
     async fn resume(&mut self, reason: String) -> bool {
         let core = sync::Arc::clone(&self.service.core);
@@ -288,18 +312,20 @@
                 .record_failure(&self.request, &source.entry, reason);
         }
         if !self.sends.may_repeat(&core, &self.request) {
+            self.log_stuck("the request must not be sent again");
             return false;
         }
         let results = match stages::run(&self.service, &self.request).await {
             Ok(results) => results,
             Err(failure) => {
-                self.request.log_failure(&core, &failure);
+                self.log_stuck(&failure.reason);
                 return false;
             }
         };
         loop {
             let next = self.sends.next(&core, &self.request, &results);
             let Some((entry, permit)) = next.await else {
+                self.log_stuck(self.sends.last_reason());
                 return false;
             };
             let extras = attempt::SendExtras {
