--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -37,6 +37,9 @@
     BreaksIn(u64),
     /// Runs streams and waits this many milliseconds before each event.
     Slow(u64),
+    /// Runs requests and sends nothing for this many milliseconds before the event of this number;
+    /// event 1 is also the whole answer of a request that is no stream.
+    Pauses(u64, u64),
     /// Runs requests and never answers.
     Silent,
     /// Runs requests; closes the connection without an answer if the prompt has the part named
@@ -57,12 +60,27 @@
     pub(crate) at: time::Instant,
 }
 
+/// Records the end of the work on a stream when it is dropped.
+struct RunGuard {
+    ends: sync::Arc<sync::Mutex<Vec<(String, time::Instant)>>>,
+    request: String,
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut ends = self.ends.lock().expect("no holder of the lock panics");
+        ends.push((std::mem::take(&mut self.request), time::Instant::now()));
+    }
+}
+
 /// State of an upstream stand-in.
 #[derive(Default)]
 pub(crate) struct Upstream {
     pub(crate) id: String,
     pub(crate) behaviour: sync::Mutex<Behaviour>,
     pub(crate) runs: sync::Mutex<Vec<Run>>,
+    /// When work on streams ended, complete or not, with the ids of their requests.
+    pub(crate) ends: sync::Arc<sync::Mutex<Vec<(String, time::Instant)>>>,
     /// Limit on the rate of requests that the answers name.
     pub(crate) limit: sync::Mutex<Option<&'static str>>,
     /// Address that the store lists for this upstream.
@@ -127,6 +145,10 @@
             .and_then(|last| last.parse().ok())
             .unwrap_or(0);
         let mut name = header_text(request.headers(), "x-attempt-id").unwrap_or_default();
+        let guard = RunGuard {
+            ends: sync::Arc::clone(&self.ends),
+            request: name.clone(),
+        };
         if self.names_runs {
             let run = self
                 .runs
@@ -138,7 +160,12 @@
         let events = futures::stream::iter(from + 1..=EVENTS).then(move |event| {
             let name = name.clone();
             async move {
-                if let Behaviour::Slow(pause) = behaviour {
+                let pause = match behaviour {
+                    Behaviour::Slow(pause) => pause,
+                    Behaviour::Pauses(before, pause) if before == event => pause,
+                    _ => 0,
+                };
+                if pause > 0 {
                     tokio::time::sleep(time::Duration::from_millis(pause)).await;
                 }
                 let mut text = format!("id: {event}\ndata: {name}-{event}\n\n");
@@ -161,6 +188,10 @@
         });
         let breaks = usize::from(matches!(behaviour, Behaviour::BreaksIn(_)));
         let frames = events.take(count).chain(broken.take(breaks));
+        let frames = frames.map(move |frame| {
+            let _ = &guard;
+            frame
+        });
         Response::new(http_body_util::StreamBody::new(frames).boxed_unsync())
     }
 }
@@ -230,6 +261,10 @@
             }
             Behaviour::Silent => std::future::pending().await,
             _ if request.uri().path().starts_with("/stream") => self.events(&request, behaviour),
+            Behaviour::Pauses(1, pause) => {
+                tokio::time::sleep(time::Duration::from_millis(pause)).await;
+                Response::new(server::full_body(format!("{} {name}", self.id)))
+            }
             _ => Response::new(server::full_body(format!("{} {name}", self.id))),
         };
         let echoed = if behaviour == Behaviour::Foreign {
