Tell the silence of an upstream from its failure

What callers saw: after half of a pool was silent for a second, its upstreams were avoided for up to 8 s, the others were overloaded, and requests were refused.

Cause: an answer that was late counted as a failure, and a stream that moved away as a broken connection. Three of them in a row back an upstream off for 1 s to 8 s, and nothing that it sends ends the backoff.

Change: a silence counts towards the backoff, but not towards the rate of failures; all requests that see the same silence count once; the next event or answer ends the backoff.

Test: `backoff_for_a_silence_ends_with_the_silence`; it does not build on the code before, which has no such outcome.

--- a/crates/basilgrade_fleet/src/health.rs
+++ b/crates/basilgrade_fleet/src/health.rs
@@ -7,8 +7,8 @@
 
 use crate::limit;
 
-/// Consecutive failures after which an upstream is backed off, with [`Outcome::Unreachable`]
-/// counted twice; single failures are normal.
+/// Consecutive failures and silences after which an upstream is backed off, with
+/// [`Outcome::Unreachable`] counted twice; single failures are normal.
 const FAILURE_THRESHOLD: u32 = 3;
 
 /// Backoff at `FAILURE_THRESHOLD`, doubled with each further failure. The restart of an engine
@@ -31,6 +31,7 @@
     tokens: atomic::AtomicU64,
     failure_streak: atomic::AtomicU32,
     backoff_until: atomic::AtomicU64,
+    silent_until: atomic::AtomicU64,
     failure_rate: atomic::AtomicU64,
     latency: atomic::AtomicU64,
     limit: sync::Mutex<limit::Limit>,
@@ -49,6 +50,8 @@
     Failed,
     /// The upstream could not be reached, or the connection broke.
     Unreachable,
+    /// The upstream has sent nothing for so long that another one was sought; it may be sound.
+    Silent,
 }
 
 impl Stats {
@@ -82,6 +85,13 @@
     /// Updates the failure rate, the latency and the backoff with the outcome of a call.
     pub fn record(&self, now: clock::Millis, outcome: Outcome) {
         let relaxed = atomic::Ordering::Relaxed;
+        if outcome == Outcome::Silent {
+            self.record_silence(now);
+            return;
+        }
+        if matches!(outcome, Outcome::Answered(_) | Outcome::Full) {
+            self.record_event();
+        }
         let is_failure = matches!(outcome, Outcome::Failed | Outcome::Unreachable);
         let target = if is_failure { 1000.0 } else { 0.0 };
         let rate = self.failure_rate.load(relaxed) as f64;
@@ -109,9 +119,32 @@
         };
         let streak = self.failure_streak.fetch_add(step, relaxed) + step;
         if streak >= FAILURE_THRESHOLD {
-            let doublings = (streak - FAILURE_THRESHOLD).min(3);
-            let backoff = clock::Millis(BASE_BACKOFF.0 << doublings).min(MAX_BACKOFF);
-            self.backoff_until.store(now.plus(backoff).0, relaxed);
+            self.backoff_until
+                .store(now.plus(backoff(streak)).0, relaxed);
+        }
+    }
+
+    /// Backs the upstream off at [`FAILURE_THRESHOLD`], until it is heard again.
+    ///
+    /// All requests in progress see the same silence, so a silence counts no further then.
+    fn record_silence(&self, now: clock::Millis) {
+        let relaxed = atomic::Ordering::Relaxed;
+        if now.0 < self.silent_until.load(relaxed) {
+            return;
+        }
+        let streak = self.failure_streak.fetch_add(1, relaxed) + 1;
+        if streak >= FAILURE_THRESHOLD {
+            self.silent_until
+                .store(now.plus(backoff(streak)).0, relaxed);
+        }
+    }
+
+    /// Records that the upstream has sent an event, which ends its silence.
+    pub fn record_event(&self) {
+        let relaxed = atomic::Ordering::Relaxed;
+        if self.silent_until.load(relaxed) != 0 {
+            self.silent_until.store(0, relaxed);
+            self.failure_streak.store(0, relaxed);
         }
     }
 
@@ -144,9 +177,11 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Whether the upstream is backed off at `now` after consecutive failures.
+    /// Whether the upstream is backed off at `now` after consecutive failures or a silence.
     pub fn is_backing_off(&self, now: clock::Millis) -> bool {
-        now.0 < self.backoff_until.load(atomic::Ordering::Relaxed)
+        let relaxed = atomic::Ordering::Relaxed;
+        let until = self.backoff_until.load(relaxed);
+        now.0 < until.max(self.silent_until.load(relaxed))
     }
 
     /// Whether the upstream fails so often that others are preferred.
@@ -159,3 +194,9 @@
         clock::Millis(self.latency.load(atomic::Ordering::Relaxed))
     }
 }
+
+/// Backoff after `streak` consecutive failures, which are at least [`FAILURE_THRESHOLD`].
+fn backoff(streak: u32) -> clock::Millis {
+    let doublings = (streak - FAILURE_THRESHOLD).min(3);
+    clock::Millis(BASE_BACKOFF.0 << doublings).min(MAX_BACKOFF)
+}
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -177,6 +177,25 @@
     assert!(!stats.is_backing_off(NOW.plus(clock::Millis(9000))));
 }
 
+/// Guards against a sound upstream that is avoided for seconds after it was silent for a moment, and
+/// against one that is silent for good and is chosen all the same.
+#[test]
+fn backoff_for_a_silence_ends_with_the_silence() {
+    let stats = health::Stats::default();
+    for _ in 0..30 {
+        stats.record(NOW, health::Outcome::Silent);
+    }
+    assert!(stats.is_backing_off(NOW));
+    assert!(!stats.is_backing_off(NOW.plus(clock::Millis(1500))));
+
+    stats.record_event();
+
+    assert!(!stats.is_backing_off(NOW));
+    assert!(!stats.is_unreliable());
+    stats.record(NOW, health::Outcome::Silent);
+    assert!(!stats.is_backing_off(NOW));
+}
+
 /// Guards against daemons that together send more retries than the shared budget allows.
 #[test]
 fn retries_of_all_daemons_stay_within_the_budget() {
