Keep a silent answer until another upstream has the request

What callers saw: streams without their last event, and errors in place of answers, while their upstream was sound and silent for a moment.

Cause: after a silence of five gaps of a stream (at least 0.9 s), 1.5 s before its first event, or half of the target latency of a plain request, the connection to the upstream was closed first, and only then did the daemon find out whether the request may be sent again, whether its stages can run in time, whether a retry is left and whether another upstream takes it. If any of these failed, nothing was left to answer with. The class of fault: sound work is dropped before its replacement is certain.

If the silent one sends an event before, the stream stays there. Without a replacement it is kept to the deadline. A plain request that may be repeated is sent to a second upstream beside the first; the first answer counts. Another upstream is sought after 1.5 s rather than 0.9 s, as sound upstreams pause for a second or so.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -8,6 +8,7 @@
 use basilgrade_adapter::answer;
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
+use basilgrade_fleet::health;
 use basilgrade_fleet::limit;
 use basilgrade_fleet::streams;
 use basilgrade_fleet::suspects;
@@ -198,6 +199,25 @@
         self.evidence_changed.notify_one();
     }
 
+    /// Records that `entry` has sent nothing of the answer to `request` for `limit`, so that another
+    /// upstream is sought.
+    pub fn record_silence(
+        &self,
+        entry: &upstream::Upstream,
+        request: &request::Request,
+        limit: clock::Millis,
+    ) {
+        let now = self.now();
+        entry.stats.record(now, health::Outcome::Silent);
+        self.metrics.silences.inc();
+        log::info!(
+            "event=upstream-silent request={} upstream={} limit={limit} left={}",
+            request.head.request_id,
+            entry.id,
+            request.time_left(now)
+        );
+    }
+
     /// Records that an upstream answered `request` completely.
     pub fn record_complete(&self, request: &request::Request) {
         let now = self.now();
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod buffered;
+mod opening;
 pub mod relay;
 pub mod request;
 pub mod request_failure;
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -17,6 +17,7 @@
 use hyper::HeaderMap;
 use hyper::body::Incoming;
 use hyper::header;
+use tokio::sync::watch;
 
 use crate::core;
 use crate::http::connection;
@@ -97,6 +98,8 @@
     pub results: Vec<handle::Handle>,
     /// Id of the last stream event that the caller has received.
     pub last_event: Option<u64>,
+    /// Set when the request leaves.
+    pub sent: watch::Sender<bool>,
 }
 
 /// Failure domain of the upstream that would be chosen for `request` regardless of stage results.
@@ -114,6 +117,23 @@
     Some(chosen.domain.clone())
 }
 
+/// Whether the pool has an upstream in good health that may get `request` after those in `sends`.
+pub fn has_candidate(
+    core: &core::Core,
+    request: &request::Request,
+    sends: &buffered::SendHistory,
+) -> bool {
+    let now = core.now();
+    let view = core.view.load();
+    let mut ready = view.directory.ready(&request.pool);
+    ready.any(|entry| {
+        let required = sends.version.as_ref();
+        required.is_none_or(|version| entry.version == *version)
+            && !sends.tried.contains(&entry.id)
+            && !entry.stats.is_backing_off(now)
+    })
+}
+
 /// Choice of the upstream for a send.
 pub enum Choice {
     /// The best upstream.
@@ -274,6 +294,7 @@
         message.headers_mut().insert(header::CONTENT_LENGTH, length);
     }
     request.begin_send();
+    extras.sent.send_replace(true);
     let response = connection.send(message).await.inspect_err(|failure| {
         if failure.verdict == verdict::Verdict::NotRun {
             request.end_unexecuted();
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -10,6 +10,8 @@
 use basilgrade_types::id;
 use basilgrade_types::verdict;
 use bytes::Bytes;
+use futures::StreamExt as _;
+use futures::stream;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
@@ -21,6 +23,7 @@
 use crate::permits;
 use crate::serve;
 use crate::serve::attempt;
+use crate::serve::opening;
 use crate::serve::request;
 use crate::serve::request_failure;
 use crate::serve::response_body;
@@ -75,6 +78,9 @@
 
 /// Sends a request to upstreams until one answers or no further send is permitted.
 ///
+/// An upstream that has not answered within its time-out may still do so while another one is
+/// asked.
+///
 /// # Errors
 ///
 /// [`request_failure::RequestFailure`] if no upstream sent a usable answer.
@@ -87,39 +93,103 @@
     core.deposit_retry(&request.pool);
     let mut sends = SendHistory::default();
     let mut fallback = None;
+    let mut late: Vec<id::UpstreamId> = Vec::new();
+    let mut exchanges = stream::FuturesUnordered::new();
+    let mut newest: Option<Newest> = None;
     loop {
-        let Some((entry, permit)) = sends.next(core, request, results).await else {
-            return match fallback {
-                Some(answer) => Ok(respond(core, request, answer, &sends)),
-                None => Err(sends.failure(core, request)),
-            };
+        let event = if let Some(newest) = &newest {
+            let limit = newest.sent.plus(newest.limit) - core.now();
+            let ended = tokio::time::timeout(limit.duration(), exchanges.next()).await;
+            ended.map_or(Event::Silent, Event::Ended)
+        } else {
+            tokio::select! {
+                biased;
+                ended = exchanges.next(), if !exchanges.is_empty() => Event::Ended(ended),
+                next = sends.next(core, request, results) => match next {
+                    Some((entry, permit)) => Event::Chosen(entry, permit),
+                    None if exchanges.is_empty() => break,
+                    None => Event::Ended(exchanges.next().await),
+                },
+            }
         };
-        let extras = attempt::SendExtras {
-            results: results.of(request.route.last_stages()),
-            last_event: request.head.last_event,
+        let (entry, outcome): (sync::Arc<upstream::Upstream>, Outcome) = match event {
+            Event::Chosen(entry, permit) => {
+                newest = Some(Newest {
+                    limit: answer_timeout(core, request, &entry, &sends),
+                    entry: sync::Arc::clone(&entry),
+                    sent: core.now(),
+                });
+                let extras = attempt::SendExtras {
+                    results: results.of(request.route.last_stages()),
+                    last_event: request.head.last_event,
+                    ..attempt::SendExtras::default()
+                };
+                exchanges.push(async move {
+                    let outcome = exchange(core, request, &entry, permit, &extras).await;
+                    (entry, outcome)
+                });
+                continue;
+            }
+            Event::Silent => {
+                if let Some(Newest { entry, limit, .. }) = newest.take() {
+                    core.record_silence(&entry, request, limit);
+                    let reason = "no answer within the time-out".to_owned();
+                    sends.record_failure(request, &entry, reason);
+                    late.push(entry.id.clone());
+                }
+                continue;
+            }
+            Event::Ended(None) => continue,
+            Event::Ended(Some(ended)) => ended,
         };
-        let sending = exchange(core, request, &entry, permit, &extras);
-        let limit = answer_timeout(core, request, &entry, &sends);
-        let ended = tokio::time::timeout(limit.duration(), sending).await;
-        let ended = ended.unwrap_or_else(|_| {
-            entry.stats.record(core.now(), health::Outcome::Failed);
-            Outcome::Failed("no answer within the time-out".to_owned(), None)
-        });
-        match ended {
+        if newest
+            .as_ref()
+            .is_some_and(|newest| newest.entry.id == entry.id)
+        {
+            newest = None;
+        }
+        let is_late = late.contains(&entry.id);
+        match outcome {
             Outcome::Answered(answer) => return Ok(respond(core, request, answer, &sends)),
+            Outcome::Failed(reason, answer) => {
+                fallback = answer.or(fallback);
+                if !is_late {
+                    sends.record_failure(request, &entry, reason);
+                }
+            }
+            _ if is_late => {}
             Outcome::NotRun(reason) => sends.record_refusal(request, &entry, reason),
             Outcome::InputsGone => {
                 sends.record_refusal(request, &entry, INPUTS_GONE.to_owned());
             }
-            Outcome::Failed(reason, answer) => {
-                fallback = answer.or(fallback);
-                sends.record_failure(request, &entry, reason);
-            }
         }
     }
+    match fallback {
+        Some(answer) => Ok(respond(core, request, answer, &sends)),
+        None => Err(sends.failure(core, request)),
+    }
+}
+
+/// The newest send of a request.
+struct Newest {
+    entry: sync::Arc<upstream::Upstream>,
+    /// Time when the upstream was chosen.
+    sent: clock::Millis,
+    /// Time-out, after which another upstream is asked too.
+    limit: clock::Millis,
+}
+
+/// What happens next to a request that is sent to upstreams.
+enum Event {
+    /// A send ended.
+    Ended(Option<(sync::Arc<upstream::Upstream>, Outcome)>),
+    /// The newest send got no answer within its time-out.
+    Silent,
+    /// Another upstream may get the request.
+    Chosen(sync::Arc<upstream::Upstream>, limit::Permit),
 }
 
-/// Time-out of one send, after which a repeatable request is sent to another upstream.
+/// Time-out of one send, after which a repeatable request is sent to another upstream too.
 fn answer_timeout(
     core: &core::Core,
     request: &request::Request,
@@ -337,7 +407,8 @@
         self.record(request, entry, reason, verdict::Verdict::NotRun);
     }
 
-    /// Makes the last upstream eligible again, as it refused only because stage results were lost.
+    /// Makes the last upstream eligible again, as it got no request or refused it only because stage
+    /// results were lost.
     pub fn allow_last_again(&mut self) {
         self.tried.pop();
     }
@@ -354,6 +425,20 @@
         self.record(request, entry, reason, verdict::Verdict::MayHaveRun);
     }
 
+    /// Records a send that was given up because an upstream that was silent went on.
+    pub(super) fn record_abandoned(
+        &mut self,
+        request: &request::Request,
+        opening: &opening::Opening,
+    ) {
+        if opening.is_sent() {
+            let reason = "the upstream before went on".to_owned();
+            self.record_failure(request, &opening.entry, reason);
+        } else {
+            self.allow_last_again();
+        }
+    }
+
     fn record(
         &mut self,
         request: &request::Request,
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -1,7 +1,9 @@
-//! Relays an event stream from an upstream to the caller, and resumes the stream at another
-//! upstream after a failure.
+//! Relays an event stream from an upstream to the caller, and moves the stream to another upstream
+//! after a failure or during a silence.
 
+use std::future;
 use std::io;
+use std::pin;
 use std::sync;
 
 use basilgrade_adapter::answer;
@@ -23,19 +25,19 @@
 use crate::serve;
 use crate::serve::attempt;
 use crate::serve::buffered;
+use crate::serve::opening;
 use crate::serve::request;
 use crate::serve::response_body;
 use crate::serve::stage_results;
 use crate::serve::stages;
-use crate::serve::stream as opening;
 
-/// Multiple of the route's event gap without an event after which a resumable stream is resumed at
-/// another upstream.
+/// Multiple of the route's event gap without an event after which another upstream is sought for a
+/// resumable stream.
 const SILENCE_GAPS: u64 = 5;
 
-/// Minimum time without an event after which a resumable stream is resumed at another upstream;
-/// engines pause for up to this time while they prefill other prompts or preempt a generation.
-const MIN_SILENCE: clock::Millis = clock::Millis(900);
+/// Minimum time without an event after which another upstream is sought for a resumable stream;
+/// sound engines may pause for a second or so.
+const MIN_SILENCE: clock::Millis = clock::Millis(1500);
 
 /// Event stream that an upstream sends.
 pub struct UpstreamStream {
@@ -145,6 +147,8 @@
     source: Option<UpstreamStream>,
     first: Option<Vec<u8>>,
     sends: buffered::SendHistory,
+    /// Whether `sends` counts the source as failed, as it is or was silent.
+    is_counted: bool,
     content_type: Option<header::HeaderValue>,
     last_event: Option<u64>,
     outcome: &'static str,
@@ -206,6 +210,7 @@
             source: Some(source),
             first: Some(first),
             sends,
+            is_counted: false,
             last_event: None,
             outcome: "caller-left",
             reason: None,
@@ -234,19 +239,13 @@
                 self.record_last_event();
                 return Some(Ok(Bytes::from(first)));
             }
-            let Some(source) = &mut self.source else {
-                return Some(Err(self.fail("no upstream can resume the stream")));
-            };
-            let now = self.service.core.now();
-            let left = self.request.time_left(now);
-            let silence = silence_limit(&self.request);
-            let limit = silence.min(left);
-            let reason = match tokio::time::timeout(limit.duration(), source.next()).await {
-                Ok(StreamItem::Events(events)) => {
+            let left = self.request.time_left(self.service.core.now());
+            match tokio::time::timeout(left.duration(), self.next_item()).await {
+                Ok(Some(StreamItem::Events(events))) => {
                     self.record_last_event();
                     return Some(Ok(Bytes::from(events)));
                 }
-                Ok(StreamItem::End) => {
+                Ok(Some(StreamItem::End)) => {
                     self.outcome = "complete";
                     // An engine that crashes may close the connection as if the answer were empty.
                     if self.last_event.is_some() {
@@ -254,29 +253,63 @@
                     }
                     return None;
                 }
-                Ok(StreamItem::Broken(reason)) => {
-                    self.service.core.record_break(&source.entry, &self.request);
-                    reason
-                }
-                Err(_) if limit == left => return Some(Err(self.fail("the deadline has passed"))),
-                Err(_) => {
-                    self.service.core.metrics.silences.inc();
-                    log::info!(
-                        "event=upstream-silent request={} upstream={} limit={limit} left={left} \
-                         last_event={}",
-                        self.request.head.request_id,
-                        source.entry.id,
-                        self.last_event.unwrap_or_default()
-                    );
-                    "no event within the time-out".to_owned()
+                Ok(Some(StreamItem::Broken(reason))) => self.drop_broken(reason),
+                Ok(None) if self.source.is_none() => {
+                    return Some(Err(self.fail("the stream failed and could not be resumed")));
                 }
-            };
-            if !self.resume(reason).await {
-                return Some(Err(self.fail("the stream failed and could not be resumed")));
+                Ok(None) => {}
+                Err(_) => return Some(Err(self.fail("the deadline has passed"))),
             }
         }
     }
 
+    /// Next item of the source, or `None` after an attempt to move the stream to another upstream,
+    /// because there is no source or it is silent.
+    async fn next_item(&mut self) -> Option<StreamItem> {
+        let Some(source) = &mut self.source else {
+            return self.move_on().await;
+        };
+        let limit = silence_limit(&self.request);
+        if let Ok(item) = tokio::time::timeout(limit.duration(), source.next()).await {
+            source.entry.stats.record_event();
+            return Some(item);
+        }
+        let core = &self.service.core;
+        core.record_silence(&source.entry, &self.request, limit);
+        if !self.is_counted {
+            self.is_counted = true;
+            let reason = "no event within the time-out".to_owned();
+            self.sends
+                .record_failure(&self.request, &source.entry, reason);
+        }
+        if !attempt::has_candidate(core, &self.request, &self.sends) {
+            self.log_stuck("no other upstream in good health can go on with it");
+            return None;
+        }
+        if let Err(failure) = self.service.admit(&self.request) {
+            self.log_stuck(&failure.reason);
+            return None;
+        }
+        self.move_on().await
+    }
+
+    /// Drops the source, whose connection broke for `reason`.
+    fn drop_broken(&mut self, reason: String) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let core = &self.service.core;
+        core.record_break(&source.entry, &self.request);
+        source
+            .entry
+            .stats
+            .record(core.now(), health::Outcome::Unreachable);
+        if !self.is_counted {
+            self.sends
+                .record_failure(&self.request, &source.entry, reason);
+        }
+    }
+
     fn record_last_event(&mut self) {
         if let Some(source) = &self.source {
             self.last_event = source.events.last_id();
@@ -300,88 +333,143 @@
         );
     }
 
-    /// Resumes the stream at another upstream; `false` if that is not permitted or fails.
-    async fn resume(&mut self, reason: String) -> bool {
-        let core = sync::Arc::clone(&self.service.core);
-        if let Some(source) = self.source.take() {
-            source
-                .entry
-                .stats
-                .record(core.now(), health::Outcome::Unreachable);
-            self.sends
-                .record_failure(&self.request, &source.entry, reason);
-        }
-        if !self.sends.may_repeat(&core, &self.request) {
+    /// Moves the stream to another upstream, if that is possible.
+    ///
+    /// A silent source stays until the next upstream has the request. If it sends an item before,
+    /// the stream stays there, and the item is returned.
+    async fn move_on(&mut self) -> Option<StreamItem> {
+        let service = sync::Arc::clone(&self.service);
+        let request = sync::Arc::clone(&self.request);
+        let core = &service.core;
+        if !self.sends.may_repeat(core, &request) {
             self.log_stuck("the request must not be sent again");
-            return false;
+            return None;
         }
-        let results = match stages::run(&self.service, &self.request).await {
-            Ok(results) => results,
-            Err(failure) => {
+        let results = match beside(&mut self.source, stages::run(&service, &request)).await {
+            Ok(Ok(results)) => results,
+            Ok(Err(failure)) => {
                 self.log_stuck(&failure.reason);
-                return false;
+                return None;
             }
+            Err(item) => return Some(item),
         };
         loop {
-            let next = self.sends.next(&core, &self.request, &results);
-            let Some((entry, permit)) = next.await else {
-                self.log_stuck(self.sends.last_reason());
-                return false;
+            let next = self.sends.next(core, &request, &results);
+            let (entry, permit) = match beside(&mut self.source, next).await {
+                Ok(Some(next)) => next,
+                Ok(None) => {
+                    self.log_stuck(self.sends.last_reason());
+                    return None;
+                }
+                Err(item) => return Some(item),
             };
             let extras = attempt::SendExtras {
-                results: results.of(self.request.route.last_stages()),
-                last_event: self.last_event.or(self.request.head.last_event),
+                results: results.of(request.route.last_stages()),
+                last_event: self.last_event.or(request.head.last_event),
+                ..attempt::SendExtras::default()
             };
-            let left = self.request.time_left(core.now());
-            let opening = opening::open(
-                &core,
-                &self.request,
-                sync::Arc::clone(&entry),
-                permit,
-                &extras,
-            );
-            match tokio::time::timeout(left.duration(), opening).await {
-                Ok(opening::OpenOutcome::Stream(source, _))
-                    if source.content_type() != self.content_type.as_ref() =>
-                {
-                    let reason = "the answer has another content type than the stream".to_owned();
-                    self.sends.record_failure(&self.request, &entry, reason);
-                }
-                Ok(opening::OpenOutcome::Stream(source, first)) => {
-                    log::info!(
-                        "event=stream-resumed request={} upstream={} software={} last_event={}",
-                        self.request.head.request_id,
-                        entry.id,
-                        entry.version,
-                        extras.last_event.unwrap_or_default()
-                    );
-                    core.metrics.resumed.inc();
-                    self.source = Some(*source);
-                    self.first = Some(first);
-                    return true;
-                }
-                Ok(opening::OpenOutcome::Ended(buffered::Outcome::InputsGone)) => {
-                    let reason = buffered::INPUTS_GONE.to_owned();
-                    self.sends.record_refusal(&self.request, &entry, reason);
-                }
-                Ok(opening::OpenOutcome::Ended(buffered::Outcome::NotRun(reason))) => {
-                    self.sends.record_refusal(&self.request, &entry, reason);
-                }
-                Ok(opening::OpenOutcome::Ended(buffered::Outcome::Failed(reason, _))) => {
-                    self.sends.record_failure(&self.request, &entry, reason);
-                }
-                Ok(opening::OpenOutcome::Ended(buffered::Outcome::Answered(_))) => {
-                    let reason = "the answer is not an event stream".to_owned();
-                    self.sends.record_failure(&self.request, &entry, reason);
-                }
-                Err(_) => return false,
+            let opening = opening::Opening::begin(core, &request, entry, permit, extras);
+            match self.open(opening).await {
+                Ok(true) => return None,
+                Ok(false) => {}
+                Err(item) => return Some(item),
+            }
+        }
+    }
+
+    /// Waits until the upstream of `opening` sends the stream, which becomes the source; `false` if
+    /// it does not.
+    ///
+    /// # Errors
+    ///
+    /// The next item of the source, if that comes first.
+    async fn open(&mut self, mut opening: opening::Opening) -> Result<bool, StreamItem> {
+        let mut overlap = pin::pin!(opening.overlap());
+        let outcome = loop {
+            tokio::select! {
+                biased;
+                item = next_of(&mut self.source) => match item {
+                    StreamItem::Broken(reason) => self.drop_broken(reason),
+                    item => {
+                        self.sends.record_abandoned(&self.request, &opening);
+                        return Err(item);
+                    }
+                },
+                outcome = opening.outcome() => break outcome,
+                () = &mut overlap, if self.source.is_some() => self.source = None,
+            }
+        };
+        let entry = &opening.entry;
+        match outcome {
+            opening::OpenOutcome::Stream(source, _)
+                if source.content_type() != self.content_type.as_ref() =>
+            {
+                let reason = "the answer has another content type than the stream".to_owned();
+                self.sends.record_failure(&self.request, entry, reason);
+            }
+            opening::OpenOutcome::Stream(source, first) => {
+                log::info!(
+                    "event=stream-resumed request={} upstream={} software={} last_event={}",
+                    self.request.head.request_id,
+                    entry.id,
+                    entry.version,
+                    self.last_event.unwrap_or_default()
+                );
+                self.service.core.metrics.resumed.inc();
+                self.source = Some(*source);
+                self.is_counted = false;
+                self.first = Some(first);
+                return Ok(true);
+            }
+            opening::OpenOutcome::Ended(buffered::Outcome::InputsGone) => {
+                let reason = buffered::INPUTS_GONE.to_owned();
+                self.sends.record_refusal(&self.request, entry, reason);
+            }
+            opening::OpenOutcome::Ended(buffered::Outcome::NotRun(reason)) => {
+                self.sends.record_refusal(&self.request, entry, reason);
+            }
+            opening::OpenOutcome::Ended(buffered::Outcome::Failed(reason, _)) => {
+                self.sends.record_failure(&self.request, entry, reason);
+            }
+            opening::OpenOutcome::Ended(buffered::Outcome::Answered(_)) => {
+                let reason = "the answer is not an event stream".to_owned();
+                self.sends.record_failure(&self.request, entry, reason);
             }
         }
+        Ok(false)
+    }
+}
+
+/// Next item of `source`; waits forever if there is none.
+async fn next_of(source: &mut Option<UpstreamStream>) -> StreamItem {
+    match source {
+        Some(source) => {
+            let item = source.next().await;
+            source.entry.stats.record_event();
+            item
+        }
+        None => future::pending().await,
+    }
+}
+
+/// Result of `work`.
+///
+/// # Errors
+///
+/// The next item of `source`, if that comes first.
+async fn beside<T>(
+    source: &mut Option<UpstreamStream>,
+    work: impl Future<Output = T>,
+) -> Result<T, StreamItem> {
+    tokio::select! {
+        biased;
+        item = next_of(source) => Err(item),
+        done = work => Ok(done),
     }
 }
 
-/// Time without an event after which the stream is resumed at another upstream; unlimited if the
-/// request must not be repeated.
+/// Time without an event after which another upstream is sought; unlimited if the request must not
+/// be repeated.
 fn silence_limit(request: &request::Request) -> clock::Millis {
     if !request.route.kind.is_repeatable() {
         return clock::Millis::MAX;
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -1,11 +1,10 @@
 //! Serves requests whose answer is an event stream.
 
+use std::pin;
 use std::sync;
 
 use basilgrade_adapter::answer;
 use basilgrade_fleet::directory::upstream;
-use basilgrade_fleet::health;
-use basilgrade_fleet::limit;
 use basilgrade_fleet::streams;
 use basilgrade_types::clock;
 use hyper::Response;
@@ -15,6 +14,7 @@
 use crate::serve;
 use crate::serve::attempt;
 use crate::serve::buffered;
+use crate::serve::opening;
 use crate::serve::relay;
 use crate::serve::request;
 use crate::serve::request_failure;
@@ -22,11 +22,11 @@
 use crate::serve::stage_results;
 use crate::serve::stages;
 
-/// Minimum time to wait for the first event before a repeatable request is sent to another
-/// upstream; an engine takes up to 0.8 s to prefill a long prompt.
+/// Minimum time to wait for the first event before another upstream is sought for a repeatable
+/// request; an engine takes up to 0.8 s to prefill a long prompt.
 const MIN_FIRST_EVENT_TIMEOUT: clock::Millis = clock::Millis(1500);
 /// A repeatable request waits for the first event for at least `1 / TIME_LEFT_DIVISOR` of the time
-/// left to its deadline before it is sent to another upstream.
+/// left to its deadline before another upstream is sought.
 const TIME_LEFT_DIVISOR: u64 = 5;
 
 /// Reason of a refusal of a stream that may have begun at another software version.
@@ -101,72 +101,168 @@
 ) -> Result<Response<response_body::Body>, request_failure::RequestFailure> {
     let core = &service.core;
     core.deposit_retry(&request.pool);
-    let mut sends = buffered::SendHistory::default();
-    sends.version = version;
-    let mut fallback = None;
-    loop {
-        let Some((entry, permit)) = sends.next(core, &request, &results).await else {
-            return match fallback {
-                Some(answer) => Ok(buffered::respond(core, &request, answer, &sends)),
-                None => Err(sends.failure(core, &request)),
+    let mut opener = Opener {
+        core,
+        request: &request,
+        sends: buffered::SendHistory::default(),
+        silent: None,
+        fallback: None,
+    };
+    opener.sends.version = version;
+    let (source, first) = loop {
+        let Some((entry, outcome)) = opener.step(&results).await else {
+            return match opener.fallback {
+                Some(answer) => Ok(buffered::respond(core, &request, answer, &opener.sends)),
+                None => Err(opener.sends.failure(core, &request)),
             };
         };
-        let extras = attempt::SendExtras {
-            results: results.of(request.route.last_stages()),
-            last_event: request.head.last_event,
-        };
-        let limit = first_event_timeout(core, &request, &sends);
-        let opening = open(core, &request, sync::Arc::clone(&entry), permit, &extras);
-        let opened = tokio::time::timeout(limit.duration(), opening).await;
-        let opened = opened.unwrap_or_else(|_| {
-            entry.stats.record(core.now(), health::Outcome::Failed);
-            OpenOutcome::Ended(buffered::Outcome::Failed(
-                "no event within the time-out".to_owned(),
-                None,
-            ))
-        });
-        match opened {
-            OpenOutcome::Stream(source, first) => {
-                sends.version = Some(source.entry.version.clone());
-                core.record_stream(&request, &source.entry);
-                let status = source.answer.status;
-                let headers = answer::caller_headers(&source.headers);
-                let relay = relay::Relay::new(
-                    sync::Arc::clone(service),
-                    request,
-                    *source,
-                    first,
-                    results,
-                    sends,
-                    active,
-                );
-                let mut response = Response::new(relay.into_body());
-                *response.status_mut() = status;
-                *response.headers_mut() = headers;
-                // The stream may be resumed at another upstream, so its length is unknown.
-                response.headers_mut().remove(header::CONTENT_LENGTH);
-                if core.is_draining() {
-                    let close = header::HeaderValue::from_static("close");
-                    response.headers_mut().insert(header::CONNECTION, close);
+        match outcome {
+            opening::OpenOutcome::Stream(source, first) => break (source, first),
+            opening::OpenOutcome::Ended(buffered::Outcome::Answered(answer)) => {
+                return Ok(buffered::respond(core, &request, answer, &opener.sends));
+            }
+            opening::OpenOutcome::Ended(buffered::Outcome::NotRun(reason)) => {
+                opener.sends.record_refusal(&request, &entry, reason);
+            }
+            opening::OpenOutcome::Ended(buffered::Outcome::InputsGone) => {
+                let reason = buffered::INPUTS_GONE.to_owned();
+                opener.sends.record_refusal(&request, &entry, reason);
+                if opener.silent.is_none() {
+                    opener.sends.allow_last_again();
+                    service.admit(&request)?;
+                    results = stages::run(service, &request).await?;
                 }
-                return Ok(response);
             }
-            OpenOutcome::Ended(buffered::Outcome::Answered(answer)) => {
-                return Ok(buffered::respond(core, &request, answer, &sends));
+            opening::OpenOutcome::Ended(buffered::Outcome::Failed(reason, answer)) => {
+                opener.fallback = answer.or(opener.fallback);
+                opener.sends.record_failure(&request, &entry, reason);
             }
-            OpenOutcome::Ended(buffered::Outcome::NotRun(reason)) => {
-                sends.record_refusal(&request, &entry, reason);
+        }
+    };
+    let mut sends = opener.sends;
+    sends.version = Some(source.entry.version.clone());
+    core.record_stream(&request, &source.entry);
+    let status = source.answer.status;
+    let headers = answer::caller_headers(&source.headers);
+    let relay = relay::Relay::new(
+        sync::Arc::clone(service),
+        request,
+        *source,
+        first,
+        results,
+        sends,
+        active,
+    );
+    let mut response = Response::new(relay.into_body());
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    // The stream may be resumed at another upstream, so its length is unknown.
+    response.headers_mut().remove(header::CONTENT_LENGTH);
+    if core.is_draining() {
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Sends of a request until an upstream begins the stream.
+struct Opener<'a> {
+    core: &'a sync::Arc<core::Core>,
+    request: &'a sync::Arc<request::Request>,
+    sends: buffered::SendHistory,
+    /// The send to an upstream that is silent, which may answer until another one has the request.
+    silent: Option<opening::Opening>,
+    /// Error answer of an upstream, for a request that no other one answers.
+    fallback: Option<buffered::BufferedAnswer>,
+}
+
+impl Opener<'_> {
+    /// Sends the request to the next upstream and waits for the end of that send or of the silent
+    /// one; `None` if no send is left.
+    async fn step(
+        &mut self,
+        results: &stage_results::StageResults,
+    ) -> Option<(sync::Arc<upstream::Upstream>, opening::OpenOutcome)> {
+        loop {
+            let next = tokio::select! {
+                biased;
+                outcome = opening::outcome_of(&mut self.silent) => {
+                    if let Some(ended) = self.end_silent(outcome) {
+                        return Some(ended);
+                    }
+                    continue;
+                }
+                next = self.sends.next(self.core, self.request, results) => next,
+            };
+            let Some((entry, permit)) = next else {
+                self.silent.as_ref()?;
+                let outcome = opening::outcome_of(&mut self.silent).await;
+                if let Some(ended) = self.end_silent(outcome) {
+                    return Some(ended);
+                }
+                continue;
+            };
+            let extras = attempt::SendExtras {
+                results: results.of(self.request.route.last_stages()),
+                last_event: self.request.head.last_event,
+                ..attempt::SendExtras::default()
+            };
+            let limit = first_event_timeout(self.core, self.request, &self.sends);
+            let opening = opening::Opening::begin(self.core, self.request, entry, permit, extras);
+            if let Some(ended) = self.open(opening, limit).await {
+                return Some(ended);
             }
-            OpenOutcome::Ended(buffered::Outcome::InputsGone) => {
-                sends.record_refusal(&request, &entry, buffered::INPUTS_GONE.to_owned());
-                sends.allow_last_again();
-                service.admit(&request)?;
-                results = stages::run(service, &request).await?;
+        }
+    }
+
+    /// Waits for the end of `opening` or of the silent send; `None` if `opening` is silent for
+    /// `limit`.
+    async fn open(
+        &mut self,
+        mut opening: opening::Opening,
+        limit: clock::Millis,
+    ) -> Option<(sync::Arc<upstream::Upstream>, opening::OpenOutcome)> {
+        let mut overlap = pin::pin!(opening.overlap());
+        let mut timeout = pin::pin!(tokio::time::sleep(limit.duration()));
+        loop {
+            tokio::select! {
+                biased;
+                outcome = opening::outcome_of(&mut self.silent) => {
+                    if let Some(ended) = self.end_silent(outcome) {
+                        self.sends.record_abandoned(self.request, &opening);
+                        return Some(ended);
+                    }
+                }
+                outcome = opening.outcome() => return Some((opening.entry, outcome)),
+                () = &mut overlap, if self.silent.is_some() => self.silent = None,
+                () = &mut timeout => break,
             }
-            OpenOutcome::Ended(buffered::Outcome::Failed(reason, answer)) => {
-                fallback = answer.or(fallback);
-                sends.record_failure(&request, &entry, reason);
+        }
+        self.core
+            .record_silence(&opening.entry, self.request, limit);
+        let reason = "no event within the time-out".to_owned();
+        self.sends
+            .record_failure(self.request, &opening.entry, reason);
+        self.silent = Some(opening);
+        None
+    }
+
+    /// Ends the silent send, which counts as failed already, with `outcome`; `None` if it failed
+    /// indeed.
+    fn end_silent(
+        &mut self,
+        outcome: opening::OpenOutcome,
+    ) -> Option<(sync::Arc<upstream::Upstream>, opening::OpenOutcome)> {
+        let silent = self.silent.take()?;
+        match outcome {
+            opening::OpenOutcome::Ended(
+                buffered::Outcome::NotRun(_) | buffered::Outcome::InputsGone,
+            ) => None,
+            opening::OpenOutcome::Ended(buffered::Outcome::Failed(_, answer)) => {
+                self.fallback = answer.or(self.fallback.take());
+                None
             }
+            outcome => Some((silent.entry, outcome)),
         }
     }
 }
@@ -184,58 +280,3 @@
     let part = clock::Millis(left.0 / TIME_LEFT_DIVISOR);
     MIN_FIRST_EVENT_TIMEOUT.max(part).min(left)
 }
-
-/// Outcome of opening a stream at an upstream.
-pub(super) enum OpenOutcome {
-    /// The stream, with the events read so far; none if the stream ended without an event.
-    Stream(Box<relay::UpstreamStream>, Vec<u8>),
-    /// The upstream did not start a stream.
-    Ended(buffered::Outcome),
-}
-
-/// Sends a request to the upstream `entry` and waits for the first event of the answer.
-pub(super) async fn open(
-    core: &core::Core,
-    request: &request::Request,
-    entry: sync::Arc<upstream::Upstream>,
-    permit: limit::Permit,
-    extras: &attempt::SendExtras,
-) -> OpenOutcome {
-    let answered = match attempt::send(core, request, &entry, permit, extras).await {
-        Ok(answered) => answered,
-        Err(failure) => return OpenOutcome::Ended(buffered::outcome_of_error(failure)),
-    };
-    if !answered.answer.status.is_success() || answered.answer.is_unexecuted {
-        return OpenOutcome::Ended(buffered::read(core, request, &entry, answered).await);
-    }
-    if let Some(reason) = buffered::unusable_reason(&answered.answer) {
-        entry.stats.record(core.now(), health::Outcome::Failed);
-        return OpenOutcome::Ended(buffered::Outcome::Failed(reason.to_owned(), None));
-    }
-    let sent = answered.sent;
-    let mut source = Box::new(relay::UpstreamStream::new(
-        entry,
-        answered,
-        extras.last_event,
-    ));
-    match source.next().await {
-        relay::StreamItem::Events(first) => {
-            let now = core.now();
-            source.record_prompt_read();
-            source
-                .entry
-                .stats
-                .record(now, health::Outcome::Answered(now - sent));
-            OpenOutcome::Stream(source, first)
-        }
-        relay::StreamItem::End => OpenOutcome::Stream(source, Vec::new()),
-        relay::StreamItem::Broken(reason) => {
-            source
-                .entry
-                .stats
-                .record(core.now(), health::Outcome::Unreachable);
-            core.record_break(&source.entry, request);
-            OpenOutcome::Ended(buffered::Outcome::Failed(reason, None))
-        }
-    }
-}
