Let no connection time-out end an answer of a silent upstream

What callers saw: nothing reported; by design, an answer that must not be repeated, a charge or a stream that cannot be resumed, was given up when its upstream was silent for 3 s.

Cause: connections to upstreams had the keep-alive (two probes) and the user time-out (2.5 s) of calls to daemons and the store, which a caller's request can outlast. So had connections to callers, which wait longer than that for an answer on a bad link.

Change: connections that carry a request to its upstream probe every second, which shows a peer that has started anew, but give up only after two minutes; those of callers after 10 s. Calls to daemons, the store and stage pools keep their time-outs, as they are made again on another connection.

--- a/crates/basilgrade_edge/src/http/connection.rs
+++ b/crates/basilgrade_edge/src/http/connection.rs
@@ -41,8 +41,9 @@
     pub async fn open(
         address: net::SocketAddr,
         timeout: time::Duration,
+        patience: socket::Patience,
     ) -> Result<Self, error::SendError> {
-        let stream = socket::connect(address, timeout)
+        let stream = socket::connect(address, timeout, patience)
             .await
             .map_err(|reason| error::SendError::unsent(format!("`{address}`: {reason}")))?;
         let (sender, connection) = http1::Builder::new()
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -16,6 +16,7 @@
 
 use crate::http::connection;
 use crate::http::error;
+use crate::http::socket;
 
 /// Time for which an idle connection is kept if the answer states no keep-alive time-out.
 const DEFAULT_KEEP_ALIVE: clock::Millis = clock::Millis(3000);
@@ -154,7 +155,12 @@
                 outcome => return outcome,
             }
         }
-        let connection = connection::Connection::open(address, connect_timeout.duration()).await?;
+        let connection = connection::Connection::open(
+            address,
+            connect_timeout.duration(),
+            socket::Patience::Call,
+        )
+        .await?;
         if !is_allowed(verdict != verdict::Verdict::NotRun) {
             return Err(forbidden(verdict));
         }
--- a/crates/basilgrade_edge/src/http/socket.rs
+++ b/crates/basilgrade_edge/src/http/socket.rs
@@ -8,32 +8,59 @@
 
 /// TCP keep-alive: idle time before the first probe, and interval between probes.
 ///
-/// A connection can fail without a reset. With [`KEEPALIVE_PROBES`] = 2, such a failure is detected
-/// after 3 s, within the gap between events that callers tolerate.
+/// A peer that has started anew answers a probe with a reset, so its connections fail at once.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// TCP keep-alive: number of unanswered probes after which a connection fails.
-const KEEPALIVE_PROBES: u32 = 2;
+/// How long a connection outlasts a peer that does not answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Patience {
+    /// Until a call is better made on another connection: daemons and the store.
+    Call,
+    /// As long as callers wait for the next part of an answer.
+    Caller,
+    /// Beyond any time-out of a route, as an answer may be in progress that no other upstream can
+    /// replace.
+    Answer,
+}
+
+impl Patience {
+    /// Number of unanswered probes after which a connection fails.
+    const fn probes(self) -> u32 {
+        match self {
+            Self::Call => 2,
+            Self::Caller => 10,
+            Self::Answer => 120,
+        }
+    }
 
-/// TCP user time-out: maximum time for which sent bytes may stay unacknowledged. It leaves room for
-/// the retransmission of a lost packet, which takes up to 1 s.
-const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_millis(2500);
+    /// Maximum time for which sent bytes may stay unacknowledged, which also ends the probes.
+    ///
+    /// The time for calls leaves room for the retransmission of a lost packet, which takes up to
+    /// 1 s.
+    const fn unacknowledged(self) -> Option<time::Duration> {
+        match self {
+            Self::Call => Some(time::Duration::from_millis(2500)),
+            Self::Caller => Some(time::Duration::from_secs(10)),
+            Self::Answer => None,
+        }
+    }
+}
 
-/// Sets keep-alive and the user time-out, so that dead connections fail, and disables Nagle's
-/// algorithm, so that small writes are sent at once.
+/// Sets keep-alive and the user time-out, so that dead connections fail after `patience`, and
+/// disables Nagle's algorithm, so that small writes are sent at once.
 ///
 /// # Errors
 ///
 /// An I/O error if an option cannot be set.
-pub fn configure(stream: &tokio_net::TcpStream) -> io::Result<()> {
+pub fn configure(stream: &tokio_net::TcpStream, patience: Patience) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
     let probes = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
+        .with_retries(patience.probes());
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(patience.unacknowledged())
 }
 
 /// Connects to `address`, with a time-out.
@@ -44,6 +71,7 @@
 pub async fn connect(
     address: net::SocketAddr,
     timeout: time::Duration,
+    patience: Patience,
 ) -> io::Result<tokio_net::TcpStream> {
     let connecting = tokio_net::TcpStream::connect(address);
     let stream = tokio::time::timeout(timeout, connecting)
@@ -54,6 +82,6 @@
                 "the connection was not established within the time-out",
             )
         })??;
-    configure(&stream)?;
+    configure(&stream, patience)?;
     Ok(stream)
 }
--- a/crates/basilgrade_edge/src/listener.rs
+++ b/crates/basilgrade_edge/src/listener.rs
@@ -57,7 +57,7 @@
     stream: tokio_net::TcpStream,
     connections: &graceful::GracefulShutdown,
 ) {
-    if let Err(error) = socket::configure(&stream) {
+    if let Err(error) = socket::configure(&stream, socket::Patience::Caller) {
         log::debug!("event=caller-refused reason={:?}", error.to_string());
         return;
     }
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -127,7 +127,7 @@
         if let Some(link) = lock(&self.open).get(&address) {
             return Ok((link.client.clone(), link.closed.clone()));
         }
-        let stream = socket::connect(address, CONNECT_TIMEOUT)
+        let stream = socket::connect(address, CONNECT_TIMEOUT, socket::Patience::Call)
             .await
             .map_err(|error| error.to_string())?;
         let framed = codec::Framed::new(stream, frame_codec());
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -152,7 +152,7 @@
                     continue;
                 }
             };
-            if let Err(error) = socket::configure(&stream) {
+            if let Err(error) = socket::configure(&stream, socket::Patience::Call) {
                 log::debug!("event=peer-refused reason={:?}", error.to_string());
                 continue;
             }
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -22,6 +22,7 @@
 use crate::core;
 use crate::http::connection;
 use crate::http::error;
+use crate::http::socket;
 use crate::serve::buffered;
 use crate::serve::request;
 use crate::serve::stage_results;
@@ -261,9 +262,13 @@
     extras: &SendExtras,
 ) -> Result<UnreadAnswer, error::SendError> {
     let load = LoadGuard::begin(entry, request.head.prompt.as_ref());
-    let mut connection = connection::Connection::open(entry.address, CONNECT_TIMEOUT.duration())
-        .await
-        .inspect_err(|_| entry.stats.record(core.now(), health::Outcome::Unreachable))?;
+    let mut connection = connection::Connection::open(
+        entry.address,
+        CONNECT_TIMEOUT.duration(),
+        socket::Patience::Answer,
+    )
+    .await
+    .inspect_err(|_| entry.stats.record(core.now(), health::Outcome::Unreachable))?;
     if core.is_blocked(request) {
         return Err(error::SendError::unsent(BLOCKED));
     }
