Let a stream that outlasts a silence move later

Cause, in the same class: a stream that went on after a silence had used up its tries, so it was lost when its upstream broke later; a silent upstream that broke while stages ran for the next one made them run again; requests whose upstream is silent looked for another one only once, and also took one that is itself silent.

Change: upstreams that may have run a request count once each; what was refused during a silence may be tried again after it; work for the next upstream goes on when the silent one breaks; others are sought again every 0.5 s, and none that is backed off while the silent one may still answer. A retry is taken from the budget when an upstream is found, and a refusal after an earlier send that may have run says so. The log names the upstream that answered.

--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -40,6 +40,11 @@
     /// Runs requests and sends nothing for this many milliseconds before the event of this number;
     /// event 1 is also the whole answer of a request that is no stream.
     Pauses(u64, u64),
+    /// Like [`Behaviour::Pauses`] before the first event, and breaks the connection within the
+    /// fourth one.
+    PausesAndBreaks(u64),
+    /// Like [`Behaviour::Pauses`] before the fourth event, within which it breaks the connection.
+    PausesBeforeBreak(u64),
     /// Runs requests and never answers.
     Silent,
     /// Runs requests; closes the connection without an answer if the prompt has the part named
@@ -49,6 +54,15 @@
     CrashesOnBody(&'static str),
 }
 
+/// Number of the event within which the connection breaks, if it does.
+fn last_event(behaviour: Behaviour) -> Option<u64> {
+    match behaviour {
+        Behaviour::BreaksIn(last) => Some(last),
+        Behaviour::PausesAndBreaks(_) | Behaviour::PausesBeforeBreak(_) => Some(4),
+        _ => None,
+    }
+}
+
 /// One run of a request, as the upstream received it.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -163,22 +177,21 @@
                 let pause = match behaviour {
                     Behaviour::Slow(pause) => pause,
                     Behaviour::Pauses(before, pause) if before == event => pause,
+                    Behaviour::PausesAndBreaks(pause) if event == 1 => pause,
+                    Behaviour::PausesBeforeBreak(pause) if event == 4 => pause,
                     _ => 0,
                 };
                 if pause > 0 {
                     tokio::time::sleep(time::Duration::from_millis(pause)).await;
                 }
                 let mut text = format!("id: {event}\ndata: {name}-{event}\n\n");
-                if behaviour == Behaviour::BreaksIn(event) {
+                if last_event(behaviour) == Some(event) {
                     text.truncate(9);
                 }
                 Ok(Frame::data(Bytes::from(text)))
             }
         });
-        let last = match behaviour {
-            Behaviour::BreaksIn(last) => last,
-            _ => EVENTS,
-        };
+        let last = last_event(behaviour).unwrap_or(EVENTS);
         let count = last.saturating_sub(from) as usize;
         let broken = futures::stream::once(async {
             // The delay makes the daemon receive the bytes before the break and the break
@@ -186,7 +199,7 @@
             tokio::time::sleep(time::Duration::from_millis(50)).await;
             Err(std::io::Error::other("connection broken by the test"))
         });
-        let breaks = usize::from(matches!(behaviour, Behaviour::BreaksIn(_)));
+        let breaks = usize::from(last_event(behaviour).is_some());
         let frames = events.take(count).chain(broken.take(breaks));
         let frames = frames.map(move |frame| {
             let _ = &guard;
@@ -242,6 +255,9 @@
                 at: time::Instant::now(),
             });
         if request.uri().path() == "/basilgrade/stage-run" {
+            if let Behaviour::Pauses(1, pause) = behaviour {
+                tokio::time::sleep(time::Duration::from_millis(pause)).await;
+            }
             return Some(self.piece_handles(request.body()));
         }
         let mut answer = match behaviour {
--- a/crates/basilgrade/tests/silent_upstreams.rs
+++ b/crates/basilgrade/tests/silent_upstreams.rs
@@ -136,3 +136,74 @@
         assert!(first_end < second + OVERLAP_LIMIT, "{id}");
     }
 }
+
+/// Number of pieces of the first stage that upstreams computed for the request `id`.
+fn count_pieces(deployment: &deployment::Deployment, id: &str) -> usize {
+    let runs = deployment.upstreams.iter().flat_map(|known| known.runs());
+    let calls = runs.filter(|run| run.path == "/basilgrade/stage-run");
+    let items = calls.flat_map(|run| {
+        let call: serde_json::Value =
+            serde_json::from_slice(&run.body).expect("the body of the stage call is JSON");
+        call["items"].as_array().cloned().unwrap_or_default()
+    });
+    items
+        .filter(|item| item["id"] == id && item["phase"] == 0)
+        .count()
+}
+
+/// Guards against a stream that cannot move after a second silence or a break, because its first
+/// silence used up its tries.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_went_on_after_a_silence_survives_a_break() {
+    let deployment = deployment::start(&["a"]).await;
+    set_behaviour(
+        &deployment,
+        &["engine"],
+        upstream::Behaviour::PausesAndBreaks(3000),
+    );
+    let address = deployment.daemons[0].caller_address;
+    let request = client::staged_request("again", "/stream-resumable/x");
+    let sending = tokio::spawn(client::send(address, request, ""));
+    deployment::wait_until("an engine runs the request", || async {
+        deployment.upstreams.iter().any(|known| {
+            let is_engine = known.id.starts_with("engine");
+            is_engine && known.runs().iter().any(|run| run.request == "again")
+        })
+    })
+    .await;
+
+    set_behaviour(&deployment, &["engine"], upstream::Behaviour::Full);
+    tokio::time::sleep(time::Duration::from_millis(2600)).await;
+    set_behaviour(&deployment, &["engine"], upstream::Behaviour::Healthy);
+
+    let answer = sending.await.expect("the sending task does not panic");
+    let answer = answer.expect("the daemon answers");
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, stream_body("again"));
+}
+
+/// Guards against stages that run again because the silent upstream breaks while they run for the
+/// next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn break_of_a_silent_upstream_does_not_restart_stages() {
+    let deployment = deployment::start(&["a"]).await;
+    let answer = send_before(
+        &deployment,
+        (
+            "break",
+            "/stream-resumable/x",
+            upstream::Behaviour::PausesBeforeBreak(1700),
+        ),
+        (&["encode"], upstream::Behaviour::Pauses(1, 400)),
+    );
+    let heal = async {
+        tokio::time::sleep(time::Duration::from_millis(1200)).await;
+        set_behaviour(&deployment, &["engine"], upstream::Behaviour::Healthy);
+    };
+
+    let (answer, ()) = tokio::join!(answer, heal);
+
+    assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    assert_eq!(answer.body, stream_body("break"));
+    assert_eq!(count_pieces(&deployment, "break"), 4);
+}
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -300,6 +300,12 @@
         self.budget().deposit(self.now(), pool);
     }
 
+    /// Whether a retry is left in the retry budget of `pool`.
+    pub fn has_retry(&self, pool: &id::PoolId) -> bool {
+        let daemons = self.view.load().daemons;
+        self.budget().has_retry(self.now(), pool, daemons)
+    }
+
     /// Takes one retry from the retry budget of `pool`; `false` if the budget is exhausted.
     #[must_use]
     pub fn try_withdraw_retry(&self, pool: &id::PoolId) -> bool {
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -170,7 +170,10 @@
         let required = sends.version.as_ref();
         required.is_none_or(|version| entry.version == *version)
     };
-    let ready = || view.directory.ready(&request.pool).filter(has_version);
+    let is_suitable = |entry: &&sync::Arc<upstream::Upstream>| {
+        has_version(entry) && !(sends.has_silent && entry.stats.is_backing_off(now))
+    };
+    let ready = || view.directory.ready(&request.pool).filter(is_suitable);
     let is_pool_limited = ready().any(|entry| entry.stats.is_limited());
     let is_doubtful = is_pool_limited || !ready().any(|entry| entry.stats.is_heard());
     // Requests that others serve as well leave the permits to those that gain from cached parts.
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -16,6 +16,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header;
+use indexmap::IndexSet;
 
 use crate::core;
 use crate::http::connection;
@@ -53,11 +54,18 @@
 /// Delay for each priority level of a request that waited for an upstream at its limit.
 const PRIORITY_DELAY: clock::Millis = clock::Millis(4);
 
+/// Reason why a request is not sent again, as the pool's budget of retries is spent.
+pub const BUDGET_SPENT: &str = "the retry budget of the pool is exhausted";
+
+/// Pause after which another upstream is sought again for a request whose upstream is silent.
+pub const SEARCH_PAUSE: clock::Millis = clock::Millis(500);
+
 /// Reason of a refusal by an upstream that cannot fetch the stage results of a request.
 pub const INPUTS_GONE: &str = "stage results are gone";
 
 /// A complete answer of an upstream.
 pub struct BufferedAnswer {
+    upstream: id::UpstreamId,
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
@@ -108,7 +116,11 @@
                 next = sends.next(core, request, results) => match next {
                     Some((entry, permit)) => Event::Chosen(entry, permit),
                     None if exchanges.is_empty() => break,
-                    None => Event::Ended(exchanges.next().await),
+                    None => {
+                        let pause = SEARCH_PAUSE.duration();
+                        let ended = tokio::time::timeout(pause, exchanges.next()).await;
+                        ended.map_or(Event::Nothing, Event::Ended)
+                    }
                 },
             }
         };
@@ -136,10 +148,11 @@
                     let reason = "no answer within the time-out".to_owned();
                     sends.record_failure(request, &entry, reason);
                     late.push(entry.id.clone());
+                    sends.has_silent = true;
                 }
                 continue;
             }
-            Event::Ended(None) => continue,
+            Event::Ended(None) | Event::Nothing => continue,
             Event::Ended(Some(ended)) => ended,
         };
         if newest
@@ -149,6 +162,7 @@
             newest = None;
         }
         let is_late = late.contains(&entry.id);
+        sends.has_silent = !exchanges.is_empty();
         match outcome {
             Outcome::Answered(answer) => return Ok(respond(core, request, answer, &sends)),
             Outcome::Failed(reason, answer) => {
@@ -185,6 +199,8 @@
     Ended(Option<(sync::Arc<upstream::Upstream>, Outcome)>),
     /// The newest send got no answer within its time-out.
     Silent,
+    /// No other upstream was found, and no send has ended.
+    Nothing,
     /// Another upstream may get the request.
     Chosen(sync::Arc<upstream::Upstream>, limit::Permit),
 }
@@ -197,7 +213,8 @@
     sends: &SendHistory,
 ) -> clock::Millis {
     let left = request.time_left(core.now());
-    let can_repeat = request.route.kind.is_repeatable() && sends.runs + 1 < request.route.attempts;
+    let can_repeat =
+        request.route.kind.is_repeatable() && sends.runs() + 1 < request.route.attempts;
     if !can_repeat {
         return left;
     }
@@ -267,6 +284,7 @@
         return Outcome::Failed(reason.to_owned(), None);
     }
     let buffered = BufferedAnswer {
+        upstream: entry.id.clone(),
         status: answer.status,
         headers,
         body,
@@ -301,10 +319,12 @@
 /// Sends of one request so far, and whether another one is permitted.
 #[derive(Debug, Default)]
 pub struct SendHistory {
-    /// Number of upstreams that may have run the request.
-    pub runs: u32,
+    /// Upstreams that may have run the request.
+    ran: IndexSet<id::UpstreamId>,
     /// Upstreams that were tried.
     pub tried: Vec<id::UpstreamId>,
+    /// Whether an upstream that is silent may still answer, so that none in bad health is tried.
+    pub has_silent: bool,
     /// Software version of the upstreams that may get the request; any if `None`.
     pub version: Option<upstream::Version>,
     last_reason: Option<String>,
@@ -331,11 +351,15 @@
             return None;
         }
         let is_repeat = !self.tried.is_empty();
-        if is_repeat && !core.try_withdraw_retry(&request.pool) {
-            self.last_reason = Some("the retry budget of the pool is exhausted".to_owned());
+        if is_repeat && !core.has_retry(&request.pool) {
+            self.last_reason = Some(BUDGET_SPENT.to_owned());
             return None;
         }
         let (entry, permit) = self.select(core, request, results).await?;
+        if is_repeat && !core.try_withdraw_retry(&request.pool) {
+            self.last_reason = Some(BUDGET_SPENT.to_owned());
+            return None;
+        }
         if is_repeat {
             core.metrics.repeats.inc();
         }
@@ -387,11 +411,24 @@
         }
     }
 
+    /// Number of upstreams that may have run the request.
+    pub fn runs(&self) -> u32 {
+        self.ran.len() as u32
+    }
+
+    /// Records that an upstream that was silent goes on, so that all others may be tried again.
+    pub fn record_recovery(&mut self) {
+        self.has_silent = false;
+        self.refusals = 0;
+        let ran = &self.ran;
+        self.tried.retain(|id| ran.contains(id));
+    }
+
     /// Whether the request may be sent once more.
     pub fn may_repeat(&self, core: &core::Core, request: &request::Request) -> bool {
         let is_allowed = !self.has_failed || request.route.kind.is_repeatable();
         is_allowed
-            && self.runs < request.route.attempts
+            && self.runs() < request.route.attempts
             && self.refusals < MAX_REFUSALS
             && request.time_left(core.now()) > clock::Millis::ZERO
     }
@@ -420,7 +457,7 @@
         entry: &upstream::Upstream,
         reason: String,
     ) {
-        self.runs += 1;
+        self.ran.insert(entry.id.clone());
         self.has_failed = true;
         self.record(request, entry, reason, verdict::Verdict::MayHaveRun);
     }
@@ -462,6 +499,17 @@
             .unwrap_or("the pool has no ready upstream; retry later")
     }
 
+    /// `failure` of another try with the verdict on all sends so far.
+    pub fn qualify(
+        &self,
+        failure: request_failure::RequestFailure,
+    ) -> request_failure::RequestFailure {
+        if !self.has_failed {
+            return failure;
+        }
+        request_failure::RequestFailure::uncertain(StatusCode::BAD_GATEWAY, failure.reason)
+    }
+
     /// Failure of a request that no upstream answered.
     pub fn failure(
         &self,
@@ -497,7 +545,7 @@
         request.route.kind,
         request.customer_name(),
         answer.status.as_u16(),
-        sends.tried.last().map_or("-", id::UpstreamId::as_str),
+        answer.upstream,
         sends.tried.len()
     );
     let mut response = Response::new(response_body::full(answer.body));
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -147,8 +147,8 @@
     source: Option<UpstreamStream>,
     first: Option<Vec<u8>>,
     sends: buffered::SendHistory,
-    /// Whether `sends` counts the source as failed, as it is or was silent.
-    is_counted: bool,
+    /// Whether the source has sent nothing since another upstream was sought.
+    is_silent: bool,
     content_type: Option<header::HeaderValue>,
     last_event: Option<u64>,
     outcome: &'static str,
@@ -178,7 +178,9 @@
             self.request.route.name,
             self.request.customer_name(),
             self.outcome,
-            self.sends.tried.last().map_or("-", |id| id.as_str()),
+            self.source
+                .as_ref()
+                .map_or("-", |source| source.entry.id.as_str()),
             self.sends.tried.len(),
             self.first_event_at - self.request.arrived,
             now - self.request.arrived,
@@ -210,7 +212,7 @@
             source: Some(source),
             first: Some(first),
             sends,
-            is_counted: false,
+            is_silent: false,
             last_event: None,
             outcome: "caller-left",
             reason: None,
@@ -240,7 +242,11 @@
                 return Some(Ok(Bytes::from(first)));
             }
             let left = self.request.time_left(self.service.core.now());
-            match tokio::time::timeout(left.duration(), self.next_item()).await {
+            let item = tokio::time::timeout(left.duration(), self.next_item()).await;
+            if let Ok(Some(item)) = &item {
+                self.record_item(item);
+            }
+            match item {
                 Ok(Some(StreamItem::Events(events))) => {
                     self.record_last_event();
                     return Some(Ok(Bytes::from(events)));
@@ -271,21 +277,25 @@
         };
         let limit = silence_limit(&self.request);
         if let Ok(item) = tokio::time::timeout(limit.duration(), source.next()).await {
-            source.entry.stats.record_event();
             return Some(item);
         }
         let core = &self.service.core;
         core.record_silence(&source.entry, &self.request, limit);
-        if !self.is_counted {
-            self.is_counted = true;
+        if !self.is_silent {
+            self.is_silent = true;
             let reason = "no event within the time-out".to_owned();
             self.sends
                 .record_failure(&self.request, &source.entry, reason);
         }
+        self.sends.has_silent = true;
         if !attempt::has_candidate(core, &self.request, &self.sends) {
             self.log_stuck("no other upstream in good health can go on with it");
             return None;
         }
+        if !core.has_retry(&self.request.pool) {
+            self.log_stuck(buffered::BUDGET_SPENT);
+            return None;
+        }
         if let Err(failure) = self.service.admit(&self.request) {
             self.log_stuck(&failure.reason);
             return None;
@@ -293,9 +303,29 @@
         self.move_on().await
     }
 
+    /// Records what `item` tells about the source.
+    fn record_item(&mut self, item: &StreamItem) {
+        if matches!(item, StreamItem::Broken(_)) {
+            return;
+        }
+        if let Some(source) = &self.source {
+            source.entry.stats.record_event();
+        }
+        if self.is_silent {
+            self.is_silent = false;
+            self.sends.record_recovery();
+        }
+    }
+
     /// Drops the source, whose connection broke for `reason`.
     fn drop_broken(&mut self, reason: String) {
-        let Some(source) = self.source.take() else {
+        let source = self.source.take();
+        self.drop_dead(source.map(|source| (source, reason)));
+    }
+
+    /// Records why the source, which is no longer in use, broke.
+    fn drop_dead(&mut self, broken: Option<(UpstreamStream, String)>) {
+        let Some((source, reason)) = broken else {
             return;
         };
         let core = &self.service.core;
@@ -304,10 +334,9 @@
             .entry
             .stats
             .record(core.now(), health::Outcome::Unreachable);
-        if !self.is_counted {
-            self.sends
-                .record_failure(&self.request, &source.entry, reason);
-        }
+        self.sends
+            .record_failure(&self.request, &source.entry, reason);
+        self.sends.has_silent = false;
     }
 
     fn record_last_event(&mut self) {
@@ -345,7 +374,11 @@
             self.log_stuck("the request must not be sent again");
             return None;
         }
-        let results = match beside(&mut self.source, stages::run(&service, &request)).await {
+        let running = stages::run(&service, &request);
+        let mut broken = None;
+        let ran = beside(&mut self.source, &mut broken, running).await;
+        self.drop_dead(broken);
+        let results = match ran {
             Ok(Ok(results)) => results,
             Ok(Err(failure)) => {
                 self.log_stuck(&failure.reason);
@@ -355,7 +388,10 @@
         };
         loop {
             let next = self.sends.next(core, &request, &results);
-            let (entry, permit) = match beside(&mut self.source, next).await {
+            let mut broken = None;
+            let chosen = beside(&mut self.source, &mut broken, next).await;
+            self.drop_dead(broken);
+            let (entry, permit) = match chosen {
                 Ok(Some(next)) => next,
                 Ok(None) => {
                     self.log_stuck(self.sends.last_reason());
@@ -396,7 +432,10 @@
                     }
                 },
                 outcome = opening.outcome() => break outcome,
-                () = &mut overlap, if self.source.is_some() => self.source = None,
+                () = &mut overlap, if self.source.is_some() => {
+                    self.source = None;
+                    self.sends.has_silent = false;
+                }
             }
         };
         let entry = &opening.entry;
@@ -417,7 +456,7 @@
                 );
                 self.service.core.metrics.resumed.inc();
                 self.source = Some(*source);
-                self.is_counted = false;
+                self.is_silent = false;
                 self.first = Some(first);
                 return Ok(true);
             }
@@ -443,28 +482,31 @@
 /// Next item of `source`; waits forever if there is none.
 async fn next_of(source: &mut Option<UpstreamStream>) -> StreamItem {
     match source {
-        Some(source) => {
-            let item = source.next().await;
-            source.entry.stats.record_event();
-            item
-        }
+        Some(source) => source.next().await,
         None => future::pending().await,
     }
 }
 
-/// Result of `work`.
+/// Result of `work`. If `source` breaks meanwhile, it becomes `broken`, and the work goes on.
 ///
 /// # Errors
 ///
 /// The next item of `source`, if that comes first.
 async fn beside<T>(
     source: &mut Option<UpstreamStream>,
+    broken: &mut Option<(UpstreamStream, String)>,
     work: impl Future<Output = T>,
 ) -> Result<T, StreamItem> {
-    tokio::select! {
-        biased;
-        item = next_of(source) => Err(item),
-        done = work => Ok(done),
+    let mut work = pin::pin!(work);
+    loop {
+        tokio::select! {
+            biased;
+            item = next_of(source) => match item {
+                StreamItem::Broken(reason) => *broken = source.take().map(|source| (source, reason)),
+                item => return Err(item),
+            },
+            done = &mut work => return Ok(done),
+        }
     }
 }
 
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -129,8 +129,10 @@
                 opener.sends.record_refusal(&request, &entry, reason);
                 if opener.silent.is_none() {
                     opener.sends.allow_last_again();
-                    service.admit(&request)?;
-                    results = stages::run(service, &request).await?;
+                    let admitted = service.admit(&request);
+                    admitted.map_err(|failure| opener.sends.qualify(failure))?;
+                    let ran = stages::run(service, &request).await;
+                    results = ran.map_err(|failure| opener.sends.qualify(failure))?;
                 }
             }
             opening::OpenOutcome::Ended(buffered::Outcome::Failed(reason, answer)) => {
@@ -196,8 +198,11 @@
             };
             let Some((entry, permit)) = next else {
                 self.silent.as_ref()?;
-                let outcome = opening::outcome_of(&mut self.silent).await;
-                if let Some(ended) = self.end_silent(outcome) {
+                let outcome = opening::outcome_of(&mut self.silent);
+                let pause = buffered::SEARCH_PAUSE.duration();
+                if let Ok(outcome) = tokio::time::timeout(pause, outcome).await
+                    && let Some(ended) = self.end_silent(outcome)
+                {
                     return Some(ended);
                 }
                 continue;
@@ -234,7 +239,10 @@
                     }
                 }
                 outcome = opening.outcome() => return Some((opening.entry, outcome)),
-                () = &mut overlap, if self.silent.is_some() => self.silent = None,
+                () = &mut overlap, if self.silent.is_some() => {
+                    self.silent = None;
+                    self.sends.has_silent = false;
+                }
                 () = &mut timeout => break,
             }
         }
@@ -244,6 +252,7 @@
         self.sends
             .record_failure(self.request, &opening.entry, reason);
         self.silent = Some(opening);
+        self.sends.has_silent = true;
         None
     }
 
@@ -254,6 +263,7 @@
         outcome: opening::OpenOutcome,
     ) -> Option<(sync::Arc<upstream::Upstream>, opening::OpenOutcome)> {
         let silent = self.silent.take()?;
+        self.sends.has_silent = false;
         match outcome {
             opening::OpenOutcome::Ended(
                 buffered::Outcome::NotRun(_) | buffered::Outcome::InputsGone,
@@ -262,7 +272,10 @@
                 self.fallback = answer.or(self.fallback.take());
                 None
             }
-            outcome => Some((silent.entry, outcome)),
+            outcome => {
+                self.sends.record_recovery();
+                Some((silent.entry, outcome))
+            }
         }
     }
 }
@@ -273,7 +286,8 @@
     sends: &buffered::SendHistory,
 ) -> clock::Millis {
     let left = request.time_left(core.now());
-    let can_repeat = request.route.kind.is_repeatable() && sends.runs + 1 < request.route.attempts;
+    let can_repeat =
+        request.route.kind.is_repeatable() && sends.runs() + 1 < request.route.attempts;
     if !can_repeat {
         return left;
     }
--- a/crates/basilgrade_fleet/src/budget.rs
+++ b/crates/basilgrade_fleet/src/budget.rs
@@ -73,20 +73,25 @@
         self.window(now, pool).requests.push_back(now);
     }
 
+    /// Whether a retry at `pool` is left in the budget.
+    pub fn has_retry(&mut self, now: clock::Millis, pool: &id::PoolId, daemons: usize) -> bool {
+        let config = self.config;
+        let window = self.window(now, pool);
+        let allowance =
+            config.ratio * window.requests.len() as f64 + config.floor / daemons.max(1) as f64;
+        window.retries.len() as f64 + 1.0 <= allowance * USABLE_SHARE
+    }
+
     /// Takes one retry at `pool` from the budget and returns `true`, or returns `false` if the
     /// budget is spent.
     ///
     /// `daemons` is the number of daemons that share the fixed allowance.
     #[must_use]
     pub fn try_withdraw(&mut self, now: clock::Millis, pool: &id::PoolId, daemons: usize) -> bool {
-        let config = self.config;
-        let window = self.window(now, pool);
-        let allowance =
-            config.ratio * window.requests.len() as f64 + config.floor / daemons.max(1) as f64;
-        if window.retries.len() as f64 + 1.0 > allowance * USABLE_SHARE {
+        if !self.has_retry(now, pool, daemons) {
             return false;
         }
-        window.retries.push_back(now);
+        self.window(now, pool).retries.push_back(now);
         true
     }
 }
