Read registrations before a stream goes on at the only known version

Callers saw streams that held events of two software versions: a daemon that was behind, as it stood still or was cut off while engines of a new version joined, took up streams that had begun at these engines through other daemons, and sent them to engines of the version it knew.

Cause: a stream that is neither in memory nor in the log of streams was taken to have begun at the only version that this daemon knows of. How old that knowledge was played no part. The log makes up for it only if the daemon that began the stream has appended by then; an append may be late, refused by a full store or lost with its history, and a daemon that knows of the new version only never appends. Two smaller holes of the same kind: the registration and the removal of an upstream that are read together left no trace of its version, and a version whose last upstream was removed counted as gone since the last change of the directory rather than since the removal.

Change: an upstream is used only once it has registered itself, so a read of the registrations that begins after the take-up has arrived tells the version of every stream that may be taken up, whatever the clocks say. A daemon that knows of one version makes this read, through the reader of its failure domain or, if that fails, by itself. If it has read all registrations for as long as a stream can last, the read takes the place of that of the log, so a take-up still costs one call; without such a past, both are read side by side. If the registrations cannot be read, the take-up is refused as not run.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -26,6 +26,10 @@
     era: std::sync::atomic::AtomicU64,
     /// Reads of the topic `keyed.servers`.
     reads: std::sync::atomic::AtomicUsize,
+    /// Topic to which nothing can be appended.
+    full: sync::Mutex<Option<&'static str>>,
+    /// Topic whose readers get no answer.
+    silent: sync::Mutex<Option<&'static str>>,
 }
 
 fn query_parameter(request: &Request<Bytes>, name: &str) -> Option<String> {
@@ -46,6 +50,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Refuses appends to this topic with status 503.
+    pub(crate) fn refuse_appends(&self, topic: Option<&'static str>) {
+        *self.full.lock().expect("no holder of the lock panics") = topic;
+    }
+
+    /// Closes connections on which this topic is read.
+    pub(crate) fn refuse_reads(&self, topic: Option<&'static str>) {
+        *self.silent.lock().expect("no holder of the lock panics") = topic;
+    }
+
     /// Copies all topics.
     pub(crate) fn copy(&self) -> Copy {
         let topics = self.topics.lock().expect("no holder of the lock panics");
@@ -171,7 +185,16 @@
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
         let topic = query_parameter(&request, "topic")?;
+        let is = |refused: &sync::Mutex<Option<&'static str>>| {
+            *refused.lock().expect("no holder of the lock panics") == Some(&*topic)
+        };
         let mut answer = match request.uri().path() {
+            "/basilgrade/log-read" | "/basilgrade/log-newest" if is(&self.silent) => return None,
+            "/basilgrade/log-append" if is(&self.full) => {
+                let mut refusal = Response::new(server::full_body("{}"));
+                *refusal.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+                refusal
+            }
             "/basilgrade/log-read" => self.read(&request, &topic).await,
             "/basilgrade/log-newest" => self.newest_page(&topic),
             "/basilgrade/log-append" => self.append(&topic, request.body()),
--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -19,14 +19,20 @@
 async fn start() -> deployment::Deployment {
     let mut deployment =
         deployment::start_with(&["a", "b"], 2, &deployment::without_stages()).await;
+    add_version(&mut deployment, &[0, 1]).await;
+    deployment
+}
+
+/// Starts two engines at version `v2` and waits until the daemons with these indices use them.
+async fn add_version(deployment: &mut deployment::Deployment, daemons: &[usize]) {
     for number in [2, 3] {
         deployment.add_upstream_at("engine", number, "v2").await;
     }
-    for daemon in [0, 1] {
+    for daemon in daemons.iter().copied() {
         deployment::wait_until("the daemon learns of the new version", || async {
             let engines = [2, 3].map(|number| deployment.upstream(&format!("engine-{number}")));
             let before: usize = engines.iter().map(|engine| engine.runs().len()).sum();
-            begin(&deployment, daemon, "probe").await;
+            begin(deployment, daemon, "probe").await;
             engines
                 .iter()
                 .map(|engine| engine.runs().len())
@@ -35,7 +41,6 @@
         })
         .await;
     }
-    deployment
 }
 
 /// Sends a stream request with the id `id` to the daemon with this index.
@@ -177,6 +182,33 @@
     assert_eq!(count, STREAMS, "streams whose version is known are lost");
 }
 
+/// Guards against a daemon that stood still while a version joined and that takes up the streams of
+/// this version at the only one it knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_that_is_behind_does_not_join_streams_of_a_new_version() {
+    let mut deployment =
+        deployment::start_with(&["a", "b"], 2, &deployment::without_stages()).await;
+    deployment.store.refuse_appends(Some("streams"));
+    deployment.daemons[1].signal("STOP");
+    add_version(&mut deployment, &[0]).await;
+    let ids = begin_all(&deployment).await;
+    deployment.store.refuse_reads(Some("keyed.servers"));
+    deployment.daemons[1].signal("CONT");
+
+    take_up_all(&deployment, &[1], &ids).await;
+    deployment.store.refuse_reads(None);
+    take_up_all(&deployment, &[1], &ids).await;
+    deployment.store.refuse_appends(None);
+    let begun_by = deployment.daemons[0].name.clone();
+    deployment::wait_until("the streams are shared", || async {
+        deployment.store.newest("streams").contains_key(&begun_by)
+    })
+    .await;
+    let count = take_up_all(&deployment, &[1], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
 /// Guards against a stream of unknown origin that goes on at a version that may not be its own.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_unknown_origin_are_refused_while_versions_differ() {
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// Records that the upstream `entry` has registered itself.
+    pub fn record_registration(&self, entry: &upstream::Upstream) {
+        if self.streams().record_registration(self.now(), entry) {
+            self.streams_changed.notify_one();
+        }
+    }
+
     /// Updates the software versions in service from the directory.
     pub fn observe_versions(&self) {
         let view = self.view.load();
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -17,6 +17,7 @@
 use crate::follow::mirrors;
 use crate::follow::reader;
 use crate::follow::register;
+use crate::follow::registrations;
 use crate::follow::stream_log;
 use crate::gather::client;
 use crate::gather::duty_client;
@@ -107,6 +108,10 @@
     let metrics = settings.metrics;
     let core = sync::Arc::new(core::Core::new(settings.clone(), initial_view(&settings))?);
     let mirrors = sync::Arc::new(mirrors::Mirrors::new(sync::Arc::clone(&core)));
+    let registrations = sync::Arc::new(registrations::Registrations::new(
+        sync::Arc::clone(&core),
+        sync::Arc::clone(&mirrors),
+    ));
     let (consumed, consumed_inputs) = mpsc::unbounded_channel();
     let gatherers = sync::Arc::new(gatherers::Gatherers::new(sync::Arc::clone(&core), consumed));
     let duty_client = sync::Arc::new(duty_client::DutyClient::new(
@@ -127,13 +132,14 @@
     let rpc_server = rpc_server::RpcServer {
         core: sync::Arc::clone(&core),
         mirrors: sync::Arc::clone(&mirrors),
+        registrations: sync::Arc::clone(&registrations),
         gatherers,
         job_router,
     };
     let service = sync::Arc::new(serve::Service {
         core: sync::Arc::clone(&core),
         job_client: sync::Arc::clone(&job_client),
-        stream_log: stream_log::StreamLog::new(sync::Arc::clone(&core)),
+        stream_log: stream_log::StreamLog::new(sync::Arc::clone(&core), registrations),
     });
     tokio::spawn(logger::flush_regularly());
     tokio::spawn(rpc_server.run(peers));
--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -11,5 +11,6 @@
 pub mod position;
 pub mod reader;
 pub mod register;
+pub mod registrations;
 mod restored;
 pub mod stream_log;
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -113,6 +113,21 @@
         self.era.subscribe()
     }
 
+    /// Daemon that reads the store for this one; `None` if this daemon ranks first in its failure
+    /// domain.
+    pub fn other_reader(&self) -> Option<daemon::Daemon> {
+        let settings = self.core.settings.load();
+        let is_domain_peer = |daemon: &daemon::Daemon| daemon.domain == settings.domain;
+        let mut daemons = self.daemons();
+        daemons.retain(is_domain_peer);
+        daemon::rank("reader", &mut daemons);
+        let is_usable = |daemon: &daemon::Daemon| {
+            daemon.name == settings.name || !self.core.links.is_backing_off(daemon.address)
+        };
+        let reader = daemons.into_iter().find(is_usable)?;
+        (reader.name != settings.name).then_some(reader)
+    }
+
     /// Starts or stops reading the store; `reason` is logged on a change.
     pub fn set_reader(&self, is_reader: bool, reason: &str) {
         let changes = |known: &mut bool| std::mem::replace(known, is_reader) != is_reader;
@@ -173,6 +188,12 @@
         self.lock_outages().is_uncertain(self.core.now())
     }
 
+    /// Whether registrations of live upstreams may be missing, because the store came back from an
+    /// older copy a short time ago.
+    pub fn is_restored_lately(&self) -> bool {
+        self.lock_outages().is_restored_lately(self.core.now())
+    }
+
     /// Pause before the next read of the registrations, which are read every `interval`.
     pub fn read_pause(&self, interval: clock::Millis) -> clock::Millis {
         self.lock_outages().read_pause(self.core.now(), interval)
@@ -237,6 +258,11 @@
             self.lock_outages().record_restore(self.core.now());
             self.keep_lost_records(topic, &mut changes);
         }
+        let has_gap = known.is_some() && matches!(changes, mirror::Changes::All(_));
+        if topic == store::Topic::Upstreams && has_gap {
+            let now = self.core.now();
+            self.core.streams().record_gap(now);
+        }
         if topic == store::Topic::Operators {
             self.keep_configuration(&mut changes);
         }
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -123,6 +123,7 @@
         match upstream_registration::decode(key, &value) {
             Ok(entry) => {
                 self.lock_latest().record(&entry);
+                self.core.record_registration(&entry);
                 let known = directory.get(&id);
                 let is_same = known
                     .is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
@@ -159,6 +160,8 @@
     }
 
     fn publish_directory(&self, directory: directory::Directory) {
+        // Upstreams that are about to be removed have served until now.
+        self.core.observe_versions();
         let directory = sync::Arc::new(directory);
         self.core.view.rcu(|view| view::View {
             directory: sync::Arc::clone(&directory),
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -41,6 +41,9 @@
 /// Time-out for connecting to the store.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(600);
 
+/// Maximum number of calls of one read to the end of a topic.
+const MAX_READ_CALLS: usize = 64;
+
 /// Wait after the first failed store call; doubles with each consecutive failure.
 const INITIAL_BACKOFF: clock::Millis = clock::Millis(200);
 
@@ -50,6 +53,17 @@
 /// strictest limit on applying a configuration, 2.5 s.
 const MAX_BACKOFF: clock::Millis = clock::Millis(1000);
 
+/// How far a read of appended records got.
+enum Progress {
+    /// To the end of the topic.
+    Complete,
+    /// To a record before the end, as an answer is limited in size.
+    Partial,
+    /// Nowhere: the store has expired some records that were not yet read, or was restored from a
+    /// copy.
+    Expired,
+}
+
 /// Reads one topic from the store into its mirror.
 pub struct TopicReader {
     core: sync::Arc<core::Core>,
@@ -96,6 +110,24 @@
         }
     }
 
+    /// Reads all records that were in the topic when the call began.
+    pub(super) async fn read_to_end(&self) -> Result<(), String> {
+        if self.mirrors.position(self.topic).is_none() {
+            return self.load_newest().await;
+        }
+        for _ in 0..MAX_READ_CALLS {
+            match self.read_appended(clock::Millis::ZERO).await? {
+                Progress::Complete => return Ok(()),
+                Progress::Partial => {}
+                Progress::Expired => return self.load_newest().await,
+            }
+        }
+        Err(format!(
+            "the topic `{}` grows faster than it is read",
+            self.topic.as_str()
+        ))
+    }
+
     /// Records a failed store call and waits; `failures` counts the consecutive failures before it.
     ///
     /// During a store outage, only the reader of the topic of upstreams retries; the readers of the
@@ -186,8 +218,8 @@
                 _ = regained.changed(), if is_waiting => continue,
             };
             let outcome = match outcome {
-                Ok(true) => Ok(()),
-                Ok(false) => self.reload().await,
+                Ok(Progress::Complete | Progress::Partial) => Ok(()),
+                Ok(Progress::Expired) => self.reload().await,
                 Err(reason) => Err(reason),
             };
             if let Err(reason) = outcome {
@@ -219,15 +251,15 @@
         Ok(())
     }
 
-    /// Reads appended records once; `false` if the store has expired some that were not yet read, or
-    /// was restored from a copy.
-    async fn read_appended(&self, wait: clock::Millis) -> Result<bool, String> {
+    /// Reads appended records once.
+    async fn read_appended(&self, wait: clock::Millis) -> Result<Progress, String> {
         let from = self.mirrors.position(self.topic).unwrap_or_default();
         let address = self.core.settings.load().store;
         let message = store::read_request(address, self.topic, from.offset, wait)
             .map_err(|reason| reason.to_string())?;
         let answer = self.call(message, wait).await?;
         let era = store::era(&answer.headers);
+        let end = store::log_bounds(answer.status, &answer.body).map(|(end, _)| end);
         let tail = store::decode_read_answer(answer.status, answer.body, from.offset)
             .map_err(|reason| reason.to_string())?;
         let (records, next) = match tail {
@@ -238,7 +270,7 @@
                     "event=records-expired topic={} position={from} era={era}",
                     self.topic.as_str()
                 );
-                return Ok(false);
+                return Ok(Progress::Expired);
             }
         };
         if !records.is_empty() {
@@ -261,7 +293,11 @@
                 changes: mirror::Changes::Some(records),
             });
         }
-        Ok(true)
+        Ok(if end.is_some_and(|end| next < end) {
+            Progress::Partial
+        } else {
+            Progress::Complete
+        })
     }
 }
 
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -1,7 +1,7 @@
 //! Log of the software versions at which streams began, in a topic of the store.
 //!
 //! Daemons write to it only while several versions serve in a pool, and read it only when a caller
-//! takes up a stream that they did not begin.
+//! takes up a stream that they did not begin and that may have begun at several versions.
 
 use std::sync;
 
@@ -13,6 +13,7 @@
 
 use crate::core;
 use crate::follow::reader;
+use crate::follow::registrations;
 
 /// Delay before streams are shared, which collects those that begin at the same time.
 const BATCH_DELAY: clock::Millis = clock::Millis(10);
@@ -36,6 +37,7 @@
 /// Reader of the log.
 pub struct StreamLog {
     core: sync::Arc<core::Core>,
+    registrations: sync::Arc<registrations::Registrations>,
     position: tokio::sync::Mutex<Position>,
 }
 
@@ -51,9 +53,13 @@
 
 impl StreamLog {
     /// Creates a reader that has not read yet.
-    pub fn new(core: sync::Arc<core::Core>) -> Self {
+    pub fn new(
+        core: sync::Arc<core::Core>,
+        registrations: sync::Arc<registrations::Registrations>,
+    ) -> Self {
         Self {
             core,
+            registrations,
             position: tokio::sync::Mutex::default(),
         }
     }
@@ -72,8 +78,21 @@
         if let Some(origin) = self.core.streams().known_origin(attempt, pool) {
             return Ok(origin);
         }
-        self.read().await?;
-        let origin = self.find(attempt, pool);
+        // A daemon that knows of one version may be behind the one that began the stream.
+        let is_current = !self.core.streams().has_several_versions(pool);
+        let now = self.core.now();
+        if is_current && self.core.streams().has_observed(now) {
+            self.registrations.refresh().await?;
+            if let Some(origin) = self.find_observed(attempt, pool) {
+                return Ok(origin);
+            }
+            self.read().await?;
+        } else if is_current {
+            tokio::try_join!(self.registrations.refresh(), self.read())?;
+        } else {
+            self.read().await?;
+        }
+        let origin = self.find(attempt, pool, is_current);
         if origin != streams::Origin::Unknown {
             return Ok(origin);
         }
@@ -81,15 +100,35 @@
         let wait = append_interval(&self.core).plus(SHARE_TIME);
         tokio::time::sleep(wait.duration()).await;
         self.read().await?;
-        Ok(self.find(attempt, pool))
+        Ok(self.find(attempt, pool, is_current))
     }
 
-    fn find(&self, attempt: streams::AttemptId, pool: &id::PoolId) -> streams::Origin {
+    /// Origin of a stream after a read of the registrations, if the log is not needed to tell it.
+    fn find_observed(
+        &self,
+        attempt: streams::AttemptId,
+        pool: &id::PoolId,
+    ) -> Option<streams::Origin> {
+        let now = self.core.now();
+        self.core.streams().observed_origin(now, attempt, pool)
+    }
+
+    /// Origin of a stream after a read of the log; only what the log tells unless the registrations
+    /// are current.
+    fn find(
+        &self,
+        attempt: streams::AttemptId,
+        pool: &id::PoolId,
+        is_current: bool,
+    ) -> streams::Origin {
         let view = self.core.view.load();
         let now = self.core.now();
-        self.core
-            .streams()
-            .origin(now, attempt, pool, &view.directory)
+        let streams = self.core.streams();
+        if is_current {
+            return streams.origin(now, attempt, pool, &view.directory);
+        }
+        let origin = streams.known_origin(attempt, pool);
+        origin.unwrap_or(streams::Origin::Unknown)
     }
 
     /// Reads all records that were in the log when the call began.
@@ -97,7 +136,7 @@
         let requested = self.core.now();
         let mut position = self.position.lock().await;
         // A read that began later serves this call too.
-        if position.read_at >= requested && position.next.is_some() {
+        if position.read_at > requested && position.next.is_some() {
             return Ok(());
         }
         let daemons = self.core.view.load().daemons as u64;
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -21,6 +21,7 @@
 use crate::core;
 use crate::follow::mirrors;
 use crate::follow::position;
+use crate::follow::registrations;
 use crate::gather::gatherers;
 use crate::gather::job_router;
 use crate::http::socket;
@@ -34,6 +35,8 @@
 pub struct RpcServer {
     pub core: sync::Arc<core::Core>,
     pub mirrors: sync::Arc<mirrors::Mirrors>,
+    /// Reads of registrations that callers of this or other daemons wait for.
+    pub registrations: sync::Arc<registrations::Registrations>,
     /// Queues of pieces that this daemon keeps.
     pub gatherers: sync::Arc<gatherers::Gatherers>,
     /// Chooses queues for jobs of daemons in this failure domain.
@@ -121,6 +124,19 @@
         }
     }
 
+    async fn refresh(
+        self,
+        _: context::Context,
+        positions: [Option<position::Position>; 3],
+    ) -> service::Updates {
+        let outcome = self.registrations.read().await;
+        service::Updates {
+            is_store_reachable: outcome.is_ok() && !self.core.is_draining(),
+            is_uncertain: self.mirrors.is_uncertain(),
+            updates: self.mirrors.since(positions),
+        }
+    }
+
     async fn permit(
         self,
         _: context::Context,
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -89,4 +89,8 @@
     /// Updates for a caller whose mirrors are at `positions`; waits up to `wait` for a change if
     /// there are none.
     async fn updates(positions: [Option<position::Position>; 3], wait: clock::Millis) -> Updates;
+    /// Like [`Peer::updates`], after the replying daemon has read all registrations of upstreams that
+    /// the store had when the call arrived. The reply tells that the store is unreachable if this
+    /// failed.
+    async fn refresh(positions: [Option<position::Position>; 3]) -> Updates;
 }
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -9,7 +9,6 @@
 use std::sync;
 
 use basilgrade_adapter::store;
-use basilgrade_fleet::daemon;
 use basilgrade_types::clock;
 use rand::seq::IndexedRandom as _;
 
@@ -54,7 +53,7 @@
 
     async fn follow(&self) {
         loop {
-            let Some(reader) = self.other_reader() else {
+            let Some(reader) = self.mirrors.other_reader() else {
                 self.mirrors
                     .set_reader(true, "this daemon ranks first in its failure domain");
                 self.read_store_directly().await;
@@ -79,20 +78,6 @@
         }
     }
 
-    /// Reader of this failure domain, or `None` if this daemon is the reader.
-    fn other_reader(&self) -> Option<daemon::Daemon> {
-        let settings = self.core.settings.load();
-        let is_domain_peer = |daemon: &daemon::Daemon| daemon.domain == settings.domain;
-        let mut daemons = self.mirrors.daemons();
-        daemons.retain(is_domain_peer);
-        daemon::rank("reader", &mut daemons);
-        let is_usable = |daemon: &daemon::Daemon| {
-            daemon.name == settings.name || !self.core.links.is_backing_off(daemon.address)
-        };
-        let reader = daemons.into_iter().find(is_usable)?;
-        (reader.name != settings.name).then_some(reader)
-    }
-
     /// Waits while this daemon's topic readers read the store; fetches updates from another daemon
     /// if the store does not answer.
     async fn read_store_directly(&self) {
--- a/crates/basilgrade_edge/tests/certainty.rs
+++ b/crates/basilgrade_edge/tests/certainty.rs
@@ -108,3 +108,21 @@
 
     assert_eq!(core.view.load().directory.ids().count(), 1);
 }
+
+/// Guards against a software version that a daemon overlooks because it reads the registration of an
+/// upstream together with its removal.
+#[test]
+fn version_that_came_and_went_between_two_reads_counts() {
+    let (mirrors, core) = new_mirrors_and_core();
+    mirrors.record_store_answer();
+    mirrors.apply_reply(new_reply(1, false, registration()), true);
+    let entry = r#"{"service": "pool", "address": "127.0.0.1:6", "zone": "a", "slots": 1,
+        "state": "ready", "version": "v2", "sequence": 1}"#;
+    let changes = vec![("i-2".into(), Some(entry.into())), ("i-2".into(), None)];
+
+    mirrors.apply_reply(new_reply(3, false, mirror::Changes::Some(changes)), true);
+
+    let pool = "pool".parse().expect("valid name");
+    assert!(core.streams().has_several_versions(&pool));
+    assert_eq!(core.view.load().directory.ids().count(), 1);
+}
--- a/crates/basilgrade_fleet/src/outage.rs
+++ b/crates/basilgrade_fleet/src/outage.rs
@@ -75,7 +75,9 @@
         self.restored_at = Some(now);
     }
 
-    fn is_restored_lately(&self, now: clock::Millis) -> bool {
+    /// Whether the store came back from an older copy so lately that live upstreams may not have
+    /// registered again.
+    pub fn is_restored_lately(&self, now: clock::Millis) -> bool {
         self.restored_at
             .is_some_and(|at| now < at.plus(RETURN_GRACE))
     }
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -58,7 +58,7 @@
     versions: IndexMap<id::PoolId, IndexMap<upstream::Version, clock::Millis>>,
     /// Pools that have come to have several versions, which is not shared yet.
     unnamed: IndexSet<id::PoolId>,
-    /// Time since which this daemon has known the upstreams.
+    /// Time since which this daemon has read all registrations of upstreams without a gap.
     observed_since: Option<clock::Millis>,
     /// Longest time from the first event of a stream until a caller takes it up.
     lifetime: clock::Millis,
@@ -102,10 +102,7 @@
         let mut is_new = false;
         for entry in directory.iter() {
             has_entries = true;
-            if self.mark_seen(now, &entry.pool, &entry.version) {
-                is_new = true;
-                self.unnamed.insert(entry.pool.clone());
-            }
+            is_new |= self.record_registration(now, entry);
         }
         if has_entries {
             self.observed_since.get_or_insert(now);
@@ -119,6 +116,34 @@
         is_new
     }
 
+    /// Records that an upstream has registered itself; returns whether its version is new beside
+    /// others in its pool.
+    ///
+    /// An upstream may be gone again by the time the directory is updated.
+    pub fn record_registration(&mut self, now: clock::Millis, entry: &upstream::Upstream) -> bool {
+        let is_new = self.mark_seen(now, &entry.pool, &entry.version);
+        if is_new {
+            self.unnamed.insert(entry.pool.clone());
+        }
+        is_new
+    }
+
+    /// Records that registrations may have come and gone unread until `now`.
+    pub fn record_gap(&mut self, now: clock::Millis) {
+        self.observed_since = self.observed_since.map(|_| now);
+    }
+
+    /// Whether several versions have lately served in `pool`, as far as this daemon knows.
+    pub fn has_several_versions(&self, pool: &id::PoolId) -> bool {
+        has_several(self.versions.get(pool))
+    }
+
+    /// Whether this daemon has read all registrations for as long as a stream can last.
+    pub fn has_observed(&self, now: clock::Millis) -> bool {
+        let earliest = now - self.lifetime;
+        self.observed_since.is_some_and(|since| since <= earliest)
+    }
+
     /// Time for which a stream is remembered.
     pub fn lifetime(&self) -> clock::Millis {
         self.lifetime
@@ -171,8 +196,38 @@
         Some(Origin::Version(stream.version.clone()))
     }
 
-    /// Like [`Streams::known_origin`], after all shared streams were read. A stream that is not among
-    /// them began at the only version that has served in `pool` for as long as it can last.
+    /// Only version that has served in `pool` for as long as a stream can last.
+    fn only_version(&self, now: clock::Millis, pool: &id::PoolId) -> Option<&upstream::Version> {
+        let mut served = self
+            .versions
+            .get(pool)?
+            .iter()
+            .filter(|(_, seen_at)| seen_at.plus(self.lifetime) > now);
+        match (served.next(), served.next()) {
+            (Some((version, _)), None) => Some(version),
+            _ => None,
+        }
+    }
+
+    /// Like [`Streams::known_origin`], for a daemon that knows every upstream that had registered
+    /// itself when the caller took the stream up. It then needs no shared streams if it has known
+    /// them for as long as a stream can last.
+    pub fn observed_origin(
+        &self,
+        now: clock::Millis,
+        id: AttemptId,
+        pool: &id::PoolId,
+    ) -> Option<Origin> {
+        if let Some(origin) = self.known_origin(id, pool) {
+            return Some(origin);
+        }
+        let version = self.only_version(now, pool)?;
+        self.has_observed(now)
+            .then(|| Origin::Version(version.clone()))
+    }
+
+    /// Like [`Streams::observed_origin`], after all shared streams were read. A stream that is not
+    /// among them began at the only version that has served in `pool` for as long as it can last.
     pub fn origin(
         &self,
         now: clock::Millis,
@@ -180,25 +235,18 @@
         pool: &id::PoolId,
         directory: &directory::Directory,
     ) -> Origin {
-        if let Some(origin) = self.known_origin(id, pool) {
+        if let Some(origin) = self.observed_origin(now, id, pool) {
             return origin;
         }
-        let Some(versions) = self.versions.get(pool) else {
-            return Origin::Unknown;
-        };
-        let mut served = versions
-            .iter()
-            .filter(|(_, seen_at)| seen_at.plus(self.lifetime) > now);
-        let (Some((version, _)), None) = (served.next(), served.next()) else {
+        let Some(version) = self.only_version(now, pool) else {
             return Origin::Unknown;
         };
         let earliest = now - self.lifetime;
-        let has_observed = self.observed_since.is_some_and(|since| since <= earliest);
         // A version that began while no daemon was running may have replaced another.
         let is_old = |entry: &sync::Arc<upstream::Upstream>| {
             entry.pool == *pool && entry.started_at.is_none_or(|since| since <= earliest)
         };
-        if has_observed || directory.iter().any(is_old) {
+        if directory.iter().any(is_old) {
             Origin::Version(version.clone())
         } else {
             Origin::Unknown
--- a/crates/basilgrade_fleet/tests/streams.rs
+++ b/crates/basilgrade_fleet/tests/streams.rs
@@ -136,6 +136,30 @@
     assert_eq!(origin, streams::Origin::Unknown);
 }
 
+/// Guards against a version that is taken for the only one without a look at the shared streams,
+/// although another may have come and gone unread.
+#[test]
+fn only_version_needs_registrations_without_a_gap() {
+    let engine = engine(1, "v1", START);
+    let all = directory(std::slice::from_ref(&engine));
+    let mut known = streams::Streams::default();
+    known.observe(START, &all, LONGEST);
+    let lifetime = known.lifetime();
+    let (soon, late) = (START.plus(clock::Millis(1)), START.plus(lifetime));
+    known.observe(late, &all, LONGEST);
+    let find =
+        |known: &streams::Streams, now| known.observed_origin(now, attempt("lost"), &engine.pool);
+
+    let origin_soon = find(&known, soon);
+    let origin_late = find(&known, late);
+    known.record_gap(late);
+    let origin_after_gap = find(&known, late);
+
+    assert_eq!(origin_soon, None);
+    assert_eq!(origin_late, Some(streams::Origin::Version(version("v1"))));
+    assert_eq!(origin_after_gap, None);
+}
+
 /// Guards against a stream that goes on in a pool that did not begin it.
 #[test]
 fn stream_does_not_go_on_in_another_pool() {
