Test take-ups at a daemon that the store does not answer

Callers of a daemon that reached the store only through the daemon that reads it for others had every stream refused that the daemon did not begin, as it could not read the log. Since the registrations are read through that reader, such streams go on once the daemon has known the upstreams for as long as a stream can last. The test shows that this path is used: the daemon's own address of the store does not answer.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -7,7 +7,9 @@
 use std::time;
 
 use edge_support::client;
+use edge_support::daemon;
 use edge_support::deployment;
+use edge_support::port;
 use edge_support::upstream;
 
 const STREAM: &str = "/stream-resumable/plan";
@@ -234,3 +236,21 @@
     assert_eq!(before, 200);
     assert_eq!(take_up(&deployment, 0, "after", Some("unknown")).await, 200);
 }
+
+/// Guards against streams that are lost at a daemon which only reaches the store through the daemon
+/// that reads it for others.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_without_the_store_takes_up_streams_while_one_version_serves() {
+    let mut deployment = deployment::start_with(&["a"], 2, &deployment::without_stages()).await;
+    let (store, reader) = (port::free_address(), deployment.daemons[0].peer_address);
+    let mut cut_off = daemon::Daemon::new("vm-1", "a", store, &[reader]);
+    cut_off.start();
+    deployment.daemons.push(cut_off);
+    deployment.wait_until_ready(1).await;
+
+    // The daemon has to know the upstreams for as long as a stream can last.
+    deployment::wait_until("a stream goes on", || async {
+        take_up(&deployment, 1, "again", Some("unknown")).await == 200
+    })
+    .await;
+}
