--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -40,11 +40,9 @@
     /// Runs requests and sends nothing for this many milliseconds before the event of this number;
     /// event 1 is also the whole answer of a request that is no stream.
     Pauses(u64, u64),
-    /// Like [`Behaviour::Pauses`] before the first event, and breaks the connection within the
-    /// fourth one.
-    PausesAndBreaks(u64),
-    /// Like [`Behaviour::Pauses`] before the fourth event, within which it breaks the connection.
-    PausesBeforeBreak(u64),
+    /// Pauses before an event as `Pauses` does, and breaks the connection within the event of the
+    /// last number.
+    PausesAndBreaks(u64, u64, u64),
     /// Runs requests and never answers.
     Silent,
     /// Runs requests; closes the connection without an answer if the prompt has the part named
@@ -57,8 +55,7 @@
 /// Number of the event within which the connection breaks, if it does.
 fn last_event(behaviour: Behaviour) -> Option<u64> {
     match behaviour {
-        Behaviour::BreaksIn(last) => Some(last),
-        Behaviour::PausesAndBreaks(_) | Behaviour::PausesBeforeBreak(_) => Some(4),
+        Behaviour::BreaksIn(last) | Behaviour::PausesAndBreaks(_, _, last) => Some(last),
         _ => None,
     }
 }
@@ -176,9 +173,12 @@
             async move {
                 let pause = match behaviour {
                     Behaviour::Slow(pause) => pause,
-                    Behaviour::Pauses(before, pause) if before == event => pause,
-                    Behaviour::PausesAndBreaks(pause) if event == 1 => pause,
-                    Behaviour::PausesBeforeBreak(pause) if event == 4 => pause,
+                    Behaviour::Pauses(before, pause)
+                    | Behaviour::PausesAndBreaks(before, pause, _)
+                        if before == event =>
+                    {
+                        pause
+                    }
                     _ => 0,
                 };
                 if pause > 0 {
