Send nothing more to upstreams that announce their leaving

What callers saw: nothing yet; an upstream that leaves may say so in its answers only, and whoever is sent there later is cut off when it ends.

Cause: daemons read the state of upstreams from the registrations alone.

The announcement is kept with the statistics of the upstream's run. It is checked when an upstream is chosen, also for repeats and resumed streams, again when the connection is open, and by the queues of pieces, which hand jobs back if no upstream of theirs is left. Removed entries are remembered, so that a run that is registered again keeps what is known of it.

--- a/crates/basilgrade/tests/edge_support/deployment.rs
+++ b/crates/basilgrade/tests/edge_support/deployment.rs
@@ -165,7 +165,7 @@
             .expect("the address is set only once");
         self.upstreams.push(upstream);
         self.servers.push(server);
-        self.put_registration(pool, number, ("ready", version, 1));
+        self.put_registration(pool, number, ("ready", version, 1), None);
     }
 
     /// Writes the registration of the upstream `{pool}-{number}` with `state` to the store.
@@ -176,7 +176,13 @@
     /// Writes the registration with the number `sequence` of the upstream `{pool}-{number}` with
     /// `state` to the store.
     pub(crate) fn register_again(&self, pool: &str, number: usize, state: &str, sequence: u64) {
-        self.put_registration(pool, number, (state, "v1", sequence));
+        self.put_registration(pool, number, (state, "v1", sequence), None);
+    }
+
+    /// Writes the registration of a run of the upstream `{pool}-{number}` that started at `born`, in
+    /// Unix milliseconds, to the store.
+    pub(crate) fn register_start(&self, pool: &str, number: usize, born: u64) {
+        self.put_registration(pool, number, ("ready", "v1", 1), Some(born));
     }
 
     fn put_registration(
@@ -184,6 +190,7 @@
         pool: &str,
         number: usize,
         (state, version, sequence): (&str, &str, u64),
+        born: Option<u64>,
     ) {
         let id = format!("{pool}-{number}");
         let address = self
@@ -192,7 +199,7 @@
             .get()
             .expect("the upstream was started");
         let entry = serde_json::json!({"service": pool, "address": address, "zone": "a",
-            "version": version, "slots": 8, "state": state, "sequence": sequence});
+            "version": version, "slots": 8, "state": state, "sequence": sequence, "born": born});
         self.store.put("keyed.servers", &id, &entry.to_string());
     }
 
--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
+use indexmap::IndexMap;
 
 use super::server;
 
@@ -63,8 +64,8 @@
     pub(crate) id: String,
     pub(crate) behaviour: sync::Mutex<Behaviour>,
     pub(crate) runs: sync::Mutex<Vec<Run>>,
-    /// Limit on the rate of requests that the answers name.
-    pub(crate) limit: sync::Mutex<Option<&'static str>>,
+    /// Headers that all answers carry, by name.
+    pub(crate) notices: sync::Mutex<IndexMap<&'static str, &'static str>>,
     /// Address that the store lists for this upstream.
     pub(crate) address: sync::OnceLock<std::net::SocketAddr>,
     /// Whether the data of each event names the upstream and the run that produced the event.
@@ -83,7 +84,16 @@
 
     /// Has all further answers name the limit `limit`, in requests per second.
     pub(crate) fn name_limit(&self, limit: Option<&'static str>) {
-        *self.limit.lock().expect("no holder of the lock panics") = limit;
+        self.announce("server-limit", limit);
+    }
+
+    /// Has all further answers carry the header `name` with this value, or not at all.
+    pub(crate) fn announce(&self, name: &'static str, value: Option<&'static str>) {
+        let mut notices = self.notices.lock().expect("no holder of the lock panics");
+        match value {
+            Some(value) => notices.insert(name, value),
+            None => notices.swap_remove(name),
+        };
     }
 
     /// Returns all runs in order of arrival.
@@ -171,10 +181,10 @@
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
         let mut answer = self.answer(request).await?;
-        let limit = *self.limit.lock().expect("no holder of the lock panics");
-        if let Some(limit) = limit {
-            let limit = hyper::header::HeaderValue::from_static(limit);
-            answer.headers_mut().insert("server-limit", limit);
+        let notices = self.notices.lock().expect("no holder of the lock panics");
+        for (name, value) in notices.iter() {
+            let value = hyper::header::HeaderValue::from_static(value);
+            answer.headers_mut().insert(*name, value);
         }
         Some(answer)
     }
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -105,7 +105,7 @@
         let view = self.view.load();
         view.directory
             .get(id)
-            .is_some_and(|entry| entry.address == address && entry.state == upstream::State::Ready)
+            .is_some_and(|entry| entry.address == address && entry.is_accepting())
     }
 
     /// Whether `entry` still has the software version that it had when it was chosen; an upstream may
@@ -258,6 +258,20 @@
         }
     }
 
+    /// Records what an answer of `entry` announces about the requests that it takes.
+    pub fn record_notices(&self, entry: &upstream::Upstream, answer: &answer::Answer) {
+        if answer.state == upstream::State::Draining && entry.stats.notices.record_leaving() {
+            self.metrics.leaving_notices.inc();
+            log::info!(
+                "event=upstream-leaving upstream={} pool={} domain={} status={}",
+                entry.id,
+                entry.pool,
+                entry.domain,
+                answer.status.as_u16()
+            );
+        }
+    }
+
     fn log_limit(&self, entry: &upstream::Upstream, rate: Option<rate::RequestRate>) {
         self.metrics.limit_changes.inc();
         log::info!(
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -277,6 +277,7 @@
         };
         let answer = answer::Answer::decode(buffered.status, &buffered.headers, "");
         self.core.record_limit(&entry, &answer);
+        self.core.record_notices(&entry, &answer);
         piece_calls::decode_answer(
             buffered.status,
             answer.is_unexecuted,
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -3,6 +3,7 @@
 use std::mem;
 use std::sync;
 
+use basilgrade_adapter::answer;
 use basilgrade_adapter::piece_calls;
 use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
@@ -85,8 +86,15 @@
             return;
         };
         let entry = self.core.view.load().directory.at(address).cloned();
-        if let Some(entry) = entry
-            && permits::acquire(&self.core, &entry, limit::Claim::Any, false)
+        // The memory of an upstream that is leaving serves no further call.
+        if entry
+            .as_ref()
+            .is_some_and(|entry| entry.stats.notices.is_leaving())
+        {
+            return;
+        }
+        if let Some(entry) = &entry
+            && permits::acquire(&self.core, entry, limit::Claim::Any, false)
                 .await
                 .is_err()
         {
@@ -110,7 +118,12 @@
             .connections
             .call(address, message, "", CONNECT_TIMEOUT);
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
-            Ok(Ok(_)) => {}
+            Ok(Ok(reply)) => {
+                let answer = answer::Answer::decode(reply.status, &reply.headers, "");
+                if let Some(entry) = &entry {
+                    self.core.record_notices(entry, &answer);
+                }
+            }
             Ok(Err(failure)) => {
                 log::info!(
                     "event=release-failed holder={holder} reason={:?}",
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -67,6 +67,8 @@
     permits = "permits",
     /// Asks for such a permit that were denied.
     denied_permits = "denied_permits",
+    /// Upstreams that announced in an answer that they are leaving.
+    leaving_notices = "leaving_notices",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
     /// Retries of requests at another upstream.
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -291,6 +291,7 @@
         ));
     }
     core.record_limit(entry, &answer);
+    core.record_notices(entry, &answer);
     if answer.is_unexecuted {
         request.end_unexecuted();
         entry.stats.record(core.now(), health::Outcome::Full);
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -167,7 +167,7 @@
             .count();
         let is_overloaded = waiting > self.profile.batch as usize * healthy.max(1);
         let is_free = |worker: &&worker::Worker| {
-            if worker.is_backing_off(now) || skipped.contains(&worker.upstream.id) {
+            if worker.is_closed(now) || skipped.contains(&worker.upstream.id) {
                 return false;
             }
             if !order.iter().any(|job| self.may_run_on(now, *job, worker)) {
@@ -209,9 +209,7 @@
             return true;
         }
         let is_healthy_local = |other: &worker::Worker| {
-            other.upstream.domain == entry.job.domain
-                && !other.is_slow()
-                && !other.is_backing_off(now)
+            other.upstream.domain == entry.job.domain && !other.is_slow() && !other.is_closed(now)
         };
         !self.workers.values().any(is_healthy_local)
     }
--- a/crates/basilgrade_fleet/src/batch/worker.rs
+++ b/crates/basilgrade_fleet/src/batch/worker.rs
@@ -62,6 +62,11 @@
         now < self.backoff_until
     }
 
+    /// Whether the upstream must get no call at `now`.
+    pub(super) fn is_closed(&self, now: clock::Millis) -> bool {
+        self.is_backing_off(now) || self.upstream.stats.notices.is_leaving()
+    }
+
     pub(super) fn backoff_until(&self) -> clock::Millis {
         self.backoff_until
     }
@@ -70,10 +75,11 @@
         self.time_ratio > SLOW_RATIO
     }
 
-    /// Whether the upstream gets no calls for now, because it failed or is slow.
+    /// Whether the upstream gets no calls for now, because it failed, is slow or is leaving.
     pub(super) fn is_excluded(&self, now: clock::Millis) -> bool {
         let has_failed = self.failures > 0 && self.is_backing_off(now);
-        has_failed || (self.is_slow() && !self.is_probe_due(now))
+        let is_leaving = self.upstream.stats.notices.is_leaving();
+        is_leaving || has_failed || (self.is_slow() && !self.is_probe_due(now))
     }
 
     /// Whether the last call to a slow upstream is long enough ago to try the upstream again.
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -11,21 +11,28 @@
 pub mod latest;
 pub mod upstream;
 
+/// Maximum number of removed upstreams that are remembered.
+const MAX_REMOVED: usize = 1024;
+
 /// Upstreams by id, with the statistics that this daemon keeps about each.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     upstreams: IndexMap<id::UpstreamId, sync::Arc<upstream::Upstream>>,
     /// Upstreams whose entries are missing from the log of registrations but may return.
     missing: IndexSet<id::UpstreamId>,
+    /// Upstreams that were removed, the latest last; their runs may register again.
+    removed: IndexMap<id::UpstreamId, sync::Arc<upstream::Upstream>>,
 }
 
 impl Directory {
     /// Adds or replaces the entry that an upstream has registered.
     ///
-    /// Its statistics are kept if the new entry describes the same run of the upstream.
+    /// Its statistics are kept if the new entry describes the same run of the upstream, also if that
+    /// run was removed.
     pub fn put(&mut self, mut entry: upstream::Upstream) {
         self.missing.swap_remove(&entry.id);
-        let known = self.upstreams.get(&entry.id);
+        let removed = self.removed.shift_remove(&entry.id);
+        let known = self.upstreams.get(&entry.id).or(removed.as_ref());
         if let Some(known) = known.filter(|known| known.is_same_run(&entry)) {
             entry.stats = sync::Arc::clone(&known.stats);
         }
@@ -36,7 +43,12 @@
     /// Removes an upstream whose entry was deleted from the log.
     pub fn remove(&mut self, id: &id::UpstreamId) {
         self.missing.swap_remove(id);
-        self.upstreams.swap_remove(id);
+        if let Some(entry) = self.upstreams.swap_remove(id) {
+            self.removed.insert(id.clone(), entry);
+        }
+        while self.removed.len() > MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
     }
 
     /// Marks an upstream as missing instead of removing it.
@@ -53,7 +65,7 @@
     pub fn expire(&mut self) -> IndexSet<id::UpstreamId> {
         let expired = mem::take(&mut self.missing);
         for id in &expired {
-            self.upstreams.swap_remove(id);
+            self.remove(id);
         }
         expired
     }
@@ -86,13 +98,13 @@
         self.upstreams.get(id)
     }
 
-    /// Upstreams of `pool` in the state [`upstream::State::Ready`].
+    /// Upstreams of `pool` that accept new requests.
     pub fn ready<'a>(
         &'a self,
         pool: &'a id::PoolId,
     ) -> impl Iterator<Item = &'a sync::Arc<upstream::Upstream>> {
         self.upstreams
             .values()
-            .filter(move |entry| entry.pool == *pool && entry.state == upstream::State::Ready)
+            .filter(move |entry| entry.pool == *pool && entry.is_accepting())
     }
 }
--- a/crates/basilgrade_fleet/src/directory/upstream.rs
+++ b/crates/basilgrade_fleet/src/directory/upstream.rs
@@ -41,6 +41,11 @@
             && self.started_at == other.started_at
             && self.pool == other.pool
     }
+
+    /// Whether the upstream accepts new requests, by its registration and its answers.
+    pub fn is_accepting(&self) -> bool {
+        self.state == State::Ready && !self.stats.notices.is_leaving()
+    }
 }
 
 /// Version of an upstream's software, for comparison only.
--- a/crates/basilgrade_fleet/src/health.rs
+++ b/crates/basilgrade_fleet/src/health.rs
@@ -6,6 +6,7 @@
 use basilgrade_types::clock;
 
 use crate::limit;
+use crate::notices;
 
 /// Consecutive failures after which an upstream is backed off, with [`Outcome::Unreachable`]
 /// counted twice; single failures are normal.
@@ -27,6 +28,8 @@
 /// Statistics of this daemon about one run of an upstream.
 #[derive(Debug, Default)]
 pub struct Stats {
+    /// What the upstream has announced in its answers.
+    pub notices: notices::Notices,
     active: atomic::AtomicU32,
     tokens: atomic::AtomicU64,
     failure_streak: atomic::AtomicU32,
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod limit;
 pub mod model;
+pub mod notices;
 pub mod outage;
 pub mod placement;
 pub mod ranking;
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -26,6 +26,26 @@
     names
 }
 
+/// Guards against calls to an upstream that has announced its leaving, and against jobs that wait for
+/// it although another queue can take them.
+#[test]
+fn leaving_upstream_gets_no_calls() {
+    let entry = common::upstream(0, "a");
+    let mut queue = queue(0);
+    queue.set_upstreams([entry.clone()].into_iter());
+    entry.stats.notices.record_leaving();
+    let job = job::Job {
+        fallback: job::Fallback::HandBack,
+        ..job("one", 2)
+    };
+    let id = queue.submit(START, job);
+
+    assert!(queue.dispatch(START).is_empty());
+
+    let finished = queue.take_finished();
+    assert_eq!(finished, [(id, outcome::JobOutcome::HandedBack)]);
+}
+
 /// Guards against pieces that wait for a fuller call while an upstream is idle.
 #[test]
 fn idle_upstream_gets_a_call_immediately() {
