Send nothing to upstreams that ask for a pause

What callers saw: nothing yet; an upstream that refuses requests with 503 and names in `Retry-After` for how long it wants none got the next one at once.

Cause: `Retry-After` of upstreams was not read.

The latest end that a run of an upstream has named to this daemon is kept with its statistics. Until then it is left out when an upstream is chosen, again when the connection is open, and by the queues of pieces; releases of results wait. Other upstreams of the pool serve meanwhile. If all of them want nothing, callers are refused at once and told the least of the times. The upstream's own time no longer reaches callers with a 503.

The two new tests in `upstream_notices` fail on the code before: of five requests in turn, five reach each of two upstreams that asked for a pause after the first ([5, 5] instead of [1, 1]), and six of six reach one of them while another is free. They pass now, as do `edge`, `named_limits`, `faulty_engines`, `at_most_once` and `request_path`.

--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -64,6 +64,8 @@
     pub(crate) id: String,
     pub(crate) behaviour: sync::Mutex<Behaviour>,
     pub(crate) runs: sync::Mutex<Vec<Run>>,
+    /// Number of requests that have arrived, refused ones and releases of results included.
+    pub(crate) arrivals: sync::atomic::AtomicUsize,
     /// Headers that all answers carry, by name.
     pub(crate) notices: sync::Mutex<IndexMap<&'static str, &'static str>>,
     /// Address that the store lists for this upstream.
@@ -180,6 +182,7 @@
         self: sync::Arc<Self>,
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
+        self.arrivals.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let mut answer = self.answer(request).await?;
         let notices = self.notices.lock().expect("no holder of the lock panics");
         for (name, value) in notices.iter() {
--- a/crates/basilgrade/tests/upstream_notices.rs
+++ b/crates/basilgrade/tests/upstream_notices.rs
@@ -2,6 +2,9 @@
 
 mod edge_support;
 
+use std::sync::atomic;
+use std::time;
+
 use edge_support::client;
 use edge_support::deployment;
 use edge_support::upstream;
@@ -45,6 +48,20 @@
     })
 }
 
+fn count_arrivals(deployment: &deployment::Deployment, pool: &str) -> [usize; 2] {
+    [0, 1].map(|number| {
+        let upstream = deployment.upstream(&format!("{pool}-{number}"));
+        upstream.arrivals.load(atomic::Ordering::Relaxed)
+    })
+}
+
+/// Has the upstream `id` refuse all requests and ask for none for this many seconds.
+fn pause(deployment: &deployment::Deployment, id: &str, secs: &'static str) {
+    let upstream = deployment.upstream(id);
+    upstream.set_behaviour(upstream::Behaviour::Full);
+    upstream.announce("retry-after", Some(secs));
+}
+
 /// Waits until the daemon has read what was written to the store before.
 async fn wait_for_reads(deployment: &deployment::Deployment) {
     let reads = deployment.store.upstream_reads();
@@ -125,3 +142,58 @@
     })
     .await;
 }
+
+/// Guards against requests to upstreams that have asked for none for a while, and against callers that
+/// wait for them or are told another time.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_refused_at_once_while_all_upstreams_ask_for_none() {
+    let deployment = deployment::start_with(&["a"], 2, &deployment::without_stages()).await;
+    for (pool, path) in [("desk", "/once/x"), ("engine", "/stream/x")] {
+        let ids = [0, 1].map(|number| format!("{pool}-{number}"));
+        for id in &ids {
+            pause(&deployment, id, "2.5");
+        }
+        let start = time::Instant::now();
+
+        let answers = send_in_turn(&deployment, path, 5).await;
+
+        assert_eq!(statuses(&answers), [503; 5], "{path}");
+        assert_eq!(count_arrivals(&deployment, pool), [1, 1], "{path}");
+        for answer in &answers {
+            let wait = answer.headers["retry-after"].to_str();
+            let wait: f64 = wait.expect("text").parse().expect("a number");
+            let elapsed = start.elapsed().as_secs_f64();
+            assert!(wait >= 2.5 - elapsed, "{wait} s after {elapsed} s");
+        }
+        for id in &ids {
+            deployment.upstream(id).announce("retry-after", None);
+            let behaviour = upstream::Behaviour::Healthy;
+            deployment.upstream(id).set_behaviour(behaviour);
+        }
+        deployment::wait_until("the upstreams get requests again", || async {
+            statuses(&send_in_turn(&deployment, path, 1).await) == [200]
+        })
+        .await;
+        assert!(start.elapsed() >= time::Duration::from_millis(2500));
+    }
+}
+
+/// Guards against requests and calls for pieces that wait for an upstream that has asked for none,
+/// although another one takes them.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_upstreams_serve_while_one_asks_for_no_requests() {
+    let deployment = deployment::start(&["a"]).await;
+    for id in ["desk-0", "encode-0", "engine-0"] {
+        pause(&deployment, id, "60");
+    }
+
+    let plain = send_in_turn(&deployment, "/once/x", 6).await;
+    let staged = send_in_turn(&deployment, "/stream/x", 6).await;
+
+    assert_eq!(statuses(&plain), [200; 6]);
+    assert_eq!(statuses(&staged), [200; 6]);
+    for pool in ["desk", "encode"] {
+        assert_eq!(count_arrivals(&deployment, pool)[0], 1, "{pool}");
+    }
+    assert!(count_arrivals(&deployment, "engine")[0] <= 1);
+}
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -105,7 +105,7 @@
         let view = self.view.load();
         view.directory
             .get(id)
-            .is_some_and(|entry| entry.address == address && entry.is_accepting())
+            .is_some_and(|entry| entry.address == address && entry.is_accepting(self.now()))
     }
 
     /// Whether `entry` still has the software version that it had when it was chosen; an upstream may
@@ -270,6 +270,19 @@
                 answer.status.as_u16()
             );
         }
+        let Some(pause) = answer.pause else {
+            return;
+        };
+        let now = self.now();
+        if entry.stats.notices.record_pause(now, now.plus(pause)) {
+            self.metrics.pauses.inc();
+            log::info!(
+                "event=upstream-paused upstream={} pool={} domain={} wait={pause}",
+                entry.id,
+                entry.pool,
+                entry.domain
+            );
+        }
     }
 
     fn log_limit(&self, entry: &upstream::Upstream, rate: Option<rate::RequestRate>) {
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -272,6 +272,10 @@
             Ok(buffered) => buffered,
             Err(failure) => {
                 let is_unsent = failure.verdict == verdict::Verdict::NotRun;
+                let (now, until) = (self.core.now(), entry.stats.notices.paused_until());
+                if is_unsent && now < until {
+                    return Ok(outcome::CallOutcome::Held(until - now));
+                }
                 return Err(format!("{} unsent={is_unsent}", failure.reason));
             }
         };
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -93,6 +93,16 @@
         {
             return;
         }
+        let paused_until = || {
+            let entry = entry.as_ref();
+            entry.map_or(clock::Millis::ZERO, |entry| {
+                entry.stats.notices.paused_until()
+            })
+        };
+        let pause = paused_until() - self.core.now();
+        if pause > clock::Millis::ZERO {
+            tokio::time::sleep(pause.duration()).await;
+        }
         if let Some(entry) = &entry
             && permits::acquire(&self.core, entry, limit::Claim::Any, false)
                 .await
@@ -116,7 +126,9 @@
         let call = self
             .core
             .connections
-            .call(address, message, "", CONNECT_TIMEOUT);
+            .call_while(address, message, "", CONNECT_TIMEOUT, |_| {
+                self.core.now() >= paused_until()
+            });
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
             Ok(Ok(reply)) => {
                 let answer = answer::Answer::decode(reply.status, &reply.headers, "");
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -69,6 +69,8 @@
     denied_permits = "denied_permits",
     /// Upstreams that announced in an answer that they are leaving.
     leaving_notices = "leaving_notices",
+    /// Times that an upstream asked for no requests for a while.
+    pauses = "pauses",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
     /// Retries of requests at another upstream.
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -36,6 +36,9 @@
 /// Reason why a request is not sent to an upstream that names a limit.
 pub const LIMITED: &str = "the upstreams are at the request limits that they name; retry later";
 
+/// Reason why a request is sent to no upstream while all of them want none.
+pub const PAUSED: &str = "the upstreams want no requests for a while; retry later";
+
 /// Cost, in milliseconds of delay, of transferring a megabyte of stage results to another failure
 /// domain: the transfer time plus the billed price, converted to delay at the rate that applies to
 /// recomputing shared prompt prefixes.
@@ -109,8 +112,10 @@
         tried: &[],
         held: &[],
     };
+    let now = core.now();
     let ready = view.directory.ready(&request.pool);
-    let chosen = placement::choose(core.now(), &view.topology, &demand, ready)?;
+    let ready = ready.filter(|entry| entry.is_accepting(now));
+    let chosen = placement::choose(now, &view.topology, &demand, ready)?;
     Some(chosen.domain.clone())
 }
 
@@ -145,11 +150,11 @@
     let view = core.view.load();
     let now = core.now();
     let tried = &sends.tried;
-    let has_version = |entry: &&sync::Arc<upstream::Upstream>| {
+    let is_eligible = |entry: &&sync::Arc<upstream::Upstream>| {
         let required = sends.version.as_ref();
-        required.is_none_or(|version| entry.version == *version)
+        required.is_none_or(|version| entry.version == *version) && entry.is_accepting(now)
     };
-    let ready = || view.directory.ready(&request.pool).filter(has_version);
+    let ready = || view.directory.ready(&request.pool).filter(is_eligible);
     let is_pool_limited = ready().any(|entry| entry.stats.is_limited());
     let is_doubtful = is_pool_limited || !ready().any(|entry| entry.stats.is_heard());
     // Requests that others serve as well leave the permits to those that gain from cached parts.
@@ -209,6 +214,22 @@
     }
 }
 
+/// Time until an upstream takes `request`, if all upstreams that may get it want no requests now.
+pub fn pause(
+    core: &core::Core,
+    request: &request::Request,
+    version: Option<&upstream::Version>,
+) -> Option<clock::Millis> {
+    let view = core.view.load();
+    let now = core.now();
+    let ready = view.directory.ready(&request.pool);
+    let eligible = ready.filter(|entry| version.is_none_or(|version| entry.version == *version));
+    let until = eligible
+        .map(|entry| entry.stats.notices.paused_until())
+        .min()?;
+    (until > now).then(|| until - now)
+}
+
 /// Failure domain that holds the most bytes of `results`, and the cost, in milliseconds of delay,
 /// of transferring these bytes to another failure domain.
 fn largest_holder(
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -308,6 +308,9 @@
                     denials = 0;
                 }
                 attempt::Choice::Nothing => {
+                    if attempt::pause(core, request, self.version.as_ref()).is_some() {
+                        self.last_reason = Some(attempt::PAUSED.to_owned());
+                    }
                     self.last_reason.get_or_insert_with(|| {
                         "the pool has no ready upstream; retry later".to_owned()
                     });
@@ -382,7 +385,9 @@
             .unwrap_or("the pool has no ready upstream; retry later");
         if !self.has_failed {
             let left = request.time_left(core.now());
-            let wait = basilgrade_fleet::admission::retry_after(left, self.wait, rand::random());
+            let pause = attempt::pause(core, request, self.version.as_ref());
+            let wait = self.wait.max(pause.unwrap_or_default());
+            let wait = basilgrade_fleet::admission::retry_after(left, wait, rand::random());
             return request_failure::RequestFailure::refused(reason, wait);
         }
         request_failure::RequestFailure::uncertain(StatusCode::BAD_GATEWAY, reason)
@@ -413,7 +418,7 @@
     );
     let mut response = Response::new(response_body::full(answer.body));
     *response.status_mut() = answer.status;
-    *response.headers_mut() = answer::caller_headers(&answer.headers);
+    *response.headers_mut() = answer::caller_headers(answer.status, &answer.headers);
     if core.is_draining() {
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -130,7 +130,7 @@
                 sends.version = Some(source.entry.version.clone());
                 core.record_stream(&request, &source.entry);
                 let status = source.answer.status;
-                let headers = answer::caller_headers(&source.headers);
+                let headers = answer::caller_headers(status, &source.headers);
                 let relay = relay::Relay::new(
                     sync::Arc::clone(service),
                     request,
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -176,8 +176,9 @@
         let free_at = |worker: &&worker::Worker| worker.free_at(now).max(worker.backoff_until());
         let earliest = usable.iter().map(free_at).min();
         let Some(earliest) = earliest else {
+            let pauses = self.workers.values().filter_map(|worker| worker.pause(now));
             return load::Load {
-                wait: cells::NO_UPSTREAM_WAIT,
+                wait: pauses.min().unwrap_or(cells::NO_UPSTREAM_WAIT),
                 by_priority: Vec::new(),
             };
         };
@@ -215,7 +216,8 @@
         }
         let free = self.workers.values().map(|worker| {
             let lead = worker.free_at(now) - SEND_AHEAD;
-            lead.max(worker.backoff_until())
+            let pause = worker.pause(now).unwrap_or_default();
+            lead.max(worker.backoff_until()).max(now.plus(pause))
         });
         let ends = self.jobs.values().map(|entry| entry.deadline);
         let remote = self.jobs.values().map(waiting::QueuedJob::remote_from);
--- a/crates/basilgrade_fleet/src/batch/worker.rs
+++ b/crates/basilgrade_fleet/src/batch/worker.rs
@@ -64,22 +64,29 @@
 
     /// Whether the upstream must get no call at `now`.
     pub(super) fn is_closed(&self, now: clock::Millis) -> bool {
-        self.is_backing_off(now) || self.upstream.stats.notices.is_leaving()
+        self.is_backing_off(now) || !self.upstream.stats.notices.is_open(now)
     }
 
     pub(super) fn backoff_until(&self) -> clock::Millis {
         self.backoff_until
     }
 
+    /// Time until the upstream wants calls again; `None` if it wants some now or is leaving.
+    pub(super) fn pause(&self, now: clock::Millis) -> Option<clock::Millis> {
+        let notices = &self.upstream.stats.notices;
+        (notices.is_paused(now) && !notices.is_leaving()).then(|| notices.paused_until() - now)
+    }
+
     pub(super) fn is_slow(&self) -> bool {
         self.time_ratio > SLOW_RATIO
     }
 
-    /// Whether the upstream gets no calls for now, because it failed, is slow or is leaving.
+    /// Whether the upstream gets no calls for now, because it failed, is slow, is leaving or
+    /// wants no calls.
     pub(super) fn is_excluded(&self, now: clock::Millis) -> bool {
         let has_failed = self.failures > 0 && self.is_backing_off(now);
-        let is_leaving = self.upstream.stats.notices.is_leaving();
-        is_leaving || has_failed || (self.is_slow() && !self.is_probe_due(now))
+        let is_open = self.upstream.stats.notices.is_open(now);
+        !is_open || has_failed || (self.is_slow() && !self.is_probe_due(now))
     }
 
     /// Whether the last call to a slow upstream is long enough ago to try the upstream again.
--- a/crates/basilgrade_fleet/src/directory.rs
+++ b/crates/basilgrade_fleet/src/directory.rs
@@ -98,13 +98,13 @@
         self.upstreams.get(id)
     }
 
-    /// Upstreams of `pool` that accept new requests.
+    /// Upstreams of `pool` that are in service.
     pub fn ready<'a>(
         &'a self,
         pool: &'a id::PoolId,
     ) -> impl Iterator<Item = &'a sync::Arc<upstream::Upstream>> {
         self.upstreams
             .values()
-            .filter(move |entry| entry.pool == *pool && entry.is_accepting())
+            .filter(move |entry| entry.pool == *pool && entry.is_in_service())
     }
 }
--- a/crates/basilgrade_fleet/src/directory/upstream.rs
+++ b/crates/basilgrade_fleet/src/directory/upstream.rs
@@ -42,10 +42,15 @@
             && self.pool == other.pool
     }
 
-    /// Whether the upstream accepts new requests, by its registration and its answers.
-    pub fn is_accepting(&self) -> bool {
+    /// Whether the upstream is in service: it is neither registered nor announced as leaving.
+    pub fn is_in_service(&self) -> bool {
         self.state == State::Ready && !self.stats.notices.is_leaving()
     }
+
+    /// Whether the upstream accepts requests of this daemon at `now`.
+    pub fn is_accepting(&self, now: clock::Millis) -> bool {
+        self.is_in_service() && !self.stats.notices.is_paused(now)
+    }
 }
 
 /// Version of an upstream's software, for comparison only.
--- a/crates/basilgrade_fleet/src/notices.rs
+++ b/crates/basilgrade_fleet/src/notices.rs
@@ -2,10 +2,13 @@
 
 use std::sync::atomic;
 
+use basilgrade_types::clock;
+
 /// Announcements of one run of an upstream, which end with that run.
 #[derive(Debug, Default)]
 pub struct Notices {
     is_leaving: atomic::AtomicBool,
+    paused_until: atomic::AtomicU64,
 }
 
 impl Notices {
@@ -18,4 +21,28 @@
     pub fn record_leaving(&self) -> bool {
         !self.is_leaving.swap(true, atomic::Ordering::Relaxed)
     }
+
+    /// Whether the upstream wants no requests of this daemon at `now`.
+    pub fn is_paused(&self, now: clock::Millis) -> bool {
+        now < self.paused_until()
+    }
+
+    /// Time before which the upstream wants no requests of this daemon; zero if it has named none.
+    pub fn paused_until(&self) -> clock::Millis {
+        clock::Millis(self.paused_until.load(atomic::Ordering::Relaxed))
+    }
+
+    /// Records that the upstream wants no requests of this daemon before `until`; the latest time
+    /// counts. `true` if the upstream was not paused at `now`.
+    pub fn record_pause(&self, now: clock::Millis, until: clock::Millis) -> bool {
+        let known = self
+            .paused_until
+            .fetch_max(until.0, atomic::Ordering::Relaxed);
+        known <= now.0 && now < until
+    }
+
+    /// Whether the upstream takes requests of this daemon at `now`.
+    pub fn is_open(&self, now: clock::Millis) -> bool {
+        !self.is_leaving() && !self.is_paused(now)
+    }
 }
