Keep the refusals of brittle upstreams within what they bear

What callers saw: nothing yet; an upstream may announce in all answers how many refusals a second it bears, all daemons together, and fails if it has to refuse more.

Cause: daemons sent to a full upstream again at once; queues of pieces after 120 ms, and they sent calls ahead that need a free place in the upstream's queue.

While an upstream announces that, each daemon has at most its part of the upstream's slots in progress there, and after a refusal it sends nothing for twice to four times the number of daemons divided by what the upstream bears. No message is needed. Calls for pieces are not sent ahead.

`brittle_upstream_refuses_no_more_than_it_bears` fails on the code before, where requests also fail as a full upstream is tried again and again.

Not bounded: as many refusals at the moment at which the queue is taken away as there are more daemons than slots, if all of them press.

--- a/crates/basilgrade/tests/upstream_notices.rs
+++ b/crates/basilgrade/tests/upstream_notices.rs
@@ -197,3 +197,27 @@
     }
     assert!(count_arrivals(&deployment, "engine")[0] <= 1);
 }
+
+/// Guards against requests that a brittle upstream has to refuse one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn brittle_upstream_refuses_no_more_than_it_bears() {
+    let deployment = deployment::start(&["a"]).await;
+    for id in ["desk-0", "encode-0"] {
+        let upstream = deployment.upstream(id);
+        upstream.set_behaviour(upstream::Behaviour::Full);
+        upstream.announce("server-brittle", Some("1"));
+    }
+    let start = time::Instant::now();
+    let mut answers = Vec::new();
+    while start.elapsed() < time::Duration::from_secs(3) {
+        answers.extend(send_in_turn(&deployment, "/once/x", 1).await);
+        answers.extend(send_in_turn(&deployment, "/stream/x", 1).await);
+    }
+    let bearable = start.elapsed().as_secs_f64().ceil() as usize;
+
+    assert!(statuses(&answers).iter().all(|status| *status == 200));
+    for pool in ["desk", "encode"] {
+        let refused = count_arrivals(&deployment, pool)[0];
+        assert!(refused <= bearable, "{refused} refusals in {bearable} s");
+    }
+}
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use basilgrade_adapter::answer;
+use basilgrade_fleet::brittleness;
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::limit;
@@ -259,7 +260,15 @@
     }
 
     /// Records what an answer of `entry` announces about the requests that it takes.
-    pub fn record_notices(&self, entry: &upstream::Upstream, answer: &answer::Answer) {
+    ///
+    /// `daemons` is the number of daemons that send to it.
+    pub fn record_notices(
+        &self,
+        entry: &upstream::Upstream,
+        answer: &answer::Answer,
+        daemons: usize,
+    ) {
+        self.record_brittleness(entry, answer, daemons);
         if answer.state == upstream::State::Draining && entry.stats.notices.record_leaving() {
             self.metrics.leaving_notices.inc();
             log::info!(
@@ -270,9 +279,12 @@
                 answer.status.as_u16()
             );
         }
-        let Some(pause) = answer.pause else {
-            return;
-        };
+        if let Some(pause) = answer.pause {
+            self.record_pause(entry, pause);
+        }
+    }
+
+    fn record_pause(&self, entry: &upstream::Upstream, pause: clock::Millis) {
         let now = self.now();
         if entry.stats.notices.record_pause(now, now.plus(pause)) {
             self.metrics.pauses.inc();
@@ -285,6 +297,47 @@
         }
     }
 
+    fn record_brittleness(
+        &self,
+        entry: &upstream::Upstream,
+        answer: &answer::Answer,
+        daemons: usize,
+    ) {
+        let notices = &entry.stats.notices;
+        let tolerance = answer.tolerance;
+        // A rejection may come from another upstream at the address, or from a proxy before it.
+        if tolerance.is_none() && (answer.is_unexecuted || !notices.is_brittle()) {
+            return;
+        }
+        let shares = brittleness::Shares {
+            daemons,
+            slots: entry.slots,
+        };
+        let (now, active) = (self.now(), entry.stats.active());
+        let (has_changed, hold) = notices.update_brittleness(|known| {
+            let has_changed = known.record_answer(now, tolerance);
+            let hold = if answer.is_full() {
+                Some(known.record_refusal(now, shares, active, rand::random()))
+            } else {
+                known.record_success(now, shares);
+                None
+            };
+            (has_changed, hold)
+        });
+        if has_changed {
+            log::info!(
+                "event=tolerance-changed upstream={} pool={} domain={} tolerance={}",
+                entry.id,
+                entry.pool,
+                entry.domain,
+                tolerance.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+            );
+        }
+        if let Some(hold) = hold {
+            self.record_pause(entry, hold);
+        }
+    }
+
     fn log_limit(&self, entry: &upstream::Upstream, rate: Option<rate::RequestRate>) {
         self.metrics.limit_changes.inc();
         log::info!(
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -281,7 +281,8 @@
         };
         let answer = answer::Answer::decode(buffered.status, &buffered.headers, "");
         self.core.record_limit(&entry, &answer);
-        self.core.record_notices(&entry, &answer);
+        // Only the daemon that keeps the queue sends calls to its upstreams.
+        self.core.record_notices(&entry, &answer, 1);
         piece_calls::decode_answer(
             buffered.status,
             answer.is_unexecuted,
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -133,7 +133,7 @@
             Ok(Ok(reply)) => {
                 let answer = answer::Answer::decode(reply.status, &reply.headers, "");
                 if let Some(entry) = &entry {
-                    self.core.record_notices(entry, &answer);
+                    self.core.record_notices(entry, &answer, 1);
                 }
             }
             Ok(Err(failure)) => {
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -4,6 +4,7 @@
 
 use basilgrade_adapter::answer;
 use basilgrade_adapter::forwarded_head;
+use basilgrade_fleet::brittleness;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
 use basilgrade_fleet::limit;
@@ -129,7 +130,7 @@
         /// Whether other daemons may know of a limit that this one does not know.
         is_doubtful: bool,
     },
-    /// Every candidate is at its limit until this time or later.
+    /// Every candidate is at its limit, or at that of this daemon for it, until this time or later.
     Held(clock::Millis),
     /// The pool has no candidate.
     Nothing,
@@ -181,6 +182,24 @@
             held_until = Some(held_until.map_or(until, |known| known.min(until)));
         }
     }
+    let brittle = ready().filter(|entry| {
+        let notices = &entry.stats.notices;
+        notices.is_brittle() && !tried.contains(&entry.id) && !held.contains(&entry.id) && {
+            let shares = brittleness::Shares {
+                daemons: view.daemons,
+                slots: entry.slots,
+            };
+            notices
+                .brittleness()
+                .is_full(now, shares, entry.stats.active())
+        }
+    });
+    let brittle: Vec<_> = brittle.map(|entry| entry.id.clone()).collect();
+    if !brittle.is_empty() {
+        let until = now.plus(HOLD_PAUSE);
+        held_until = Some(held_until.map_or(until, |known| known.min(until)));
+        held.extend(brittle);
+    }
     let holder = largest_holder(&view.directory, results);
     let demand = placement::Demand {
         prompt: request.head.prompt.as_ref(),
@@ -312,7 +331,7 @@
         ));
     }
     core.record_limit(entry, &answer);
-    core.record_notices(entry, &answer);
+    core.record_notices(entry, &answer, core.view.load().daemons);
     if answer.is_unexecuted {
         request.end_unexecuted();
         entry.stats.record(core.now(), health::Outcome::Full);
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -180,8 +180,11 @@
             if worker.calls.len() < slots {
                 return true;
             }
+            // A brittle upstream may have no room for a call that waits.
+            let takes_waiting = !worker.upstream.stats.notices.is_brittle();
             let is_full_call = waiting >= self.profile.batch as usize;
             worker.calls.len() == slots
+                && takes_waiting
                 && is_full_call
                 && worker.free_at(now) <= now.plus(queue::SEND_AHEAD)
         };
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod batch;
+pub mod brittleness;
 pub mod budget;
 pub mod daemon;
 pub mod directory;
--- a/crates/basilgrade_fleet/src/notices.rs
+++ b/crates/basilgrade_fleet/src/notices.rs
@@ -1,14 +1,19 @@
 //! What an upstream announces in its answers about the requests that it takes.
 
+use std::sync;
 use std::sync::atomic;
 
 use basilgrade_types::clock;
 
+use crate::brittleness;
+
 /// Announcements of one run of an upstream, which end with that run.
 #[derive(Debug, Default)]
 pub struct Notices {
     is_leaving: atomic::AtomicBool,
     paused_until: atomic::AtomicU64,
+    brittleness: sync::Mutex<brittleness::Brittleness>,
+    is_brittle: atomic::AtomicBool,
 }
 
 impl Notices {
@@ -41,6 +46,30 @@
         known <= now.0 && now < until
     }
 
+    /// Whether the upstream has announced that it fails after too many refusals.
+    pub fn is_brittle(&self) -> bool {
+        self.is_brittle.load(atomic::Ordering::Relaxed)
+    }
+
+    /// How many refusals the upstream bears; changed by [`Notices::update_brittleness`].
+    pub fn brittleness(&self) -> sync::MutexGuard<'_, brittleness::Brittleness> {
+        self.brittleness
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Records an answer of the upstream as `update` does.
+    pub fn update_brittleness<T>(
+        &self,
+        update: impl FnOnce(&mut brittleness::Brittleness) -> T,
+    ) -> T {
+        let mut known = self.brittleness();
+        let updated = update(&mut known);
+        self.is_brittle
+            .store(known.is_known(), atomic::Ordering::Relaxed);
+        updated
+    }
+
     /// Whether the upstream takes requests of this daemon at `now`.
     pub fn is_open(&self, now: clock::Millis) -> bool {
         !self.is_leaving() && !self.is_paused(now)
