--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
+use indexmap::IndexMap;
 
 use super::server;
 
@@ -92,8 +93,10 @@
     pub(crate) runs: sync::Mutex<Vec<Run>>,
     /// When work on streams ended, complete or not, with the ids of their requests.
     pub(crate) ends: sync::Arc<sync::Mutex<Vec<(String, time::Instant)>>>,
-    /// Limit on the rate of requests that the answers name.
-    pub(crate) limit: sync::Mutex<Option<&'static str>>,
+    /// Number of requests that have arrived, refused ones and releases of results included.
+    pub(crate) arrivals: sync::atomic::AtomicUsize,
+    /// Headers that all answers carry, by name.
+    pub(crate) notices: sync::Mutex<IndexMap<&'static str, &'static str>>,
     /// Address that the store lists for this upstream.
     pub(crate) address: sync::OnceLock<std::net::SocketAddr>,
     /// Whether the data of each event names the upstream and the run that produced the event.
@@ -112,7 +115,16 @@
 
     /// Has all further answers name the limit `limit`, in requests per second.
     pub(crate) fn name_limit(&self, limit: Option<&'static str>) {
-        *self.limit.lock().expect("no holder of the lock panics") = limit;
+        self.announce("server-limit", limit);
+    }
+
+    /// Has all further answers carry the header `name` with this value, or not at all.
+    pub(crate) fn announce(&self, name: &'static str, value: Option<&'static str>) {
+        let mut notices = self.notices.lock().expect("no holder of the lock panics");
+        match value {
+            Some(value) => notices.insert(name, value),
+            None => notices.swap_remove(name),
+        };
     }
 
     /// Returns all runs in order of arrival.
@@ -214,11 +226,12 @@
         self: sync::Arc<Self>,
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
+        self.arrivals.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let mut answer = self.answer(request).await?;
-        let limit = *self.limit.lock().expect("no holder of the lock panics");
-        if let Some(limit) = limit {
-            let limit = hyper::header::HeaderValue::from_static(limit);
-            answer.headers_mut().insert("server-limit", limit);
+        let notices = self.notices.lock().expect("no holder of the lock panics");
+        for (name, value) in notices.iter() {
+            let value = hyper::header::HeaderValue::from_static(value);
+            answer.headers_mut().insert(*name, value);
         }
         Some(answer)
     }
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use basilgrade_adapter::answer;
+use basilgrade_fleet::brittleness;
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
@@ -106,7 +107,7 @@
         let view = self.view.load();
         view.directory
             .get(id)
-            .is_some_and(|entry| entry.address == address && entry.state == upstream::State::Ready)
+            .is_some_and(|entry| entry.address == address && entry.is_accepting(self.now()))
     }
 
     /// Whether `entry` still has the software version that it had when it was chosen; an upstream may
@@ -285,6 +286,85 @@
         }
     }
 
+    /// Records what an answer of `entry` announces about the requests that it takes.
+    ///
+    /// `daemons` is the number of daemons that send to it.
+    pub fn record_notices(
+        &self,
+        entry: &upstream::Upstream,
+        answer: &answer::Answer,
+        daemons: usize,
+    ) {
+        self.record_brittleness(entry, answer, daemons);
+        if answer.state == upstream::State::Draining && entry.stats.notices.record_leaving() {
+            self.metrics.leaving_notices.inc();
+            log::info!(
+                "event=upstream-leaving upstream={} pool={} domain={} status={}",
+                entry.id,
+                entry.pool,
+                entry.domain,
+                answer.status.as_u16()
+            );
+        }
+        if let Some(pause) = answer.pause {
+            self.record_pause(entry, pause);
+        }
+    }
+
+    fn record_pause(&self, entry: &upstream::Upstream, pause: clock::Millis) {
+        let now = self.now();
+        if entry.stats.notices.record_pause(now, now.plus(pause)) {
+            self.metrics.pauses.inc();
+            log::info!(
+                "event=upstream-paused upstream={} pool={} domain={} wait={pause}",
+                entry.id,
+                entry.pool,
+                entry.domain
+            );
+        }
+    }
+
+    fn record_brittleness(
+        &self,
+        entry: &upstream::Upstream,
+        answer: &answer::Answer,
+        daemons: usize,
+    ) {
+        let notices = &entry.stats.notices;
+        let tolerance = answer.tolerance;
+        // A rejection may come from another upstream at the address, or from a proxy before it.
+        if tolerance.is_none() && (answer.is_unexecuted || !notices.is_brittle()) {
+            return;
+        }
+        let shares = brittleness::Shares {
+            daemons,
+            slots: entry.slots,
+        };
+        let (now, active) = (self.now(), entry.stats.active());
+        let (has_changed, hold) = notices.update_brittleness(|known| {
+            let has_changed = known.record_answer(now, tolerance);
+            let hold = if answer.is_full() {
+                Some(known.record_refusal(now, shares, active, rand::random()))
+            } else {
+                known.record_success(now, shares);
+                None
+            };
+            (has_changed, hold)
+        });
+        if has_changed {
+            log::info!(
+                "event=tolerance-changed upstream={} pool={} domain={} tolerance={}",
+                entry.id,
+                entry.pool,
+                entry.domain,
+                tolerance.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+            );
+        }
+        if let Some(hold) = hold {
+            self.record_pause(entry, hold);
+        }
+    }
+
     fn log_limit(&self, entry: &upstream::Upstream, rate: Option<rate::RequestRate>) {
         self.metrics.limit_changes.inc();
         log::info!(
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -3,6 +3,7 @@
 use std::mem;
 use std::sync;
 
+use basilgrade_adapter::answer;
 use basilgrade_adapter::piece_calls;
 use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
@@ -85,8 +86,25 @@
             return;
         };
         let entry = self.core.view.load().directory.at(address).cloned();
-        if let Some(entry) = entry
-            && permits::acquire(&self.core, &entry, limit::Claim::Any, false)
+        // The memory of an upstream that is leaving serves no further call.
+        if entry
+            .as_ref()
+            .is_some_and(|entry| entry.stats.notices.is_leaving())
+        {
+            return;
+        }
+        let paused_until = || {
+            let entry = entry.as_ref();
+            entry.map_or(clock::Millis::ZERO, |entry| {
+                entry.stats.notices.paused_until()
+            })
+        };
+        let pause = paused_until() - self.core.now();
+        if pause > clock::Millis::ZERO {
+            tokio::time::sleep(pause.duration()).await;
+        }
+        if let Some(entry) = &entry
+            && permits::acquire(&self.core, entry, limit::Claim::Any, false)
                 .await
                 .is_err()
         {
@@ -108,9 +126,16 @@
         let call = self
             .core
             .connections
-            .call(address, message, "", CONNECT_TIMEOUT);
+            .call_while(address, message, "", CONNECT_TIMEOUT, |_| {
+                self.core.now() >= paused_until()
+            });
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
-            Ok(Ok(_)) => {}
+            Ok(Ok(reply)) => {
+                let answer = answer::Answer::decode(reply.status, &reply.headers, "");
+                if let Some(entry) = &entry {
+                    self.core.record_notices(entry, &answer, 1);
+                }
+            }
             Ok(Err(failure)) => {
                 log::info!(
                     "event=release-failed holder={holder} reason={:?}",
