Read pages of newest records past odd items and keys

Here, a daemon that loads the newest records (at its start, after an expiry, after a restore) failed on each try, and never became ready if no other daemon could tell it what the store holds.

Cause: a page was decoded as a whole, so that one item with another type of field, deep nesting, a lone surrogate or bytes that are no UTF-8 rejected all of them; and the key after which the next page begins was put into the query unencoded, so that a key with a space gave no request at all and one with `&` another query.

Items are decoded one by one; those that fail are counted, at each load only as far as there are more than at the load before. A store that repeats a page gives an error in place of an endless load.

The stand-in of the store takes keys that are no text, and can answer in pages.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -12,7 +12,7 @@
 use super::server;
 
 /// Keys and values of one topic, in the order of their offsets.
-type Records = Vec<(String, Vec<u8>)>;
+type Records = Vec<(Vec<u8>, Vec<u8>)>;
 
 /// Copy of all topics of a store.
 pub(crate) struct Copy(IndexMap<String, Records>);
@@ -24,6 +24,8 @@
     changed: tokio::sync::Notify,
     /// Number of times that the topics were replaced by an older copy.
     era: std::sync::atomic::AtomicU64,
+    /// Most keys in a page of the newest records; all are in one page if this is not set.
+    page_keys: sync::OnceLock<usize>,
     /// Reads of the topic `keyed.servers`.
     reads: std::sync::atomic::AtomicUsize,
 }
@@ -36,16 +38,39 @@
     Some(pair.to_owned())
 }
 
+/// Decodes the percent-encoded text of a query.
+fn decode_query(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut parts = text.split('%');
+    bytes.extend_from_slice(parts.next().unwrap_or_default().as_bytes());
+    for part in parts {
+        let (digits, rest) = part.split_at(2);
+        bytes.push(u8::from_str_radix(digits, 16).expect("two hexadecimal digits follow a `%`"));
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 impl Store {
     /// Appends a record and wakes the waiting readers.
     pub(crate) fn put(&self, topic: &str, key: &str, value: &str) {
+        self.put_bytes(topic, key.as_bytes(), value.as_bytes());
+    }
+
+    /// Appends a record whose key and value need not be text, and wakes the waiting readers.
+    pub(crate) fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
         let mut topics = self.topics.lock().expect("no holder of the lock panics");
         let records = topics.entry(topic.to_owned()).or_default();
-        records.push((key.to_owned(), value.as_bytes().to_vec()));
+        records.push((key.to_vec(), value.to_vec()));
         drop(topics);
         self.changed.notify_waiters();
     }
 
+    /// Has each page of the newest records hold at most `keys` keys.
+    pub(crate) fn limit_pages(&self, keys: usize) {
+        self.page_keys.set(keys).expect("the limit is set once");
+    }
+
     /// Copies all topics.
     pub(crate) fn copy(&self) -> Copy {
         let topics = self.topics.lock().expect("no holder of the lock panics");
@@ -72,9 +97,10 @@
         let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
         let mut newest = IndexMap::new();
         for (key, value) in records {
-            newest.shift_remove(key);
+            let key = String::from_utf8_lossy(key).into_owned();
+            newest.shift_remove(&key);
             if !value.is_empty() {
-                newest.insert(key.clone(), value.clone());
+                newest.insert(key, value.clone());
             }
         }
         (newest, records.len())
@@ -101,7 +127,7 @@
             let length = 1 + key.len() + value.len();
             body.extend_from_slice(&(length as u32).to_be_bytes());
             body.push(key.len() as u8);
-            body.extend_from_slice(key.as_bytes());
+            body.extend_from_slice(key);
             body.extend_from_slice(value);
         }
         body
@@ -133,19 +159,24 @@
         Response::new(server::full_body(self.encode_records(topic, from)))
     }
 
-    /// Encodes the newest record of each key and the end offset as one page.
-    fn newest_page(&self, topic: &str) -> Response<server::Body> {
+    /// Encodes the newest records of the keys that follow `after`, and the end offset, as one page.
+    fn newest_page(&self, topic: &str, after: Option<&str>) -> Response<server::Body> {
         use base64::Engine as _;
-        let (newest, end_offset) = self.newest_and_end(topic);
+        let (mut newest, end_offset) = self.newest_and_end(topic);
+        newest.sort_unstable_keys();
+        newest.retain(|key, _| after.is_none_or(|after| key.as_str() > after));
+        let page_keys = self.page_keys.get().copied().unwrap_or(usize::MAX);
+        let has_more = newest.len() > page_keys;
         let items: Vec<_> = newest
             .into_iter()
+            .take(page_keys)
             .map(|(key, value)| {
                 let value = base64::prelude::BASE64_STANDARD.encode(value);
                 serde_json::json!({"key": key, "value": value, "offset": 0})
             })
             .collect();
         let page = serde_json::json!({
-            "items": items, "has-more": false, "end-offset": end_offset,
+            "items": items, "has-more": has_more, "end-offset": end_offset,
         });
         Response::new(server::full_body(page.to_string()))
     }
@@ -158,8 +189,7 @@
             let (record, next) = content.split_at(u32::from_be_bytes(*length) as usize);
             rest = next;
             let (key, value) = record[1..].split_at(record[0] as usize);
-            let (key, value) = (String::from_utf8_lossy(key), String::from_utf8_lossy(value));
-            self.put(topic, &key, &value);
+            self.put_bytes(topic, key, value);
         }
         Response::new(server::full_body("{}"))
     }
@@ -173,7 +203,10 @@
         let topic = query_parameter(&request, "topic")?;
         let mut answer = match request.uri().path() {
             "/basilgrade/log-read" => self.read(&request, &topic).await,
-            "/basilgrade/log-newest" => self.newest_page(&topic),
+            "/basilgrade/log-newest" => {
+                let after = query_parameter(&request, "after");
+                self.newest_page(&topic, after.map(|after| decode_query(&after)).as_deref())
+            }
             "/basilgrade/log-append" => self.append(&topic, request.body()),
             _ => return None,
         };
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -1,6 +1,7 @@
 //! Reads a topic from the store: first the newest record of each key, then appended records.
 
 use std::sync;
+use std::sync::atomic;
 
 use basilgrade_adapter::record;
 use basilgrade_adapter::store;
@@ -55,6 +56,8 @@
     core: sync::Arc<core::Core>,
     mirrors: sync::Arc<mirrors::Mirrors>,
     topic: store::Topic,
+    /// Number of malformed records among the newest ones at the last load.
+    malformed: atomic::AtomicUsize,
 }
 
 impl TopicReader {
@@ -67,6 +70,7 @@
             core,
             mirrors,
             topic,
+            malformed: atomic::AtomicUsize::new(0),
         }
     }
 
@@ -125,6 +129,7 @@
     async fn load_newest(&self) -> Result<(), String> {
         let address = self.core.settings.load().store;
         let mut records = Vec::new();
+        let mut malformed = 0;
         let mut after = None;
         let mut position: Option<position::Position> = None;
         loop {
@@ -148,12 +153,18 @@
                     .into_iter()
                     .filter_map(|record| Some((record.key, record.value?))),
             );
+            malformed += page.unreadable;
+            if after.is_some() && page.resume_key == after {
+                return Err("the store sends the same page of newest records again".to_owned());
+            }
             after = page.resume_key;
             if after.is_none() {
                 break;
             }
         }
         self.mirrors.record_store_answer();
+        let known = self.malformed.swap(malformed, atomic::Ordering::Relaxed);
+        self.report_malformed(malformed.saturating_sub(known));
         let position = position.unwrap_or_default();
         log::info!(
             "event=topic-loaded topic={} records={} position={position}",
@@ -219,6 +230,17 @@
         Ok(())
     }
 
+    /// Counts and logs malformed records of one answer of the store.
+    fn report_malformed(&self, count: usize) {
+        if count > 0 {
+            self.core.metrics.unreadable_records.add(count as u64);
+            log::warn!(
+                "event=records-unreadable topic={} records={count}",
+                self.topic.as_str()
+            );
+        }
+    }
+
     /// Reads appended records once; `false` if the store has expired some that were not yet read, or
     /// was restored from a copy.
     async fn read_appended(&self, wait: clock::Millis) -> Result<bool, String> {
@@ -243,13 +265,7 @@
         };
         if !records.is_empty() {
             let unreadable = records.iter().filter(|record| record.is_none()).count();
-            if unreadable > 0 {
-                self.core.metrics.unreadable_records.add(unreadable as u64);
-                log::warn!(
-                    "event=records-unreadable topic={} records={unreadable}",
-                    self.topic.as_str()
-                );
-            }
+            self.report_malformed(unreadable);
             let records = records
                 .into_iter()
                 .flatten()
