Count and log each unreadable record once

An odd record among those of the daemons was counted and logged at each change of the topic, and any other at each reload; the reason repeated the text of the record, of up to 262,144 bytes, so that one record could fill the buffer of the log and push other lines out.

Cause: nobody remembered what had been reported, and the reasons of decoders hold the values that they reject.

A daemon remembers the hash of the unreadable value of each key. A value is counted once, and a line is written only if the key was readable or absent before. Unreadable records of the log of streams give one line for each read. What an odd record leaves in force is unchanged.

--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -13,3 +13,4 @@
 pub mod register;
 mod restored;
 pub mod stream_log;
+pub mod unreadable;
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -16,6 +16,7 @@
 use crate::follow::origin;
 use crate::follow::position;
 use crate::follow::restored;
+use crate::follow::unreadable;
 use crate::peers::service;
 
 /// Mirrors of all topics, the registered daemons, and whether the store answers.
@@ -26,6 +27,7 @@
     is_store_reachable: atomic::AtomicBool,
     outages: sync::Mutex<outage::OutageDetector>,
     latest: sync::Mutex<latest::Latest>,
+    unreadable: sync::Mutex<unreadable::UnreadableRecords>,
     regained: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
     is_reading: tokio::sync::watch::Sender<bool>,
@@ -59,6 +61,7 @@
             is_store_reachable: atomic::AtomicBool::new(false),
             outages: sync::Mutex::new(outage::OutageDetector::new(heartbeat)),
             latest: sync::Mutex::default(),
+            unreadable: sync::Mutex::default(),
             regained: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
             is_reading: tokio::sync::watch::Sender::new(true),
@@ -88,6 +91,31 @@
             .collect()
     }
 
+    fn lock_unreadable(&self) -> sync::MutexGuard<'_, unreadable::UnreadableRecords> {
+        self.unreadable
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Counts a record that cannot be decoded, once for each value of its key, and logs it unless
+    /// the key had an unreadable value before; `kind` names the kind of record.
+    fn report_unreadable(
+        &self,
+        topic: store::Topic,
+        kind: &str,
+        (key, value): (&str, &[u8]),
+        reason: &str,
+    ) {
+        let novelty = self.lock_unreadable().insert(topic, key, value);
+        if novelty == unreadable::Novelty::Known {
+            return;
+        }
+        self.core.metrics.unreadable_records.inc();
+        if novelty == unreadable::Novelty::New {
+            log::warn!("event={kind}-unreadable {kind}={key:?} reason={reason:?}");
+        }
+    }
+
     /// Positions of all mirrors, in the order of [`TOPICS`].
     pub fn positions(&self) -> [Option<position::Position>; 3] {
         self.lock().each_ref().map(mirror::Mirror::position)
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -11,10 +11,10 @@
 use basilgrade_fleet::directory;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
-use basilgrade_types::id;
 use bytes::Bytes;
 use compact_str::CompactString;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::follow::mirror;
 use crate::follow::mirrors;
@@ -31,20 +31,19 @@
         let newest = records
             .filter(|(key, _)| store::is_configuration_key(key))
             .last();
-        let Some((_, value)) = newest else {
+        let topic = store::Topic::Operators;
+        let Some((key, value)) = newest else {
             return;
         };
         let configuration = match configuration::decode(value) {
             Ok(configuration) => configuration,
             Err(reason) => {
-                self.core.metrics.unreadable_records.inc();
-                log::error!(
-                    "event=configuration-unreadable reason={:?}",
-                    reason.to_string()
-                );
+                let reason = reason.to_string();
+                self.report_unreadable(topic, "configuration", (key, value), &reason);
                 return;
             }
         };
+        self.lock_unreadable().remove(topic, key);
         let known = self.core.view.load().configuration.clone();
         let version = configuration.version;
         let previous = known.map_or(0, |known| known.version);
@@ -80,12 +79,17 @@
                     .filter(|id| !records.iter().any(|(key, _)| key == id.as_str()))
                     .map(|id| (CompactString::new(id.as_str()), None))
                     .collect();
+                self.lock_unreadable()
+                    .retain(store::Topic::Upstreams, |known| {
+                        records.iter().any(|(key, _)| key == known)
+                    });
                 let present = records.into_iter().map(|(key, value)| (key, Some(value)));
                 present.chain(gone).collect()
             }
         };
         for (key, value) in records {
-            has_changed |= self.update_upstream(&mut directory, &key, value, origin, is_uncertain);
+            has_changed |=
+                self.update_upstream(&mut directory, &key, value.as_ref(), origin, is_uncertain);
         }
         if has_changed || !self.core.view.load().has_upstreams {
             self.publish_directory(directory);
@@ -96,15 +100,21 @@
         &self,
         directory: &mut directory::Directory,
         key: &str,
-        value: Option<Bytes>,
+        value: Option<&Bytes>,
         origin: origin::Origin,
         is_uncertain: bool,
     ) -> bool {
+        let topic = store::Topic::Upstreams;
+        let decoded = value.map(|value| upstream_registration::decode(key, value));
+        if let (Some(value), Some(Err(reason))) = (value, &decoded) {
+            self.report_unreadable(topic, "upstream", (key, value), &reason.to_string());
+        } else {
+            self.lock_unreadable().remove(topic, key);
+        }
         let Ok(id) = key.parse() else {
-            self.core.metrics.unreadable_records.inc();
             return false;
         };
-        let Some(value) = value else {
+        let Some(decoded) = decoded else {
             self.lock_latest().record_removal(self.core.now(), &id);
             if directory.get(&id).is_none() {
                 return false;
@@ -120,42 +130,33 @@
             }
             return true;
         };
-        match upstream_registration::decode(key, &value) {
-            Ok(entry) => {
-                self.lock_latest().record(&entry);
-                let known = directory.get(&id);
-                let is_same = known
-                    .is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
-                if is_same && !directory.has_missing() {
-                    return false;
-                }
-                if !is_same {
-                    log::info!(
-                        "event=upstream-changed upstream={id} pool={} address={} domain={} \
-                         state={:?} started_at={} sequence={} origin={}",
-                        entry.pool,
-                        entry.address,
-                        entry.domain,
-                        entry.state,
-                        entry.started_at.unwrap_or_default(),
-                        entry.sequence.unwrap_or_default(),
-                        origin.as_str()
-                    );
-                }
-                directory.put(entry);
-                true
-            }
-            Err(reason) => {
-                self.core.metrics.unreadable_records.inc();
-                log::warn!(
-                    "event=upstream-unreadable upstream={id} reason={:?}",
-                    reason.to_string()
-                );
-                let was_known = directory.get(&id).is_some();
-                directory.remove(&id);
-                was_known
-            }
+        let known = directory.get(&id);
+        let Ok(entry) = decoded else {
+            let was_known = known.is_some();
+            directory.remove(&id);
+            return was_known;
+        };
+        self.lock_latest().record(&entry);
+        let is_same =
+            known.is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
+        if is_same && !directory.has_missing() {
+            return false;
+        }
+        if !is_same {
+            log::info!(
+                "event=upstream-changed upstream={id} pool={} address={} domain={} state={:?} \
+                 started_at={} sequence={} origin={}",
+                entry.pool,
+                entry.address,
+                entry.domain,
+                entry.state,
+                entry.started_at.unwrap_or_default(),
+                entry.sequence.unwrap_or_default(),
+                origin.as_str()
+            );
         }
+        directory.put(entry);
+        true
     }
 
     fn publish_directory(&self, directory: directory::Directory) {
@@ -181,28 +182,6 @@
         self.publish_directory(directory);
     }
 
-    /// Decodes evidence; `None` if it has expired or is unreadable.
-    fn decode_evidence(
-        &self,
-        key: &str,
-        value: &Bytes,
-    ) -> Option<((suspects::Suspect, id::VmId), suspects::Evidence)> {
-        match evidence::decode(key, value) {
-            Ok((known, evidence)) => {
-                let is_valid = evidence.seen_at.plus(suspects::EVIDENCE_TTL) >= self.core.now();
-                is_valid.then_some((known, evidence))
-            }
-            Err(reason) => {
-                self.core.metrics.unreadable_records.inc();
-                log::warn!(
-                    "event=evidence-unreadable key={key:?} reason={:?}",
-                    reason.to_string()
-                );
-                None
-            }
-        }
-    }
-
     pub(super) fn update_daemons(&self) {
         let now = self.core.now();
         let records = self.lock()[mirrors::topic_index(store::Topic::Daemons)]
@@ -210,25 +189,34 @@
             .clone();
         let mut daemons = Vec::new();
         let mut others = IndexMap::<_, IndexMap<_, _>>::new();
+        let mut unreadable = IndexSet::new();
         for (key, value) in &records {
-            if evidence::is_key(key) {
-                if let Some(((suspect, daemon), evidence)) = self.decode_evidence(key, value) {
-                    others.entry(suspect).or_default().insert(daemon, evidence);
+            let (kind, reason) = if evidence::is_key(key) {
+                match evidence::decode(key, value) {
+                    Ok((_, evidence)) if evidence.seen_at.plus(suspects::EVIDENCE_TTL) < now => {
+                        continue;
+                    }
+                    Ok(((suspect, daemon), evidence)) => {
+                        others.entry(suspect).or_default().insert(daemon, evidence);
+                        continue;
+                    }
+                    Err(reason) => ("evidence", reason.to_string()),
                 }
-                continue;
-            }
-            match registration::decode(key, value) {
-                Ok(daemon) if daemon.seen_at.plus(REGISTRATION_AGE) >= now => daemons.push(daemon),
-                Ok(_) => {}
-                Err(reason) => {
-                    self.core.metrics.unreadable_records.inc();
-                    log::warn!(
-                        "event=daemon-unreadable daemon={key:?} reason={:?}",
-                        reason.to_string()
-                    );
+            } else {
+                match registration::decode(key, value) {
+                    Ok(daemon) if daemon.seen_at.plus(REGISTRATION_AGE) < now => continue,
+                    Ok(daemon) => {
+                        daemons.push(daemon);
+                        continue;
+                    }
+                    Err(reason) => ("daemon", reason.to_string()),
                 }
-            }
+            };
+            self.report_unreadable(store::Topic::Daemons, kind, (key, value), &reason);
+            unreadable.insert(key.as_str());
         }
+        self.lock_unreadable()
+            .retain(store::Topic::Daemons, |key| unreadable.contains(key));
         self.core.suspects().replace_others(others);
         let own = self.core.settings.load().name.clone();
         let domain = self.core.settings.load().domain.clone();
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -141,19 +141,22 @@
             return Ok(false);
         };
         let now = self.core.now();
+        let mut unreadable = Vec::new();
         for record in records {
             let value = record.and_then(|record| record.value);
             match value.map(|value| stream_record::decode(&value)) {
                 Some(Ok((shared_at, batch))) => {
                     self.core.streams().merge(now, shared_at, batch);
                 }
-                Some(Err(reason)) => {
-                    self.core.metrics.unreadable_records.inc();
-                    log::warn!("event=streams-unreadable reason={:?}", reason.to_string());
-                }
-                None => self.core.metrics.unreadable_records.inc(),
+                Some(Err(reason)) => unreadable.push(reason.to_string()),
+                None => unreadable.push("the record is malformed".to_owned()),
             }
         }
+        if let Some(reason) = unreadable.first() {
+            let count = unreadable.len();
+            self.core.metrics.unreadable_records.add(count as u64);
+            log::warn!("event=streams-unreadable records={count} reason={reason:?}");
+        }
         position.next = Some(next);
         Ok(next >= end)
     }
--- a/crates/basilgrade_edge/tests/odd_records.rs
+++ b/crates/basilgrade_edge/tests/odd_records.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::sync;
+use std::sync::atomic;
 
 use basilgrade_adapter::store;
 use basilgrade_edge::core;
@@ -19,6 +20,36 @@
 /// Maximum size of a record of the store.
 const RECORD_BYTES: usize = 262_144;
 
+/// Key of the record whose log lines are counted.
+const FLOOD: &str = "flood";
+
+/// Counts the lines that name [`FLOOD`] and remembers the longest of all lines.
+struct LineCounter {
+    lines: atomic::AtomicUsize,
+    longest: atomic::AtomicUsize,
+}
+
+static LINES: LineCounter = LineCounter {
+    lines: atomic::AtomicUsize::new(0),
+    longest: atomic::AtomicUsize::new(0),
+};
+
+impl log::Log for LineCounter {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        let line = record.args().to_string();
+        if line.contains(FLOOD) {
+            self.lines.fetch_add(1, atomic::Ordering::SeqCst);
+        }
+        self.longest.fetch_max(line.len(), atomic::Ordering::SeqCst);
+    }
+
+    fn flush(&self) {}
+}
+
 fn replaced(from: &str, to: &str) -> Bytes {
     let value = UPSTREAM.replacen(from, to, 1);
     assert_ne!(value, UPSTREAM, "`{from}` does not occur");
@@ -200,3 +231,82 @@
         }
     }
 }
+
+/// Guards against registrations and evidence of daemons that are lost because of an odd record among
+/// them.
+#[test]
+fn odd_records_among_those_of_daemons_are_left_out() {
+    let daemon = |seen_ms: &str| {
+        format!(r#"{{"peer-address":"127.0.0.1:6","domain":"a","seen-ms":{seen_ms}}}"#)
+    };
+    let evidence = |crash: &str| {
+        format!(r#"{{"crashes":{{"i@1":{crash}}},"answered-ms":0,"seen-ms":18446744073709551615}}"#)
+    };
+    let max = u64::MAX.to_string();
+    for source in [Source::Log, Source::Newest, Source::Peer] {
+        let mut follower = Follower::new();
+        let mut records: Records = Vec::new();
+        for (number, odd) in odd_values().into_iter().enumerate() {
+            records.push((
+                compact_str::format_compact!("vm-{number}"),
+                Some(odd.clone()),
+            ));
+            records.push((
+                compact_str::format_compact!("part:{number}:vm-{number}"),
+                Some(odd),
+            ));
+        }
+        records.extend(
+            odd_keys()
+                .into_iter()
+                .map(|key| (key, Some(Bytes::from("1")))),
+        );
+        records.push(record("part:1:", &evidence(&max)));
+        records.push(record("part:1:vm-1", &evidence("1e400")));
+        records.push(record("vm-x", &daemon("1e400")));
+        let odd = records.iter().map(|(key, _)| key);
+        let odd: std::collections::HashSet<_> = odd.collect();
+        let odd = odd.len() as u64;
+        records.push(record("vm-one", &daemon(&max)));
+        records.push(record("request:1:vm-one", &evidence(&max)));
+
+        follower.read(source, store::Topic::Daemons, records);
+
+        let names: Vec<_> = follower
+            .mirrors
+            .daemons()
+            .into_iter()
+            .map(|known| known.name)
+            .collect();
+        assert_eq!(names.len(), 1, "{source:?} {names:?}");
+        assert_eq!(follower.unreadable(), odd, "{source:?}");
+    }
+}
+
+/// Guards against a flood of log lines, or one long line, because of an odd record that is read again
+/// and again.
+#[test]
+fn odd_record_is_logged_and_counted_once() {
+    let text = "\\u0001".repeat((RECORD_BYTES - 300) / 6);
+    let odd = replaced("\"pool\"", &format!("\"{text}\""));
+    let mut follower = Follower::new();
+    log::set_logger(&LINES).expect("no other logger is set");
+    log::set_max_level(log::LevelFilter::Info);
+
+    for topic in [store::Topic::Upstreams, store::Topic::Daemons] {
+        let counted = follower.unreadable();
+        for number in 0..20 {
+            let other = compact_str::format_compact!("i-{number}");
+            let records = vec![
+                (CompactString::new(FLOOD), Some(odd.clone())),
+                (other, None),
+            ];
+            follower.read(Source::Newest, topic, records.clone());
+            follower.read(Source::Log, topic, records);
+        }
+        assert_eq!(follower.unreadable() - counted, 1, "{topic:?}");
+    }
+
+    assert_eq!(LINES.lines.load(atomic::Ordering::SeqCst), 2);
+    assert!(LINES.longest.load(atomic::Ordering::SeqCst) < 4096);
+}
