Keep the newest readable configuration in force

An unreadable configuration hid a readable one: the one before it in the same answer of the store or of a daemon was never taken over, and a daemon that started while the newest record was unreadable got no configuration at all, as the others passed that record on in place of the one by which they served. An unreadable record that another daemon told of replaced the good one in the mirror. The users' store accepts valid configurations only, so this takes a damaged record or one of a newer format.

Cause: only the last record of an answer was looked at, and the mirror holds one value for each key.

Of the configurations in an answer, the readable one of the highest version is taken over. A daemon keeps the record of the configuration in force and adds it when it passes all records of the topic on. The unreadable record is passed on as before, since a daemon of a newer version may be able to read it. Daemons without this change look at the last record of an answer, as before.

--- a/crates/basilgrade/tests/odd_entries.rs
+++ b/crates/basilgrade/tests/odd_entries.rs
@@ -5,6 +5,41 @@
 use edge_support::client;
 use edge_support::deployment;
 
+const TOPICS: [&str; 4] = ["keyed.servers", "keyed.status", "keyed.op", "streams"];
+
+/// Values that no reader of the store can use; `address` is that of a live upstream.
+fn odd_values(address: &str) -> Vec<Vec<u8>> {
+    let entry = |slots: &str, address: &str| {
+        format!(
+            r#"{{"service":"desk","address":"{address}","zone":"a","version":"v1","slots":{slots},
+               "state":"ready","sequence":1,"at-ms":{slots},"seen-ms":{slots},"pools":{slots}}}"#
+        )
+        .into_bytes()
+    };
+    vec![
+        "[".repeat(100_000).into_bytes(),
+        entry(&"{\"a\":".repeat(20_000), address),
+        entry("1e400", address),
+        entry("340282366920938463463374607431768211456", address),
+        entry("-1.5", address),
+        entry("8", "127.0.0.1:70000"),
+        entry("8", "127.0.0.1:0"),
+        b"\xff\xfe\x00".to_vec(),
+        vec![b'"'; 262_000],
+    ]
+}
+
+/// Keys that are no name, among them one that ends a page of the newest records.
+fn odd_keys() -> Vec<Vec<u8>> {
+    let junk: Vec<u8> = (0..255).collect();
+    vec![
+        Vec::new(),
+        junk,
+        b"a b&after=%".to_vec(),
+        b"\xff\xfe".to_vec(),
+    ]
+}
+
 /// Sends `count` requests to every daemon, all of which must be served.
 async fn assert_served(deployment: &deployment::Deployment, phase: &str, count: usize) {
     for daemon in &deployment.daemons {
@@ -18,6 +53,86 @@
     }
 }
 
+/// Waits until every daemon serves a request with the API key `key`.
+async fn wait_until_served(deployment: &deployment::Deployment, key: &str) {
+    for daemon in &deployment.daemons {
+        deployment::wait_until("the configuration is in force", || async {
+            let request = client::request_with_key("probe", "GET", "/safe/x", key);
+            let answer = client::send(daemon.caller_address, request, "").await;
+            answer.is_some_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+}
+
+/// Guards against daemons that end, stop to follow the store or lose what it holds because of odd
+/// entries, whether they read them from its log, among its newest records or from another daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_entries_stop_no_daemon() {
+    let mut deployment = deployment::start(&["a", "a", "b"]).await;
+    let address = deployment.upstream("desk-0").address.get();
+    let address = address.expect("the upstream was started").to_string();
+
+    for topic in TOPICS {
+        for (number, value) in odd_values(&address).iter().enumerate() {
+            let key = if topic == "keyed.op" { "config" } else { "odd" };
+            let key = format!("{key}-{number}");
+            deployment.store.put_bytes(topic, key.as_bytes(), value);
+            deployment.store.put_bytes(topic, b"config", value);
+            deployment.store.put_bytes(topic, b"desk-1", value);
+            let part = format!("part:{number:x}:vm-0");
+            deployment.store.put_bytes(topic, part.as_bytes(), value);
+        }
+        for key in odd_keys() {
+            deployment.store.put_bytes(topic, &key, b"{}");
+        }
+    }
+    deployment.publish(&deployment::configuration(2, &["key-one", "key-two"]));
+    wait_until_served(&deployment, "key-two").await;
+    // The entries of `desk-1` were replaced by odd ones.
+    deployment::wait_until("no request reaches `desk-1`", || async {
+        let before = deployment.upstream("desk-1").runs().len();
+        assert_served(&deployment, "odd", 4).await;
+        deployment.upstream("desk-1").runs().len() == before
+    })
+    .await;
+
+    deployment.add_daemon("vm-new-a", "a");
+    deployment.add_daemon("vm-new-c", "c");
+    for number in 3..5 {
+        deployment.wait_until_ready(number).await;
+    }
+    deployment.add_upstream("desk", 2).await;
+    deployment.register_again("desk", 1, "ready", 2);
+    for (number, daemon) in deployment.daemons.iter().enumerate() {
+        let name = format!("again-{number}");
+        deployment::wait_until("the daemon uses the new entries", || async {
+            let request = client::request(&name, "GET", "/safe/x");
+            let answer = client::send(daemon.caller_address, request, "").await;
+            assert_eq!(answer.map(|answer| answer.status), Some(200));
+            let has_run = |id| {
+                let runs = deployment.upstream(id).runs();
+                runs.iter().any(|run| run.request == name)
+            };
+            has_run("desk-1") && has_run("desk-2")
+        })
+        .await;
+    }
+    for number in 0..5 {
+        assert!(deployment.is_ready(number).await);
+    }
+    // The log of streams is read when a caller takes up a stream that the daemon did not begin.
+    for daemon in &deployment.daemons {
+        let request = client::request("taken-up", "POST", "/stream-resumable/plan")
+            .header("last-event-id", "3");
+        let answer = client::send(daemon.caller_address, request, "").await;
+        let answer = answer.expect("the daemon answers");
+        assert_eq!((answer.status, answer.is_whole), (200, true), "{answer:?}");
+    }
+    deployment.publish(&deployment::configuration(3, &["key-one", "key-three"]));
+    wait_until_served(&deployment, "key-three").await;
+}
+
 /// Guards against a daemon that cannot read on after a page of the newest records, because the key at
 /// its end is no name.
 #[tokio::test(flavor = "multi_thread")]
@@ -35,3 +150,18 @@
 
     assert_served(&deployment, "paged", 1).await;
 }
+
+/// Guards against a daemon without a configuration because the newest one was odd when it started.
+#[tokio::test(flavor = "multi_thread")]
+async fn starting_daemon_learns_the_last_readable_configuration() {
+    let mut deployment = deployment::start(&["a", "b"]).await;
+    deployment.publish("{\"version\":1e400}");
+
+    for domain in ["a", "c"] {
+        deployment.add_daemon(&format!("vm-new-{domain}"), domain);
+        let number = deployment.daemons.len() - 1;
+        deployment.wait_until_ready(number).await;
+    }
+
+    assert_served(&deployment, "started", 1).await;
+}
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -10,6 +10,8 @@
 use basilgrade_fleet::directory::latest;
 use basilgrade_fleet::outage;
 use basilgrade_types::clock;
+use bytes::Bytes;
+use compact_str::CompactString;
 
 use crate::core;
 use crate::follow::mirror;
@@ -27,6 +29,8 @@
     is_store_reachable: atomic::AtomicBool,
     outages: sync::Mutex<outage::OutageDetector>,
     latest: sync::Mutex<latest::Latest>,
+    /// Record of the configuration in force; newer ones may be unreadable.
+    in_force: sync::Mutex<Option<(CompactString, Bytes)>>,
     unreadable: sync::Mutex<unreadable::UnreadableRecords>,
     regained: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
@@ -61,6 +65,7 @@
             is_store_reachable: atomic::AtomicBool::new(false),
             outages: sync::Mutex::new(outage::OutageDetector::new(heartbeat)),
             latest: sync::Mutex::default(),
+            in_force: sync::Mutex::default(),
             unreadable: sync::Mutex::default(),
             regained: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
@@ -86,11 +91,33 @@
     pub fn since(&self, positions: [Option<position::Position>; 3]) -> Vec<mirror::Update> {
         let mirrors = self.lock();
         let pairs = mirrors.iter().zip(positions);
-        pairs
-            .filter_map(|(mirror, known)| mirror.since(known))
+        let updates = pairs.filter_map(|(mirror, known)| mirror.since(known));
+        updates
+            .map(|update| self.with_configuration(update))
             .collect()
     }
 
+    /// Adds the configuration in force to `update` if that has all records of its topic but not this
+    /// one, as a newer one is unreadable.
+    fn with_configuration(&self, mut update: mirror::Update) -> mirror::Update {
+        if update.topic != store::Topic::Operators {
+            return update;
+        }
+        if let mirror::Changes::All(records) = &mut update.changes
+            && let Some(in_force) = self.lock_in_force().clone()
+            && !records.contains(&in_force)
+        {
+            records.insert(0, in_force);
+        }
+        update
+    }
+
+    fn lock_in_force(&self) -> sync::MutexGuard<'_, Option<(CompactString, Bytes)>> {
+        self.in_force
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn lock_unreadable(&self) -> sync::MutexGuard<'_, unreadable::UnreadableRecords> {
         self.unreadable
             .lock()
@@ -279,7 +306,9 @@
             return;
         }
         match topic {
-            store::Topic::Operators => self.update_configuration(&changes, origin),
+            store::Topic::Operators => {
+                self.update_configuration(&changes, origin);
+            }
             store::Topic::Upstreams => self.update_upstreams(changes, origin, is_uncertain),
             store::Topic::Daemons => self.update_daemons(),
         }
@@ -312,14 +341,10 @@
         for update in updates {
             let mut changes = update.changes.clone();
             self.keep_configuration(&mut changes);
-            let record = changes
-                .records()
-                .find(|(key, _)| store::is_configuration_key(key));
-            if let Some((key, value)) = record {
+            if let Some((key, value)) = self.update_configuration(&changes, origin::Origin::Peer) {
                 let operators = topic_index(store::Topic::Operators);
-                self.lock()[operators].put(key.clone(), value.clone());
+                self.lock()[operators].put(key, value);
             }
-            self.update_configuration(&changes, origin::Origin::Peer);
         }
     }
 
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -9,6 +9,7 @@
 use basilgrade_adapter::upstream_registration;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
+use basilgrade_fleet::model::configuration as model;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use bytes::Bytes;
@@ -25,30 +26,19 @@
 const REGISTRATION_AGE: clock::Millis = clock::Millis(30 * 60_000);
 
 impl mirrors::Mirrors {
-    pub(super) fn update_configuration(&self, changes: &mirror::Changes, origin: origin::Origin) {
-        let records = changes.records();
-        // Only the newest configuration of a batch takes effect.
-        let newest = records
-            .filter(|(key, _)| store::is_configuration_key(key))
-            .last();
-        let topic = store::Topic::Operators;
-        let Some((key, value)) = newest else {
-            return;
-        };
-        let configuration = match configuration::decode(value) {
-            Ok(configuration) => configuration,
-            Err(reason) => {
-                let reason = reason.to_string();
-                self.report_unreadable(topic, "configuration", (key, value), &reason);
-                return;
-            }
-        };
-        self.lock_unreadable().remove(topic, key);
+    /// Takes over the newest readable configuration in `changes` if it is newer than the one in
+    /// force; returns its record if so.
+    pub(super) fn update_configuration(
+        &self,
+        changes: &mirror::Changes,
+        origin: origin::Origin,
+    ) -> Option<(CompactString, Bytes)> {
+        let (configuration, record) = self.newest_configuration(changes)?;
         let known = self.core.view.load().configuration.clone();
         let version = configuration.version;
         let previous = known.map_or(0, |known| known.version);
         if version <= previous {
-            return;
+            return None;
         }
         let routes: usize = configuration.hosts.values().map(Vec::len).sum();
         log::info!(
@@ -61,6 +51,40 @@
             configuration: Some(sync::Arc::clone(&configuration)),
             ..view::View::clone(view)
         });
+        *self.lock_in_force() = Some(record.clone());
+        Some(record)
+    }
+
+    /// The newest readable configuration in `changes`, with its record.
+    fn newest_configuration(
+        &self,
+        changes: &mirror::Changes,
+    ) -> Option<(model::Configuration, (CompactString, Bytes))> {
+        let topic = store::Topic::Operators;
+        let records = changes.records();
+        let mut newest: Option<(model::Configuration, _)> = None;
+        let mut is_last_readable = false;
+        for (key, value) in records.filter(|(key, _)| store::is_configuration_key(key)) {
+            let decoded = configuration::decode(value);
+            is_last_readable = decoded.is_ok();
+            match decoded {
+                Ok(found) => {
+                    let is_older =
+                        |(known, _): &(model::Configuration, _)| known.version <= found.version;
+                    if newest.as_ref().is_none_or(is_older) {
+                        newest = Some((found, (key.clone(), value.clone())));
+                    }
+                }
+                Err(reason) => {
+                    let reason = reason.to_string();
+                    self.report_unreadable(topic, "configuration", (key, value), &reason);
+                }
+            }
+        }
+        if is_last_readable {
+            self.lock_unreadable().retain(topic, |_| false);
+        }
+        newest
     }
 
     pub(super) fn update_upstreams(
--- a/crates/basilgrade_edge/tests/odd_records.rs
+++ b/crates/basilgrade_edge/tests/odd_records.rs
@@ -17,6 +17,8 @@
 const UPSTREAM: &str = r#"{"service":"pool","address":"127.0.0.1:5","zone":"a","version":"v1",
     "slots":8,"state":"ready","sequence":1,"born":5,"cold-remaining-ms":0}"#;
 
+const CONFIGURATION: &str = r#"{"version":7,"routes":[],"services":[]}"#;
+
 /// Maximum size of a record of the store.
 const RECORD_BYTES: usize = 262_144;
 
@@ -174,6 +176,11 @@
         ids
     }
 
+    fn version(&self) -> Option<u64> {
+        let view = self.core.view.load();
+        view.configuration.as_ref().map(|known| known.version)
+    }
+
     /// Number of records that were counted as unreadable.
     fn unreadable(&self) -> u64 {
         let text = self.core.metrics.render().expect("the metrics are encoded");
@@ -283,6 +290,60 @@
     }
 }
 
+/// Guards against a daemon without a configuration, or with an outdated one, because a newer one is
+/// odd.
+#[test]
+fn odd_configuration_hides_no_readable_one() {
+    let newer = CONFIGURATION.replace('7', "9");
+    for odd in odd_values() {
+        let odd = (CompactString::new("config"), Some(odd));
+        for source in [Source::Log, Source::Peer] {
+            let mut follower = Follower::new();
+            let records = vec![record("config", CONFIGURATION), odd.clone()];
+            follower.read(source, store::Topic::Operators, records);
+            assert_eq!(follower.version(), Some(7), "{source:?}");
+
+            let records = vec![odd.clone(), record("config", &newer), odd.clone()];
+            follower.read(source, store::Topic::Operators, records);
+            assert_eq!(follower.version(), Some(9), "{source:?}");
+        }
+
+        let mut follower = Follower::new();
+        follower.read(Source::Newest, store::Topic::Operators, vec![odd.clone()]);
+        assert_eq!(follower.version(), None);
+        let records = vec![record("config", CONFIGURATION)];
+        follower.read(Source::Newest, store::Topic::Operators, records);
+        assert_eq!(follower.version(), Some(7));
+    }
+}
+
+/// Guards against a daemon that starts while the newest configuration of the store is odd, and gets
+/// no readable one from the others.
+#[test]
+fn daemons_pass_the_configuration_in_force_on() {
+    let odd = (CompactString::new("config"), Some(Bytes::from("[[[")));
+    let mut known = Follower::new();
+    let records = vec![record("config", CONFIGURATION)];
+    known.read(Source::Newest, store::Topic::Operators, records);
+    known.read(Source::Log, store::Topic::Operators, vec![odd.clone()]);
+    let mut starting = Follower::new();
+    starting.read(Source::Newest, store::Topic::Operators, vec![odd]);
+
+    starting
+        .mirrors
+        .learn_configuration(&known.mirrors.since([None; 3]));
+
+    assert_eq!(starting.version(), Some(7));
+    let following = Follower::new();
+    let reply = service::Updates {
+        is_store_reachable: true,
+        is_uncertain: false,
+        updates: starting.mirrors.since([None; 3]),
+    };
+    following.mirrors.apply_reply(reply, true);
+    assert_eq!(following.version(), Some(7));
+}
+
 /// Guards against a flood of log lines, or one long line, because of an odd record that is read again
 /// and again.
 #[test]
