Saturate times and sizes that others name

Times and sizes in the configuration, in requests and in jobs of other daemons were multiplied and added without a check. Builds with overflow checks panic then: the listener stops taking connections (idle time-out), a request is answered by a closed connection (tokens of prompt parts, call times), or the queue of a pool ends. Release builds wrap, so that a time-out near the largest number becomes a short one. In any build, a time-out of over two years in a call to another daemon panics in the timers of tarpc, which ends the task of that connection.

Headers of answers needed no change: keep-alive times and limits on the rate of requests are bounded or saturate where they are decoded.

--- a/crates/basilgrade/tests/odd_entries.rs
+++ b/crates/basilgrade/tests/odd_entries.rs
@@ -165,3 +165,70 @@
 
     assert_served(&deployment, "started", 1).await;
 }
+
+/// Guards against a daemon that ends, or a connection that does, because of numbers in the
+/// configuration, in requests or in answers that exceed what times and sizes can hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn extreme_numbers_stop_no_daemon() {
+    let text = deployment::configuration(1, &["key-one"]);
+    let mut document: serde_json::Value =
+        serde_json::from_str(&text).expect("the configuration is JSON");
+    for route in document["routes"].as_array_mut().expect("a list") {
+        for field in ["timeout-ms", "target-latency-ms", "gap-target-ms"] {
+            route[field] = u64::MAX.into();
+        }
+        route["max-attempts"] = u32::MAX.into();
+        if route.get("stages").is_some() {
+            route["stages"][1]["bytes"] = 1e300.into();
+            route["stages"][1]["after"] = serde_json::json!([0, 99, u64::MAX]);
+        }
+    }
+    document["routes"][3]["stages"][0]["service"] = "slow".into();
+    for field in ["header-timeout-ms", "idle-timeout-ms"] {
+        document["limits"][field] = u64::MAX.into();
+    }
+    let services = document["services"].as_array_mut().expect("a list");
+    for service in &mut *services {
+        if service.get("pieces").is_some() {
+            for field in ["headroom-mb", "handle-s"] {
+                service["pieces"][field] = 1e300.into();
+            }
+            for field in ["slots", "queue", "batch"] {
+                service["pieces"][field] = u32::MAX.into();
+            }
+        }
+    }
+    let mut slow = services[2].clone();
+    slow["name"] = "slow".into();
+    slow["pieces"]["call-ms"] = 1e300.into();
+    slow["pieces"]["item-ms"] = 1e300.into();
+    services.push(slow);
+    let deployment = deployment::start_with(&["a", "b"], 2, &document.to_string()).await;
+    for id in ["desk-0", "desk-1"] {
+        deployment.upstream(id).name_limit(Some("1e300"));
+    }
+
+    assert_served(&deployment, "extreme", 8).await;
+    for daemon in &deployment.daemons {
+        for (path, expected) in [("/stream/plan", 200), ("/stream-resumable/plan", 503)] {
+            let request = hyper::Request::post(path)
+                .header("host", "users.example")
+                .header("x-attempt-id", "staged")
+                .header("authorization", "Bearer key-one")
+                .header("x-token-usage", format!("{},{}", u64::MAX, u64::MAX))
+                .header(
+                    "x-prefix-hash",
+                    format!("a:{},b:{},c:1", u64::MAX, u64::MAX),
+                )
+                .header("x-pieces", "1,2")
+                .header("x-piece-key", "key");
+            let answer = client::send(daemon.caller_address, request, "").await;
+            let answer = answer.expect("the daemon answers");
+            assert_eq!((answer.status, answer.is_whole), (expected, true), "{path}");
+        }
+    }
+    assert_served(&deployment, "later", 2).await;
+    for number in 0..2 {
+        assert!(deployment.is_ready(number).await);
+    }
+}
--- a/crates/basilgrade_edge/src/gather/job_router.rs
+++ b/crates/basilgrade_edge/src/gather/job_router.rs
@@ -101,13 +101,13 @@
         let Some(profile) = self.piece_profile(pool) else {
             return job.domain.clone();
         };
-        let results = job.bytes.0 * u64::from(job.pieces);
+        let results = job.bytes.0.saturating_mul(u64::from(job.pieces));
         let demand = cells::Demand {
             home: &job.domain,
             priority: job.priority,
             pieces: job.pieces,
             target_left: job.target_left,
-            transfer_size: size::ByteCount(job.fetch_size.0 + results),
+            transfer_size: size::ByteCount(job.fetch_size.0.saturating_add(results)),
         };
         let topology = sync::Arc::clone(&self.core.view.load().topology);
         let now = self.core.now();
--- a/crates/basilgrade_edge/src/listener.rs
+++ b/crates/basilgrade_edge/src/listener.rs
@@ -67,7 +67,7 @@
         .as_ref()
         .map(|known| known.limits)
         .unwrap_or_default();
-    let idle_timeout = time::Duration::from_millis(limits.idle_timeout.0 * IDLE_TIMEOUT_FACTOR);
+    let idle_timeout = limits.idle_timeout.times(IDLE_TIMEOUT_FACTOR).duration();
     let service = sync::Arc::clone(service);
     let progress = head_timeout::RequestProgress::default();
     let timed =
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -25,6 +25,9 @@
 /// it has ended or restarted.
 const LEAVING_BACKOFF: std_time::Duration = std_time::Duration::from_secs(4);
 
+/// Longest time-out of a call, within the range of the timers of tarpc; they panic beyond it.
+const MAX_CALL_TIME: clock::Millis = clock::Millis::from_secs(24 * 3600);
+
 /// Maximum size of a message between daemons; the records of 1,200 upstreams take 0.5 MB.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
@@ -109,7 +112,7 @@
             }
         };
         let mut context = context::current();
-        context.deadline = std_time::Instant::now() + limit.duration();
+        context.deadline = std_time::Instant::now() + limit.min(MAX_CALL_TIME).duration();
         let outcome = tokio::select! {
             outcome = call(client, context) => outcome.map_err(|error| error.to_string()),
             () = closed.cancelled() => Err("another call to the daemon failed".to_owned()),
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -221,7 +221,8 @@
             continue;
         };
         if let Some(domain) = directory.domain(address) {
-            *bytes.entry(domain).or_default() += size;
+            let sum = bytes.entry(domain).or_default();
+            *sum = sum.saturating_add(size);
         }
     }
     let (domain, size) = bytes.into_iter().max_by_key(|(_, size)| *size)?;
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -131,7 +131,7 @@
     if !can_repeat {
         return left;
     }
-    let by_latency = clock::Millis(entry.stats.latency().0 * 4);
+    let by_latency = entry.stats.latency().times(4);
     let by_target = clock::Millis(request.route.target_latency.0 / TARGET_LATENCY_DIVISOR);
     by_target.max(by_latency).max(MIN_ANSWER_TIMEOUT).min(left)
 }
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -360,5 +360,5 @@
     if !request.route.kind.is_repeatable() {
         return clock::Millis::MAX;
     }
-    clock::Millis(request.route.event_gap.0 * SILENCE_GAPS).max(MIN_SILENCE)
+    request.route.event_gap.times(SILENCE_GAPS).max(MIN_SILENCE)
 }
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -190,7 +190,8 @@
         .map(|stage| stage.bytes.0)
         .max()
         .unwrap_or_default();
-    let fetch_size = count * bytes * u64::from(piece_count(request, index));
+    let pieces = u64::from(piece_count(request, index));
+    let fetch_size = count.saturating_mul(bytes).saturating_mul(pieces);
     (domain, size::ByteCount(fetch_size))
 }
 
--- a/crates/basilgrade_fleet/src/batch/cells.rs
+++ b/crates/basilgrade_fleet/src/batch/cells.rs
@@ -38,7 +38,7 @@
 impl Cell {
     fn wait(&self, profile: &pool::PieceProfile, priority: priority::Priority) -> f64 {
         let call = profile.call_time(profile.batch).as_f64();
-        let rate = f64::from(profile.batch.max(1) * self.upstreams.max(1));
+        let rate = f64::from(profile.batch.max(1)) * f64::from(self.upstreams.max(1));
         self.load.wait_for(priority).as_f64() + f64::from(self.sent_pieces) * call / rate
     }
 }
@@ -110,7 +110,7 @@
         })?;
         let best = best.clone();
         if let Some(cell) = self.cells.get_mut(&best) {
-            cell.sent_pieces += demand.pieces;
+            cell.sent_pieces = cell.sent_pieces.saturating_add(demand.pieces);
         }
         Some(best)
     }
--- a/crates/basilgrade_fleet/src/batch/queue/ending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/ending.rs
@@ -54,7 +54,7 @@
             }
             outcome::CallOutcome::Broken => {
                 let was_overdue =
-                    (now - running.started_at).0 > running.nominal_time.0 * OVERDUE_FACTOR;
+                    now - running.started_at > running.nominal_time.times(OVERDUE_FACTOR);
                 self.requeue(running, |worker| {
                     worker.on_failure(now, id);
                     if was_overdue {
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -165,7 +165,7 @@
             .values()
             .filter(|worker| !worker.is_slow())
             .count();
-        let is_overloaded = waiting > self.profile.batch as usize * healthy.max(1);
+        let is_overloaded = waiting > (self.profile.batch as usize).saturating_mul(healthy.max(1));
         let is_free = |worker: &&worker::Worker| {
             if worker.is_backing_off(now) || skipped.contains(&worker.upstream.id) {
                 return false;
@@ -317,7 +317,7 @@
             upstream: id.clone(),
             address,
             items,
-            timeout: clock::Millis(wait.0 * TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN),
+            timeout: wait.times(TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN),
         }
     }
 }
--- a/crates/basilgrade_fleet/src/batch/worker.rs
+++ b/crates/basilgrade_fleet/src/batch/worker.rs
@@ -149,7 +149,7 @@
 
     pub(super) fn hold(&mut self, until: clock::Millis, bytes: u64) {
         self.held.push_back((until, bytes));
-        self.held_bytes += bytes;
+        self.held_bytes = self.held_bytes.saturating_add(bytes);
     }
 
     /// Releases about `bytes` of held results, which the upstream has freed.
--- a/crates/basilgrade_fleet/src/model/pool.rs
+++ b/crates/basilgrade_fleet/src/model/pool.rs
@@ -53,6 +53,7 @@
 impl PieceProfile {
     /// Expected time of a call with `pieces` pieces.
     pub const fn call_time(&self, pieces: u32) -> clock::Millis {
-        clock::Millis(self.call_base.0 + self.piece_us * pieces as u64 / 1000)
+        let pieces_us = self.piece_us.saturating_mul(pieces as u64);
+        self.call_base.plus(clock::Millis(pieces_us / 1000))
     }
 }
--- a/crates/basilgrade_fleet/src/model/prompt.rs
+++ b/crates/basilgrade_fleet/src/model/prompt.rs
@@ -68,6 +68,7 @@
     /// Total tokens of the parts that other prompts may share.
     pub fn shared_tokens(&self) -> u64 {
         let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| part.tokens).sum()
+        let tokens = self.parts[..shared].iter().map(|part| part.tokens);
+        tokens.fold(0, u64::saturating_add)
     }
 }
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -6,6 +6,7 @@
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::model::handle;
+use basilgrade_fleet::model::pool;
 use basilgrade_fleet::model::priority;
 use basilgrade_types::clock;
 use basilgrade_types::size;
@@ -513,3 +514,59 @@
     );
     assert!(calls.is_empty());
 }
+
+/// Guards against a queue that ends because of numbers in the configuration that exceed what times
+/// and sizes can hold.
+#[test]
+fn extreme_profiles_and_jobs_overflow_nothing() {
+    let max = pool::PieceProfile {
+        slots: u32::MAX,
+        queue: u32::MAX,
+        batch: u32::MAX,
+        call_base: clock::Millis::MAX,
+        piece_us: u64::MAX,
+        capacity: size::ByteCount(u64::MAX),
+        ttl: clock::Millis::MAX,
+    };
+    let usual = common::pieces();
+    let profiles = [
+        max,
+        pool::PieceProfile {
+            call_base: usual.call_base,
+            piece_us: usual.piece_us,
+            ..max
+        },
+        pool::PieceProfile {
+            batch: usual.batch,
+            ..max
+        },
+    ];
+    let ends = [
+        outcome::CallOutcome::Broken,
+        outcome::CallOutcome::Full,
+        outcome::CallOutcome::Held(clock::Millis::MAX),
+    ];
+    for profile in profiles {
+        for end in &ends {
+            let mut queue = queue(2);
+            queue.set_profile(profile);
+            for name in ["one", "two", "three"] {
+                let mut extreme = job(name, 3);
+                extreme.bytes = size::ByteCount(u64::MAX);
+                extreme.fetch_size = size::ByteCount(u64::MAX);
+                extreme.target_left = clock::Millis::MAX;
+                extreme.time_left = clock::Millis::MAX;
+                queue.submit(START, extreme);
+            }
+
+            let calls = queue.dispatch(START);
+            assert!(!calls.is_empty());
+            for (call, at) in calls.iter().zip([START, clock::Millis::MAX]) {
+                queue.complete(at, call.id, end.clone());
+                queue.load(at);
+                queue.next_wakeup(at);
+                queue.dispatch(at);
+            }
+        }
+    }
+}
--- a/crates/basilgrade_types/src/clock.rs
+++ b/crates/basilgrade_types/src/clock.rs
@@ -48,6 +48,12 @@
         Self(self.0.saturating_sub(earlier.0))
     }
 
+    /// This duration `factor` times, capped at [`Millis::MAX`].
+    #[must_use]
+    pub const fn times(self, factor: u64) -> Self {
+        Self(self.0.saturating_mul(factor))
+    }
+
     /// The sum of this value and `duration`, capped at [`Millis::MAX`].
     #[must_use]
     pub const fn plus(self, duration: Self) -> Self {
