Forget streams that a record of the future shared

A record of the log of streams whose time lies in the future, by a clock that is ahead or as an odd number, was remembered until that time plus the lifetime of a stream, for `u64::MAX` for ever. Its time counts as now at most, as it did for the versions in service already.

`stream_of_a_future_record_is_forgotten` fails before the change.

--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -244,9 +244,11 @@
         if shared_at.plus(self.lifetime) <= now {
             return;
         }
+        // The clock of the other daemon may be ahead.
+        let shared_at = shared_at.min(now);
         for (pool, versions) in batch {
             for (version, ids) in versions {
-                self.mark_seen(shared_at.min(now), &pool, &version);
+                self.mark_seen(shared_at, &pool, &version);
                 for id in ids {
                     self.known.entry(id).or_insert_with(|| Stream {
                         pool: pool.clone(),
--- a/crates/basilgrade_fleet/tests/streams.rs
+++ b/crates/basilgrade_fleet/tests/streams.rs
@@ -163,3 +163,25 @@
 
     assert_eq!(known.known_origin(attempt("1"), &engine.pool), None);
 }
+
+/// Guards against a stream that is remembered for ever because the record that shares it lies in the
+/// future.
+#[test]
+fn stream_of_a_future_record_is_forgotten() {
+    let engine = engine(1, "v1", START);
+    let known = directory(std::slice::from_ref(&engine));
+    let mut streams = streams::Streams::default();
+    streams.observe(START, &known, LONGEST);
+    let versions = [(version("v1"), vec![attempt("first")])];
+    let batch = [(engine.pool.clone(), versions.into_iter().collect())];
+
+    streams.merge(START, clock::Millis::MAX, batch.into_iter().collect());
+
+    let find = |streams: &streams::Streams| streams.known_origin(attempt("first"), &engine.pool);
+    assert_eq!(
+        find(&streams),
+        Some(streams::Origin::Version(version("v1")))
+    );
+    streams.observe(START.plus(streams.lifetime()), &known, LONGEST);
+    assert_eq!(find(&streams), None);
+}
