Pass no answer on that switches protocols

An engine that answers 101 (Switching Protocols) made the caller's request end with a 101, the engine's signature and an empty body, counted as served, though no request asks for another protocol; what follows such an answer is no HTTP.

Cause: hyper hands 101 out as a final answer, and only successful answers were checked for being usable.

It counts as a failure of the upstream now: the request may have run, so one that may be repeated goes to another upstream and the others get 502.

The case that `answer_that_ends_before_its_body_leaves_the_request_uncertain` gains fails on with status 101 and passes with this change.

--- a/crates/basilgrade/tests/cut_heads.rs
+++ b/crates/basilgrade/tests/cut_heads.rs
@@ -197,15 +197,21 @@
     }
 }
 
-/// Guards against an interim answer, or a head without its body, that is passed on as the answer.
+/// Guards against an interim answer, or one that switches protocols, that is passed on as the answer,
+/// and against a head without a body that is.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_that_ends_before_its_body_leaves_the_request_uncertain() {
     let (deployment, engines) = start().await;
     let target = (deployment.daemons[0].caller_address, &*engines);
+    let switching = |id: &str| {
+        head(id, "Upgrade: x\r\nConnection: upgrade").replace("200 OK", "101 Switching Protocols")
+    };
     let interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
 
     for resets in [false, true] {
         let name = |text: &str| format!("{text}-{resets}");
+        let bytes = |id: &str| switching(id).into_bytes();
+        assert_uncertain(target, &name("switch"), &bytes, resets).await;
         let bytes = |_: &str| interim.as_bytes().to_vec();
         assert_uncertain(target, &name("interim"), &bytes, resets).await;
         let bytes = |id: &str| {
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -214,8 +214,12 @@
     Outcome::Answered(buffered)
 }
 
-/// Reason why a successful answer must not be sent to the caller, if any.
+/// Reason why an answer must not be sent to the caller, if any; error answers are usable.
 pub fn unusable_reason(answer: &answer::Answer) -> Option<&'static str> {
+    // Of the informational answers, only the one that switches protocols gets here.
+    if answer.status.is_informational() {
+        return Some("the answer switches protocols, which no request asks for");
+    }
     if !answer.status.is_success() {
         return None;
     }
