--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -14,3 +14,4 @@
 pub mod registrations;
 mod restored;
 pub mod stream_log;
+pub mod unreadable;
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -218,7 +218,7 @@
     if !can_repeat {
         return left;
     }
-    let by_latency = clock::Millis(entry.stats.latency().0 * 4);
+    let by_latency = entry.stats.latency().times(4);
     let by_target = clock::Millis(request.route.target_latency.0 / TARGET_LATENCY_DIVISOR);
     by_target.max(by_latency).max(MIN_ANSWER_TIMEOUT).min(left)
 }
@@ -302,8 +302,12 @@
     Outcome::Answered(buffered)
 }
 
-/// Reason why a successful answer must not be sent to the caller, if any.
+/// Reason why an answer must not be sent to the caller, if any; error answers are usable.
 pub fn unusable_reason(answer: &answer::Answer) -> Option<&'static str> {
+    // Of the informational answers, only the one that switches protocols gets here.
+    if answer.status.is_informational() {
+        return Some("the answer switches protocols, which no request asks for");
+    }
     if !answer.status.is_success() {
         return None;
     }
