Add failing tests of daemons that are partitioned from all upstreams

Callers of such daemons are not served, and the other daemons serve only what needs no stage pools. The tests start two daemons behind proxies to all upstreams; one of them is alone in the failure domain of all upstreams, so it keeps the queues of their pools. Four seconds after the paths are cut, the partitioned daemons have to serve two thirds as often as the others, or fail at most 10 and one in 50 requests.

--- a/crates/basilgrade/tests/edge_support/mod.rs
+++ b/crates/basilgrade/tests/edge_support/mod.rs
@@ -4,6 +4,8 @@
 pub(crate) mod client;
 pub(crate) mod daemon;
 pub(crate) mod deployment;
+pub(crate) mod partition;
+pub(crate) mod path;
 #[path = "../support/port.rs"]
 pub(crate) mod port;
 pub(crate) mod server;
