Reach upstreams through other daemons when the own path is broken

Callers of daemons that were partitioned from all upstreams got 503 and 502 for nearly every request, and the other daemons refused most requests with stages, as the partitioned ones kept the queues of the stage pools.

A daemon took a connection that failed for a failure of the upstream. It had neither a second observer nor a second path. Now it asks another daemon to connect when a direct connection fails or takes over 150 ms, and sends its bytes through that one if it does. All decisions stay with the daemon that serves the caller; the forwarding daemon passes bytes on, to ready upstreams of its own directory only, and never through a third daemon. Bytes of the upstream are framed, so that the end of the forwarding daemon is no end of an answer. Queues stay where they are: their calls take the same way. `basilgrade_fleet::paths` decides, without I/O, which way is tried. Daemons of earlier builds close a connection with the preamble of a tunnel.

New with this commit are tests of a forwarding daemon that dies (a request that must not repeat runs once, a stream does not look complete), of a leaving upstream, and of a tunnel that ends without the end of the answer.

--- a/crates/basilgrade/tests/partitions.rs
+++ b/crates/basilgrade/tests/partitions.rs
@@ -9,6 +9,7 @@
 use edge_support::deployment;
 use edge_support::partition;
 use edge_support::path;
+use edge_support::upstream;
 
 /// Time after the beginning of a partition from which on its daemons have to serve like the others.
 const STABLE_WINDOW: time::Duration = time::Duration::from_secs(4);
@@ -125,6 +126,93 @@
     assert_served_during(path::PathState::NewRefused).await;
 }
 
+/// Cuts the paths of two daemons and waits until both serve through others.
+async fn start_partitioned() -> (deployment::Deployment, partition::Partition, usize) {
+    let (deployment, partition, partitioned) = start().await;
+    // Daemons that have just started do not know the others yet.
+    tokio::time::sleep(STABLE_WINDOW).await;
+    partition.set(path::PathState::Refused);
+    for daemon in partitioned {
+        let address = deployment.daemons[daemon].caller_address;
+        deployment::wait_until("the daemon serves through others", || async {
+            let request = client::request("probe", "GET", "/safe/x");
+            let answer = client::send(address, request, "").await;
+            answer.is_some_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+    (deployment, partition, partitioned[0])
+}
+
+/// Kills the daemons with a path to the upstreams when the request with the id `id` runs.
+async fn kill_forwarders_during(deployment: &mut deployment::Deployment, id: &str) {
+    deployment::wait_until("the request runs", || async {
+        deployment.count_runs(id) > 0
+    })
+    .await;
+    for daemon in CONNECTED {
+        deployment.daemons[daemon].kill();
+    }
+}
+
+/// Guards against a second run, or a promise that there was none, after the daemon that forwards a
+/// request has died.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_request_that_must_not_repeat_runs_once_if_the_forwarder_dies() {
+    let (mut deployment, _partition, daemon) = start_partitioned().await;
+    for upstream in &deployment.upstreams {
+        upstream.set_behaviour(upstream::Behaviour::Silent);
+    }
+    let address = deployment.daemons[daemon].caller_address;
+    let request = client::request("forwarded-once", "POST", "/once/x");
+
+    let sending = tokio::spawn(client::send(address, request, ""));
+    kill_forwarders_during(&mut deployment, "forwarded-once").await;
+    let answer = sending.await.expect("the client does not panic");
+
+    let status = answer.map(|answer| answer.status);
+    assert!(matches!(status, None | Some(502 | 504)), "{status:?}");
+    assert_eq!(deployment.count_runs("forwarded-once"), 1);
+}
+
+/// Guards against a stream that looks complete after the daemon that forwards it has died.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_stream_is_not_complete_if_the_forwarder_dies() {
+    let (mut deployment, _partition, daemon) = start_partitioned().await;
+    for upstream in &deployment.upstreams {
+        upstream.set_behaviour(upstream::Behaviour::Slow(300));
+    }
+    let address = deployment.daemons[daemon].caller_address;
+    let request = client::staged_request("forwarded-stream", "/stream/x");
+
+    let sending = tokio::spawn(client::send(address, request, ""));
+    kill_forwarders_during(&mut deployment, "forwarded-stream").await;
+    let answer = sending.await.expect("the client does not panic");
+
+    let is_complete = answer.is_some_and(|answer| answer.status == 200 && answer.is_whole);
+    assert!(!is_complete);
+}
+
+/// Guards against requests that reach a leaving upstream through a daemon that knows of its
+/// departure.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream_gets_no_forwarded_requests() {
+    let (deployment, _partition, daemon) = start_partitioned().await;
+    deployment.register_again("desk", 0, "draining", 2);
+    tokio::time::sleep(STABLE_WINDOW).await;
+    let before = deployment.upstream("desk-0").runs().len();
+    let address = deployment.daemons[daemon].caller_address;
+
+    for number in 0..20 {
+        let request = client::request(&format!("late-{number}"), "POST", "/once/x");
+        let answer = client::send(address, request, "").await;
+        let answer = answer.expect("the daemon answers");
+        assert_eq!(answer.status, 200, "request {number}: {}", answer.body);
+    }
+
+    assert_eq!(deployment.upstream("desk-0").runs().len(), before);
+}
+
 /// Guards against back-offs that outlast a partition that comes and goes.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemons_behind_a_flapping_partition_serve_like_the_others() {
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -9,12 +9,14 @@
 use basilgrade_fleet::budget;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::limit;
+use basilgrade_fleet::paths;
 use basilgrade_fleet::streams;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::rate;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::http::pool;
 use crate::metrics;
@@ -34,6 +36,10 @@
     pub connections: pool::ConnectionPool,
     /// Connections to other daemons.
     pub links: links::PeerLinks,
+    /// Connections that this daemon forwards for others.
+    pub tunnels: TaskTracker,
+    /// Upstreams that this daemon reaches through others only.
+    paths: sync::Mutex<paths::Paths>,
     pub metrics: metrics::Metrics,
     budget: sync::Mutex<budget::Budget>,
     /// Evidence about requests and prompt parts that crash engines.
@@ -77,6 +83,8 @@
             view: ArcSwap::from_pointee(view),
             connections: pool::ConnectionPool::default(),
             links: links::PeerLinks::default(),
+            tunnels: TaskTracker::new(),
+            paths: sync::Mutex::default(),
             metrics: metrics::Metrics::new()?,
             suspects: sync::Mutex::default(),
             streams: sync::Mutex::default(),
@@ -161,6 +169,35 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Paths to upstreams that this daemon does not reach by itself.
+    pub fn paths(&self) -> sync::MutexGuard<'_, paths::Paths> {
+        self.paths
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Records a direct connection to the upstream `id`.
+    pub fn record_direct(&self, id: &id::UpstreamId) {
+        if self.paths().record_direct(id) {
+            log::info!("event=path-regained upstream={id}");
+        }
+    }
+
+    /// Records that the daemon `forwarder` reaches the upstream `entry`, and this one does not.
+    pub fn record_tunnel(&self, entry: &upstream::Upstream, forwarder: &id::VmId) {
+        self.metrics.tunnels.inc();
+        let is_new = self.paths().record_tunnel(self.now(), &entry.id, forwarder);
+        if is_new {
+            log::warn!(
+                "event=path-lost upstream={} domain={} daemon={forwarder}",
+                entry.id,
+                entry.domain
+            );
+            // Calls on connections that are kept would hang.
+            self.connections.close_idle(entry.address);
+        }
+    }
+
     /// Evidence of all daemons about requests and prompt parts that crash engines.
     pub fn suspects(&self) -> sync::MutexGuard<'_, suspects::Suspects> {
         self.suspects
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -202,6 +202,13 @@
         Ok(Err(error)) => log::error!("event=listener-failed reason={:?}", error.to_string()),
         Err(_) => log::warn!("event=stopped-early active={}", core.active_requests()),
     }
+    core.tunnels.close();
+    if tokio::time::timeout_at(end_at, core.tunnels.wait())
+        .await
+        .is_err()
+    {
+        log::warn!("event=stopped-early tunnels={}", core.tunnels.len());
+    }
     log::info!("event=stop active={}", core.active_requests());
     logger::finish();
 }
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -25,9 +25,7 @@
 use crate::core;
 use crate::gather::result_releases;
 use crate::permits;
-
-/// Time-out for connecting to an upstream: two round trips between regions and a scheduling delay.
-const CONNECT_TIMEOUT: clock::Millis = clock::Millis(400);
+use crate::tunnel::dialer;
 
 struct QueueState {
     queue: queue::Queue,
@@ -258,10 +256,11 @@
             Ok(permit) => permit,
             Err(until) => return Ok(outcome::CallOutcome::Held(until - self.core.now())),
         };
+        let connecting = dialer::open(&self.core, &entry);
         let sent = self
             .core
             .connections
-            .call_while(call.address, message, "", CONNECT_TIMEOUT, |is_resend| {
+            .call_over(call.address, connecting, message, "", |is_resend| {
                 let is_counted = permit != limit::Permit::Unlimited;
                 self.core.accepts(&call.upstream, call.address)
                     && entry.stats.limit().allows(self.core.now(), permit)
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -12,6 +12,7 @@
 
 use crate::core;
 use crate::permits;
+use crate::tunnel::dialer;
 
 /// Delay before results are freed, which collects the results of one call into one request. Until
 /// then the results take up memory at their upstreams.
@@ -20,9 +21,6 @@
 /// Time-out of the call that frees results; if the call fails, the upstream expires the results.
 const CALL_TIMEOUT: clock::Millis = clock::Millis(1000);
 
-/// Time-out for connecting to an upstream.
-const CONNECT_TIMEOUT: clock::Millis = clock::Millis(400);
-
 /// Results to be freed, grouped by the upstream that holds them.
 pub struct ResultReleases {
     core: sync::Arc<core::Core>,
@@ -84,12 +82,12 @@
             );
             return;
         };
-        let entry = self.core.view.load().directory.at(address).cloned();
-        if let Some(entry) = entry
-            && permits::acquire(&self.core, &entry, limit::Claim::Any, false)
-                .await
-                .is_err()
-        {
+        // The results of an upstream that is gone are gone as well.
+        let Some(entry) = self.core.view.load().directory.at(address).cloned() else {
+            return;
+        };
+        let permit = permits::acquire(&self.core, &entry, limit::Claim::Any, false);
+        if permit.await.is_err() {
             log::info!(
                 "event=release-skipped holder={holder} reason=\"the upstream is at its request limit\""
             );
@@ -105,10 +103,11 @@
                 return;
             }
         };
+        let connecting = dialer::open(&self.core, &entry);
         let call = self
             .core
             .connections
-            .call(address, message, "", CONNECT_TIMEOUT);
+            .call_over(address, connecting, message, "", |_| true);
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
             Ok(Ok(_)) => {}
             Ok(Err(failure)) => {
--- a/crates/basilgrade_edge/src/http/connection.rs
+++ b/crates/basilgrade_edge/src/http/connection.rs
@@ -12,6 +12,7 @@
 use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt;
+use tokio::io;
 use tokio::task;
 
 use crate::http::error;
@@ -45,6 +46,18 @@
         let stream = socket::connect(address, timeout)
             .await
             .map_err(|reason| error::SendError::unsent(format!("`{address}`: {reason}")))?;
+        Self::over(stream, address).await
+    }
+
+    /// Wraps `stream`, an open connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`error::SendError`] with the verdict `NotRun`, as no byte was sent.
+    pub async fn over(
+        stream: impl io::AsyncRead + io::AsyncWrite + Send + Unpin + 'static,
+        address: net::SocketAddr,
+    ) -> Result<Self, error::SendError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Closes the idle connections to `address`.
+    pub fn close_idle(&self, address: net::SocketAddr) {
+        self.lock().swap_remove(&address);
+    }
+
     /// Closes idle connections that have expired or that the upstream has closed.
     pub fn close_expired(&self) {
         let now = self.clock.now();
@@ -131,6 +136,25 @@
         request_id: &str,
         connect_timeout: clock::Millis,
         is_allowed: impl Fn(bool) -> bool,
+    ) -> Result<BufferedAnswer, error::SendError> {
+        let connecting = connection::Connection::open(address, connect_timeout.duration());
+        self.call_over(address, connecting, message, request_id, is_allowed)
+            .await
+    }
+
+    /// Like [`ConnectionPool::call_while`], with a new connection to `address` that `connecting`
+    /// opens.
+    ///
+    /// # Errors
+    ///
+    /// [`error::SendError`] with the verdict on whether the call may have run.
+    pub async fn call_over(
+        &self,
+        address: net::SocketAddr,
+        connecting: impl Future<Output = Result<connection::Connection, error::SendError>>,
+        message: Request<Full<Bytes>>,
+        request_id: &str,
+        is_allowed: impl Fn(bool) -> bool,
     ) -> Result<BufferedAnswer, error::SendError> {
         let mut verdict = verdict::Verdict::NotRun;
         let forbidden = |verdict| error::SendError {
@@ -154,7 +178,7 @@
                 outcome => return outcome,
             }
         }
-        let connection = connection::Connection::open(address, connect_timeout.duration()).await?;
+        let connection = connecting.await?;
         if !is_allowed(verdict != verdict::Verdict::NotRun) {
             return Err(forbidden(verdict));
         }
--- a/crates/basilgrade_edge/src/lib.rs
+++ b/crates/basilgrade_edge/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod readiness;
 pub mod serve;
 pub mod settings;
+pub mod tunnel;
 pub mod view;
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -69,6 +69,10 @@
     denied_permits = "denied_permits",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
+    /// Connections to upstreams that were opened through another daemon.
+    tunnels = "tunnels",
+    /// Connections to upstreams that were opened for another daemon.
+    forwarded = "forwarded",
     /// Retries of requests at another upstream.
     repeats = "repeats",
     /// Streams resumed at another upstream.
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -14,6 +14,7 @@
 
 use crate::http::socket;
 use crate::peers::service;
+use crate::tunnel::message;
 
 /// Time-out for connecting to another daemon inside the platform's network.
 const CONNECT_TIMEOUT: std_time::Duration = std_time::Duration::from_millis(400);
@@ -28,6 +29,9 @@
 /// Maximum size of a message between daemons; the records of 1,200 upstreams take 0.5 MB.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
+// A daemon that knows no tunnels closes a connection that begins like one.
+const _: () = assert!(u32::from_be_bytes(message::PREAMBLE) as usize > MAX_MESSAGE_BYTES);
+
 struct PeerLink {
     client: service::PeerClient,
     /// Cancelled when the link is dropped after a failure, which fails the calls in progress.
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -11,10 +11,12 @@
 use basilgrade_peer::postcard_format;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use bytes::Bytes;
 use futures::StreamExt;
 use tarpc::context;
 use tarpc::server;
 use tarpc::server::Channel;
+use tokio::io::AsyncReadExt as _;
 use tokio::net;
 use tokio_util::codec;
 
@@ -28,6 +30,8 @@
 use crate::peers::service;
 use crate::peers::service::Peer as _;
 use crate::permits;
+use crate::tunnel::forwarder;
+use crate::tunnel::message;
 
 /// Handler of the remote procedure calls of other daemons.
 #[derive(Clone)]
@@ -156,14 +160,34 @@
                 log::debug!("event=peer-refused reason={:?}", error.to_string());
                 continue;
             }
-            let framed = codec::Framed::new(stream, links::frame_codec());
-            let transport =
-                tokio_serde::Framed::new(framed, postcard_format::PostcardFormat::default());
-            let channel = server::BaseChannel::with_defaults(transport);
-            let calls = channel.execute(self.clone().serve());
-            tokio::spawn(calls.for_each(|call| async {
-                tokio::spawn(call);
-            }));
+            tokio::spawn(self.clone().serve_connection(stream));
+        }
+    }
+
+    /// Serves the calls on a connection, or a tunnel if its preamble arrives first.
+    async fn serve_connection(self, mut stream: net::TcpStream) {
+        let mut first = [0; message::PREAMBLE.len()];
+        if let Err(error) = stream.read_exact(&mut first).await {
+            log::debug!("event=peer-left reason={:?}", error.to_string());
+            return;
+        }
+        if first == message::PREAMBLE {
+            let core = sync::Arc::clone(&self.core);
+            let forwarding = forwarder::serve(core, stream);
+            self.core.tunnels.spawn(forwarding);
+            return;
         }
+        let mut parts = codec::FramedParts::new::<Bytes>(stream, links::frame_codec());
+        parts.read_buf.extend_from_slice(&first);
+        let framed = codec::Framed::from_parts(parts);
+        let transport =
+            tokio_serde::Framed::new(framed, postcard_format::PostcardFormat::default());
+        let channel = server::BaseChannel::with_defaults(transport);
+        let calls = channel.execute(self.serve());
+        calls
+            .for_each(|call| async {
+                tokio::spawn(call);
+            })
+            .await;
     }
 }
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -24,11 +24,7 @@
 use crate::serve::buffered;
 use crate::serve::request;
 use crate::serve::stage_results;
-
-/// Time-out for connecting to an upstream.
-///
-/// After a lost packet, TCP retransmits only after 1 s; by then another upstream can have answered.
-const CONNECT_TIMEOUT: clock::Millis = clock::Millis(400);
+use crate::tunnel::dialer;
 
 /// Pause of a request that was denied permits for several upstreams and has no other candidate.
 const HOLD_PAUSE: clock::Millis = clock::Millis(50);
@@ -241,7 +237,7 @@
     extras: &SendExtras,
 ) -> Result<UnreadAnswer, error::SendError> {
     let load = LoadGuard::begin(entry, request.head.prompt.as_ref());
-    let mut connection = connection::Connection::open(entry.address, CONNECT_TIMEOUT.duration())
+    let mut connection = dialer::open(core, entry)
         .await
         .inspect_err(|_| entry.stats.record(core.now(), health::Outcome::Unreachable))?;
     if core.is_blocked(request) {
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod model;
 pub mod outage;
+pub mod paths;
 pub mod placement;
 pub mod ranking;
 pub mod streams;
