Do not take stage upstreams for slow after their path was lost

When all paths of a daemon that keeps queues fell silent, requests of all daemons with stages were refused for about 7 s, although its calls went through other daemons from the second second on. Calls that were under way ended with their time-out, which marks an upstream as three times slower than usual; such upstreams get one call in 2.5 s, and need two to be trusted.

A call without an answer is now followed by a connection to its upstream. If that shows that the direct path was lost during the call, the pieces are sent again at once and nothing is held against the upstream. `pieces-broken` tells which case it was.

`upstream_is_not_slow_after_its_path_ was_lost` guards the queue; with the outcome `Broken` of the code before, the queue sends nothing at that time.

--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -214,16 +214,10 @@
         let outcome = tokio::time::timeout(call.timeout.duration(), exchange)
             .await
             .unwrap_or_else(|_| Err("no answer from the upstream within the time-out".to_owned()));
-        let outcome = outcome.unwrap_or_else(|reason| {
-            self.core.metrics.broken_piece_calls.inc();
-            log::warn!(
-                "event=pieces-broken pool={} upstream={} pieces={} reason={reason:?}",
-                self.pool,
-                call.upstream,
-                call.items.len()
-            );
-            outcome::CallOutcome::Broken
-        });
+        let outcome = match outcome {
+            Ok(outcome) => outcome,
+            Err(reason) => self.examine(&call, started, &reason).await,
+        };
         let now = self.core.now();
         let wait = {
             let mut state = self.lock();
@@ -246,6 +240,32 @@
         self.wakeup.notify_one();
     }
 
+    /// Outcome of a call without a usable answer, which tells whether its path or its upstream failed.
+    async fn examine(
+        &self,
+        call: &call::Call,
+        started: clock::Millis,
+        reason: &str,
+    ) -> outcome::CallOutcome {
+        self.core.metrics.broken_piece_calls.inc();
+        let entry = self.core.view.load().directory.get(&call.upstream).cloned();
+        let is_path_lost = match entry {
+            Some(entry) => dialer::has_lost_path(&self.core, &entry, started).await,
+            None => false,
+        };
+        log::warn!(
+            "event=pieces-broken pool={} upstream={} pieces={} path_lost={is_path_lost} \
+             reason={reason:?}",
+            self.pool,
+            call.upstream,
+            call.items.len()
+        );
+        if is_path_lost {
+            return outcome::CallOutcome::PathLost;
+        }
+        outcome::CallOutcome::Broken
+    }
+
     async fn exchange(&self, call: &call::Call) -> Result<outcome::CallOutcome, String> {
         let message = piece_calls::compute_request(call).map_err(|reason| reason.to_string())?;
         let entry = self.core.view.load().directory.get(&call.upstream).cloned();
@@ -300,5 +320,6 @@
         outcome::CallOutcome::Held(_) => "held",
         outcome::CallOutcome::WrongUpstream => "wrong-upstream",
         outcome::CallOutcome::Broken => "broken",
+        outcome::CallOutcome::PathLost => "path-lost",
     }
 }
--- a/crates/basilgrade_edge/src/tunnel/dialer.rs
+++ b/crates/basilgrade_edge/src/tunnel/dialer.rs
@@ -62,6 +62,17 @@
     }
 }
 
+/// Whether the direct path to `entry` has been lost since `start`; connects to find out.
+pub async fn has_lost_path(
+    core: &core::Core,
+    entry: &upstream::Upstream,
+    start: clock::Millis,
+) -> bool {
+    // The connection is closed again: only whether it opens matters.
+    let _ = open(core, entry).await;
+    core.paths().was_lost_since(start, &entry.id)
+}
+
 /// The connection that opens first; the error of the direct one if none opens.
 async fn first_opened(
     direct: impl Future<Output = Opened>,
--- a/crates/basilgrade_fleet/src/batch/outcome.rs
+++ b/crates/basilgrade_fleet/src/batch/outcome.rs
@@ -48,4 +48,7 @@
     WrongUpstream,
     /// The call failed or its answer was unusable, so the pieces may have been computed.
     Broken,
+    /// The direct path to the upstream failed during the call, so the pieces may have been computed,
+    /// and the upstream may be well.
+    PathLost,
 }
--- a/crates/basilgrade_fleet/src/batch/queue/ending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/ending.rs
@@ -52,6 +52,9 @@
                 self.workers.swap_remove(&running.upstream);
                 self.requeue(running, |_| ());
             }
+            outcome::CallOutcome::PathLost => {
+                self.requeue(running, |worker| worker.on_path_lost(id));
+            }
             outcome::CallOutcome::Broken => {
                 let was_overdue =
                     (now - running.started_at).0 > running.nominal_time.0 * OVERDUE_FACTOR;
--- a/crates/basilgrade_fleet/src/batch/worker.rs
+++ b/crates/basilgrade_fleet/src/batch/worker.rs
@@ -120,6 +120,10 @@
         self.backoff_until = now.plus(wait);
     }
 
+    pub(super) fn on_path_lost(&mut self, call: u64) {
+        self.calls.retain(|other| other.0 != call);
+    }
+
     pub(super) fn on_failure(&mut self, now: clock::Millis, call: u64) {
         self.calls.retain(|other| other.0 != call);
         let backoff = clock::Millis(BASE_BACKOFF.0 << self.failures.min(4)).min(MAX_BACKOFF);
--- a/crates/basilgrade_fleet/src/paths.rs
+++ b/crates/basilgrade_fleet/src/paths.rs
@@ -38,8 +38,13 @@
 
 #[derive(Clone, Copy, Debug)]
 enum State {
-    /// Other daemons reach the upstream and this one does not; probed at this time.
-    Broken { probe_at: clock::Millis },
+    /// Other daemons reach the upstream and this one does not.
+    Broken {
+        /// Time at which this daemon learned of it.
+        since: clock::Millis,
+        /// Time of the next direct connection that is tried.
+        probe_at: clock::Millis,
+    },
     /// No daemon that was asked reached the upstream; not asked again before this time.
     Unreachable { until: clock::Millis },
 }
@@ -68,8 +73,8 @@
         match &mut path.state {
             State::Unreachable { until } if now < *until => Plan::DirectOnly,
             State::Unreachable { .. } => Plan::Direct,
-            State::Broken { probe_at } if now < *probe_at => Plan::Tunnel,
-            State::Broken { probe_at } => {
+            State::Broken { probe_at, .. } if now < *probe_at => Plan::Tunnel,
+            State::Broken { probe_at, .. } => {
                 *probe_at = now.plus(PROBE_INTERVAL);
                 Plan::TunnelAndProbe
             }
@@ -82,6 +87,12 @@
         known.is_some_and(|path| matches!(path.state, State::Broken { .. }))
     }
 
+    /// Whether the direct path to the upstream `id` was found broken at `start` or later.
+    pub fn was_lost_since(&self, start: clock::Millis, id: &id::UpstreamId) -> bool {
+        let known = self.upstreams.get(id).map(|path| path.state);
+        matches!(known, Some(State::Broken { since, .. }) if since >= start)
+    }
+
     /// Records that the daemon `forwarder` did not reach an upstream, or did not answer.
     pub fn record_failure(&mut self, now: clock::Millis, forwarder: &id::VmId) {
         self.backoffs.retain(|_, until| now < *until);
@@ -102,7 +113,11 @@
         if matches!(known, Some(State::Broken { .. })) {
             return false;
         }
-        self.put(now, id, State::Broken { probe_at: now });
+        let state = State::Broken {
+            since: now,
+            probe_at: now,
+        };
+        self.put(now, id, state);
         true
     }
 
--- a/crates/basilgrade_fleet/tests/paths.rs
+++ b/crates/basilgrade_fleet/tests/paths.rs
@@ -45,8 +45,11 @@
     let is_new = paths.record_tunnel(START, &upstream(), &vm("vm-1"));
     let is_news_again = paths.record_tunnel(START, &upstream(), &vm("vm-2"));
     let during = [0, 100, 499, 500, 600].map(|span| plan_after(&mut paths, span));
+    let was_lost =
+        [START, START.plus(clock::Millis(1))].map(|start| paths.was_lost_since(start, &upstream()));
     let has_recovered = paths.record_direct(&upstream());
 
+    assert_eq!(was_lost, [true, false]);
     assert_eq!(before, paths::Plan::Direct);
     assert!(is_new && !is_news_again && has_recovered);
     assert_eq!(
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -416,6 +416,21 @@
     assert_eq!(later, clock::Millis::ZERO);
 }
 
+/// Guards against upstreams that are taken for slow because the path to them failed.
+#[test]
+fn upstream_is_not_slow_after_its_path_was_lost() {
+    let mut queue = queue(1);
+    queue.submit(START, job("cut", 8));
+    let call = queue.dispatch(START).remove(0);
+    let late = START.plus(clock::Millis(2000));
+
+    queue.complete(late, call.id, outcome::CallOutcome::PathLost);
+    let again = queue.dispatch(late);
+
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].items.len(), 8);
+}
+
 fn with_inputs(mut job: job::Job) -> job::Job {
     job.source = job::Source::Results(vec![handle::Handle("10.0.0.9:80/x".into())]);
     job.inputs = Some(job::Inputs {
