Remember by pool which daemons failed to forward

With silent paths, some requests found no way to an upstream long after the beginning of a partition: a daemon that reached the upstreams of one pool was asked again and again for those of a pool that it did not reach, as each success made its failures forgotten.

Failures are now kept for each daemon and pool. Daemons that failed for the pool are asked last, and before them those that failed for any other.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -187,7 +187,7 @@
     /// Records that the daemon `forwarder` reaches the upstream `entry`, and this one does not.
     pub fn record_tunnel(&self, entry: &upstream::Upstream, forwarder: &id::VmId) {
         self.metrics.tunnels.inc();
-        let is_new = self.paths().record_tunnel(self.now(), &entry.id, forwarder);
+        let is_new = self.paths().record_tunnel(self.now(), entry, forwarder);
         if is_new {
             log::warn!(
                 "event=path-lost upstream={} domain={} daemon={forwarder}",
--- a/crates/basilgrade_edge/src/tunnel/dialer.rs
+++ b/crates/basilgrade_edge/src/tunnel/dialer.rs
@@ -136,7 +136,7 @@
         core.now(),
         rand::random(),
         &settings.domain,
-        &entry.domain,
+        entry,
         &mut daemons,
     );
     daemons.truncate(MAX_FORWARDERS);
@@ -161,7 +161,8 @@
                 entry.id,
                 forwarder.name
             );
-            core.paths().record_failure(core.now(), &forwarder.name);
+            core.paths()
+                .record_failure(core.now(), entry, &forwarder.name);
             None
         }
     }
--- a/crates/basilgrade_fleet/src/paths.rs
+++ b/crates/basilgrade_fleet/src/paths.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::daemon;
+use crate::directory::upstream;
 use crate::ranking;
 
 /// Interval between direct connections that are tried while an upstream is reached through other
@@ -59,8 +60,8 @@
 #[derive(Debug, Default)]
 pub struct Paths {
     upstreams: IndexMap<id::UpstreamId, Path>,
-    /// Daemons that failed to forward, and the time until which others are preferred.
-    backoffs: IndexMap<id::VmId, clock::Millis>,
+    /// Daemons that failed to forward to a pool, and the time until which others are preferred.
+    backoffs: IndexMap<(id::VmId, id::PoolId), clock::Millis>,
 }
 
 impl Paths {
@@ -93,22 +94,28 @@
         matches!(known, Some(State::Broken { since, .. }) if since >= start)
     }
 
-    /// Records that the daemon `forwarder` did not reach an upstream, or did not answer.
-    pub fn record_failure(&mut self, now: clock::Millis, forwarder: &id::VmId) {
+    /// Records that the daemon `forwarder` did not reach the upstream `entry`, or did not answer.
+    pub fn record_failure(
+        &mut self,
+        now: clock::Millis,
+        entry: &upstream::Upstream,
+        forwarder: &id::VmId,
+    ) {
         self.backoffs.retain(|_, until| now < *until);
-        self.backoffs
-            .insert(forwarder.clone(), now.plus(FORWARDER_BACKOFF));
+        let key = (forwarder.clone(), entry.pool.clone());
+        self.backoffs.insert(key, now.plus(FORWARDER_BACKOFF));
     }
 
-    /// Records that the daemon `forwarder` reached the upstream `id`, to which no direct connection
-    /// was established; `true` if the path was not known to be broken.
+    /// Records that the daemon `forwarder` reached the upstream `entry`, to which no direct
+    /// connection was established; `true` if the path was not known to be broken.
     pub fn record_tunnel(
         &mut self,
         now: clock::Millis,
-        id: &id::UpstreamId,
+        entry: &upstream::Upstream,
         forwarder: &id::VmId,
     ) -> bool {
-        self.backoffs.swap_remove(forwarder);
+        let (id, pool) = (&entry.id, entry.pool.clone());
+        self.backoffs.swap_remove(&(forwarder.clone(), pool));
         let known = self.upstreams.get(id).map(|path| path.state);
         if matches!(known, Some(State::Broken { .. })) {
             return false;
@@ -134,23 +141,23 @@
         self.upstreams.insert(id.clone(), Path { state, used_at });
     }
 
-    /// Orders `daemons` for connections from the failure domain `own` to an upstream in `domain`:
-    /// those that have not failed first, then those that cause no further crossing between failure
-    /// domains. A random `seed` spreads the load over the others.
+    /// Orders `daemons` for connections from the failure domain `own` to `entry`: those that have
+    /// not failed for its pool first, then those that have not failed for any, then those that cause
+    /// no further crossing between failure domains. A random `seed` spreads the load.
     pub fn rank_forwarders(
         &self,
         now: clock::Millis,
         seed: u64,
         own: &id::DomainId,
-        domain: &id::DomainId,
+        entry: &upstream::Upstream,
         daemons: &mut [daemon::Daemon],
     ) {
         daemons.sort_by_cached_key(|daemon| {
-            let has_failed = self
-                .backoffs
-                .get(&daemon.name)
-                .is_some_and(|until| now < *until);
-            let is_detour = daemon.domain != *own && daemon.domain != *domain;
+            let backoffs = self.backoffs.iter().filter(|(_, until)| now < **until);
+            let failed = backoffs.filter(|((name, _), _)| *name == daemon.name);
+            let pools: Vec<_> = failed.map(|((_, pool), _)| pool).collect();
+            let has_failed = (pools.contains(&&entry.pool), !pools.is_empty());
+            let is_detour = daemon.domain != *own && daemon.domain != entry.domain;
             let weight = ranking::weight(seed, daemon.name.as_str());
             (has_failed, is_detour, weight)
         });
--- a/crates/basilgrade_fleet/tests/paths.rs
+++ b/crates/basilgrade_fleet/tests/paths.rs
@@ -1,26 +1,25 @@
 //! Paths to upstreams that a daemon does not reach by itself.
 
+mod common;
+
 use std::net;
 
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::paths;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use common::domain;
 
 const START: clock::Millis = clock::Millis(10_000);
 
 fn upstream() -> id::UpstreamId {
-    "engine-0".parse().expect("the name is valid")
+    common::upstream(0, "b").id
 }
 
 fn vm(name: &str) -> id::VmId {
     name.parse().expect("the name is valid")
 }
 
-fn domain(name: &str) -> id::DomainId {
-    name.parse().expect("the name is valid")
-}
-
 fn daemons(names: &[(&str, &str)]) -> Vec<daemon::Daemon> {
     let daemon = |(name, home): &(&str, &str)| daemon::Daemon {
         name: vm(name),
@@ -40,10 +39,11 @@
 #[test]
 fn broken_path_is_probed_until_it_works() {
     let mut paths = paths::Paths::default();
+    let entry = common::upstream(0, "b");
     let before = plan_after(&mut paths, 0);
 
-    let is_new = paths.record_tunnel(START, &upstream(), &vm("vm-1"));
-    let is_news_again = paths.record_tunnel(START, &upstream(), &vm("vm-2"));
+    let is_new = paths.record_tunnel(START, &entry, &vm("vm-1"));
+    let is_news_again = paths.record_tunnel(START, &entry, &vm("vm-2"));
     let during = [0, 100, 499, 500, 600].map(|span| plan_after(&mut paths, span));
     let was_lost =
         [START, START.plus(clock::Millis(1))].map(|start| paths.was_lost_since(start, &upstream()));
@@ -78,28 +78,29 @@
     assert!(!paths.record_direct(&upstream()));
 }
 
-/// Guards against daemons that keep asking others that are partitioned as well.
+/// Guards against daemons that keep asking others that are partitioned as well, from all pools or
+/// from one.
 #[test]
 fn daemons_that_failed_to_forward_are_asked_last() {
     let mut paths = paths::Paths::default();
     let names = [("vm-0", "a"), ("vm-1", "b"), ("vm-2", "c"), ("vm-3", "a")];
-    paths.record_failure(START, &vm("vm-0"));
-    paths.record_failure(START, &vm("vm-3"));
-    paths.record_tunnel(START, &upstream(), &vm("vm-3"));
+    let entry = common::upstream(0, "b");
+    let mut other = common::upstream(1, "b");
+    other.pool = common::pool_id("other");
+    paths.record_failure(START, &entry, &vm("vm-0"));
+    paths.record_failure(START, &other, &vm("vm-1"));
+    paths.record_failure(START, &entry, &vm("vm-3"));
+    paths.record_tunnel(START, &entry, &vm("vm-3"));
 
     for seed in 0..20 {
         let mut during = daemons(&names);
-        paths.rank_forwarders(START, seed, &domain("a"), &domain("b"), &mut during);
+        paths.rank_forwarders(START, seed, &domain("a"), &entry, &mut during);
         let mut after = daemons(&names);
         let later = START.plus(clock::Millis(2000));
-        paths.rank_forwarders(later, seed, &domain("a"), &domain("b"), &mut after);
-
-        assert_eq!(during[2].name, vm("vm-2"), "a detour comes after its peers");
-        assert_eq!(
-            during[3].name,
-            vm("vm-0"),
-            "a daemon that failed comes last"
-        );
-        assert_eq!(after[3].name, vm("vm-2"), "a failure is forgotten");
+        paths.rank_forwarders(later, seed, &domain("a"), &entry, &mut after);
+
+        let order: Vec<_> = during.iter().map(|daemon| daemon.name.as_str()).collect();
+        assert_eq!(order, ["vm-3", "vm-2", "vm-1", "vm-0"]);
+        assert_eq!(after[3].name, vm("vm-2"), "only the detour comes last");
     }
 }
