--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -13,6 +13,7 @@
 
 use crate::core;
 use crate::permits;
+use crate::tunnel::dialer;
 
 /// Delay before results are freed, which collects the results of one call into one request. Until
 /// then the results take up memory at their upstreams.
@@ -21,9 +22,6 @@
 /// Time-out of the call that frees results; if the call fails, the upstream expires the results.
 const CALL_TIMEOUT: clock::Millis = clock::Millis(1000);
 
-/// Time-out for connecting to an upstream.
-const CONNECT_TIMEOUT: clock::Millis = clock::Millis(400);
-
 /// Results to be freed, grouped by the upstream that holds them.
 pub struct ResultReleases {
     core: sync::Arc<core::Core>,
@@ -85,29 +83,21 @@
             );
             return;
         };
-        let entry = self.core.view.load().directory.at(address).cloned();
+        // The results of an upstream that is gone are gone as well.
+        let Some(entry) = self.core.view.load().directory.at(address).cloned() else {
+            return;
+        };
         // The memory of an upstream that is leaving serves no further call.
-        if entry
-            .as_ref()
-            .is_some_and(|entry| entry.stats.notices.is_leaving())
-        {
+        if entry.stats.notices.is_leaving() {
             return;
         }
-        let paused_until = || {
-            let entry = entry.as_ref();
-            entry.map_or(clock::Millis::ZERO, |entry| {
-                entry.stats.notices.paused_until()
-            })
-        };
+        let paused_until = || entry.stats.notices.paused_until();
         let pause = paused_until() - self.core.now();
         if pause > clock::Millis::ZERO {
             tokio::time::sleep(pause.duration()).await;
         }
-        if let Some(entry) = &entry
-            && permits::acquire(&self.core, entry, limit::Claim::Any, false)
-                .await
-                .is_err()
-        {
+        let permit = permits::acquire(&self.core, &entry, limit::Claim::Any, false);
+        if permit.await.is_err() {
             log::info!(
                 "event=release-skipped holder={holder} reason=\"the upstream is at its request limit\""
             );
@@ -123,18 +113,17 @@
                 return;
             }
         };
+        let connecting = dialer::open(&self.core, &entry);
         let call = self
             .core
             .connections
-            .call_while(address, message, "", CONNECT_TIMEOUT, |_| {
+            .call_over(address, connecting, message, "", |_| {
                 self.core.now() >= paused_until()
             });
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
             Ok(Ok(reply)) => {
                 let answer = answer::Answer::decode(reply.status, &reply.headers, "");
-                if let Some(entry) = &entry {
-                    self.core.record_notices(entry, &answer, 1);
-                }
+                self.core.record_notices(&entry, &answer, 1);
             }
             Ok(Err(failure)) => {
                 log::info!(
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod notices;
 pub mod outage;
+pub mod paths;
 pub mod placement;
 pub mod ranking;
 pub mod streams;
