Read the body of a rejected request before the answer

A caller whose request was rejected before its body had arrived (401, 404, 503 without a configuration or pool) found its connection closed without notice: the answer said nothing of it, and the unread body made the kernel reset the connection, so that a caller which was still writing met a broken pipe and might never read the answer. A next request on the kept connection met the same end. Configuration changes make just these answers.

Cause: the body was dropped unread, and the HTTP library then reads once more and closes.

The body of a rejected request is now read and discarded before the answer, within the limit on bodies, the header time-out and the caller's deadline. A body beyond these, or one that the caller holds back until it is asked for, is answered at once with `Connection: close`, and what arrives of it is discarded in the background, so that no reset overtakes the answer. The same holds for 413 and 408.

Before the change all three tests of `rejected_bodies` failed: a broken pipe while the body was being sent (chunked body at an unknown path; 4 MB beyond the limit), and a 404 without `Connection: close` before a close. Now they pass, as do those of `edge`.

--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt;
 pub mod buffered;
+mod discarded_body;
 mod opening;
 pub mod relay;
 pub mod request;
--- /dev/null
+++ b/crates/basilgrade_edge/src/serve/discarded_body.rs
@@ -0,0 +1,73 @@
+//! Bodies of rejected requests.
+//!
+//! A connection that is closed before its request was read is reset, and the reset may overtake the
+//! answer.
+
+use basilgrade_adapter::incoming_head;
+use basilgrade_fleet::model::limits;
+use http_body_util::BodyExt as _;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
+use hyper::header;
+
+use crate::core;
+use crate::serve::request_failure;
+use crate::serve::request_reader;
+
+/// Reads `body` to its end and returns `failure`.
+///
+/// A body that is too large or late, or that the caller holds back until it is asked for, ends its
+/// connection.
+pub(super) async fn reject(
+    core: &core::Core,
+    failure: request_failure::RequestFailure,
+    headers: &HeaderMap,
+    mut body: Incoming,
+    limits: limits::Limits,
+) -> request_failure::RequestFailure {
+    if body.is_end_stream() {
+        return failure;
+    }
+    if headers.contains_key(header::EXPECT) {
+        return failure.ending_connection();
+    }
+    let limit = limits.max_body.0;
+    if body.size_hint().lower() > limit {
+        return reject_last(failure, body, limits);
+    }
+    // The time-out of a head applies, as the request may have no route with a time-out of its own.
+    let head = incoming_head::IncomingHead::decode(headers).ok();
+    let time_left = head.and_then(|head| head.time_left);
+    let patience = time_left
+        .map_or(limits.header_timeout, |left| {
+            left - request_reader::ANSWER_MARGIN
+        })
+        .min(limits.header_timeout);
+    let reading = Limited::new(&mut body, limit as usize).collect();
+    let is_read = tokio::select! {
+        read = tokio::time::timeout(patience.duration(), reading) => matches!(read, Ok(Ok(_))),
+        () = core.wait_closing() => false,
+    };
+    if is_read {
+        failure
+    } else {
+        reject_last(failure, body, limits)
+    }
+}
+
+/// Returns `failure` as the last answer of its connection, and discards what arrives of `body` in
+/// the background until the caller has seen the answer.
+pub(super) fn reject_last(
+    failure: request_failure::RequestFailure,
+    mut body: Incoming,
+    limits: limits::Limits,
+) -> request_failure::RequestFailure {
+    let discarding = async move { while let Some(Ok(_)) = body.frame().await {} };
+    tokio::spawn(tokio::time::timeout(
+        limits.header_timeout.duration(),
+        discarding,
+    ));
+    failure.ending_connection()
+}
--- a/crates/basilgrade_edge/src/serve/request_failure.rs
+++ b/crates/basilgrade_edge/src/serve/request_failure.rs
@@ -23,6 +23,8 @@
     pub reason: CompactString,
     /// Delay after which the caller should retry; `None` if a retry is not advised.
     pub wait: Option<clock::Millis>,
+    /// Whether the connection cannot be used on, as the request was not read to its end.
+    pub ends_connection: bool,
 }
 
 impl RequestFailure {
@@ -33,6 +35,7 @@
             verdict: verdict::Verdict::NotRun,
             reason: compact_str::format_compact!("{reason}"),
             wait: None,
+            ends_connection: false,
         }
     }
 
@@ -57,6 +60,13 @@
         }
     }
 
+    /// The same error as the last answer of its connection.
+    #[must_use]
+    pub fn ending_connection(mut self) -> Self {
+        self.ends_connection = true;
+        self
+    }
+
     /// Response to the request with the id `request`; `is_last` asks the caller to close the
     /// connection.
     pub fn response(&self, request: &str, is_last: bool) -> Response<response_body::Body> {
@@ -69,7 +79,7 @@
         *response.headers_mut() = local_response::headers(request, self.wait);
         let json = header::HeaderValue::from_static("application/json");
         response.headers_mut().insert(header::CONTENT_TYPE, json);
-        if is_last {
+        if is_last || self.ends_connection {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/basilgrade_edge/src/serve/request_reader.rs
+++ b/crates/basilgrade_edge/src/serve/request_reader.rs
@@ -11,6 +11,7 @@
 use basilgrade_fleet::model::route;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -21,19 +22,30 @@
 use hyper::header;
 
 use crate::core;
+use crate::serve::discarded_body;
 use crate::serve::request;
 use crate::serve::request_failure;
 
 /// Margin by which the deadline of a request is set before the caller's, so that the response
 /// reaches the caller in time.
-const ANSWER_MARGIN: clock::Millis = clock::Millis(20);
+pub(super) const ANSWER_MARGIN: clock::Millis = clock::Millis(20);
 
 fn rejected(status: StatusCode, reason: impl std::fmt::Display) -> request_failure::RequestFailure {
     request_failure::RequestFailure::rejected(status, reason)
 }
 
+/// What the head of a request determines.
+struct CheckedHead {
+    head: incoming_head::IncomingHead,
+    route: route::Route,
+    customer: Option<customer::Customer>,
+    pool: id::PoolId,
+}
+
 /// Reads and validates a request that arrived at the time `arrived`.
 ///
+/// The body of a rejected request is read and discarded, so that the connection can be used on.
+///
 /// # Errors
 ///
 /// [`request_failure::RequestFailure`] if the request is malformed or not permitted, or if no
@@ -43,34 +55,37 @@
     message: Request<Incoming>,
     arrived: clock::Millis,
 ) -> Result<request::Request, request_failure::RequestFailure> {
-    let Some(configuration) = core.view.load().configuration.clone() else {
-        return Err(request_failure::RequestFailure::unavailable(
-            "the daemon has not received a configuration yet; retry later",
-        ));
+    let known = core.view.load().configuration.clone();
+    let limits = known.as_ref().map(|known| known.limits).unwrap_or_default();
+    let (parts, mut body) = message.into_parts();
+    let checked = match check_head(known.as_deref(), &parts) {
+        Ok(checked) => checked,
+        Err(failure) => {
+            let headers = &parts.headers;
+            return Err(discarded_body::reject(core, failure, headers, body, limits).await);
+        }
     };
-    let (parts, body) = message.into_parts();
-    let head = incoming_head::IncomingHead::decode(&parts.headers)
-        .map_err(|reason| rejected(StatusCode::BAD_REQUEST, reason))?;
-    let route = find_route(&configuration, &parts)?;
-    let customer = find_customer(&configuration, route, &head)?;
-    let pool = route.pool(rand::random()).cloned().ok_or_else(|| {
-        rejected(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the route has no pool; add one to the configuration",
-        )
-    })?;
+    let CheckedHead {
+        head,
+        route,
+        customer,
+        pool,
+    } = checked;
     let time_allowed = head.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived.plus(time_allowed) - ANSWER_MARGIN;
-    let limit = configuration.limits.max_body.0 as usize;
+    let limit = limits.max_body.0 as usize;
     let body_timeout = (deadline - core.now()).duration();
-    let body = tokio::time::timeout(body_timeout, read_body(body, limit))
-        .await
-        .map_err(|_| {
-            rejected(
-                StatusCode::REQUEST_TIMEOUT,
-                "the request body did not arrive before the deadline; send the body earlier",
-            )
-        })??;
+    let reading = tokio::time::timeout(body_timeout, read_body(&mut body, limit));
+    let whole = reading.await.unwrap_or_else(|_| {
+        Err(rejected(
+            StatusCode::REQUEST_TIMEOUT,
+            "the request body did not arrive before the deadline; send the body earlier",
+        ))
+    });
+    let body = match whole {
+        Ok(whole) => whole,
+        Err(failure) => return Err(discarded_body::reject_last(failure, body, limits)),
+    };
     let target = parts.uri.path_and_query();
     let caller = customer
         .as_ref()
@@ -90,16 +105,44 @@
         body,
         fingerprint,
         suspects,
-        route: sync::Arc::new(route.clone()),
+        route: sync::Arc::new(route),
         pool,
         customer,
-        has_keys: configuration.customers.is_some(),
+        has_keys: known.is_some_and(|known| known.customers.is_some()),
         arrived,
         deadline,
         uncertain_sends: atomic::AtomicU32::new(0),
     })
 }
 
+/// Checks a request before its body is read.
+fn check_head(
+    known: Option<&configuration::Configuration>,
+    parts: &hyper::http::request::Parts,
+) -> Result<CheckedHead, request_failure::RequestFailure> {
+    let configuration = known.ok_or_else(|| {
+        request_failure::RequestFailure::unavailable(
+            "the daemon has not received a configuration yet; retry later",
+        )
+    })?;
+    let head = incoming_head::IncomingHead::decode(&parts.headers)
+        .map_err(|reason| rejected(StatusCode::BAD_REQUEST, reason))?;
+    let route = find_route(configuration, parts)?;
+    let customer = find_customer(configuration, route, &head)?;
+    let pool = route.pool(rand::random()).cloned().ok_or_else(|| {
+        rejected(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the route has no pool; add one to the configuration",
+        )
+    })?;
+    Ok(CheckedHead {
+        head,
+        route: route.clone(),
+        customer,
+        pool,
+    })
+}
+
 fn find_route<'a>(
     configuration: &'a configuration::Configuration,
     parts: &hyper::http::request::Parts,
@@ -136,7 +179,10 @@
     Ok(holder.cloned())
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, request_failure::RequestFailure> {
+async fn read_body(
+    body: &mut Incoming,
+    limit: usize,
+) -> Result<Bytes, request_failure::RequestFailure> {
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(rejected(
