Judge the time-outs of callers' connections after reading

Callers lost requests without an answer or a refusal: a daemon that stood still for longer than the header time-out closed connections whose whole heads lay in its sockets, and callers on kept connections were cut by the limits that held when the connection was accepted, although a newer version of the configuration had raised them.

Causes: the timer of a head was judged before the socket was read, and the header and idle time-outs were taken when the connection was accepted. Reading first is not enough: the signal that resumes a process interrupts the poll of its sockets, so the runtime may see the end of a timer before it sees that a socket is readable.

The socket is now read first, and a time-out is not judged while the socket holds bytes. The header time-out is the one in force when the head begins; the idle time-out is the one in force when it would end. The stream takes over the idle time-out from the HTTP library, whose time-out is fixed per connection. The size limit of a head stays the one at accept, as the library cannot change it.

--- a/crates/basilgrade_edge/src/http/head_timeout.rs
+++ b/crates/basilgrade_edge/src/http/head_timeout.rs
@@ -1,6 +1,7 @@
 //! Caller's connection with a time-out for the arrival of each request head.
 
 use std::io;
+use std::mem;
 use std::pin;
 use std::sync;
 use std::sync::atomic;
@@ -16,6 +17,8 @@
 pub struct RequestProgress {
     is_serving: sync::Arc<atomic::AtomicBool>,
     heads: sync::Arc<atomic::AtomicU64>,
+    /// Wakes the reader of the connection at the end of a request, which starts the idle time-out.
+    reader: sync::Arc<futures::task::AtomicWaker>,
 }
 
 /// Guard that suspends the head time-out of a connection while a request is served.
@@ -28,7 +31,8 @@
     fn drop(&mut self) {
         self.progress
             .is_serving
-            .store(false, atomic::Ordering::Relaxed);
+            .store(false, atomic::Ordering::Release);
+        self.progress.reader.wake();
     }
 }
 
@@ -44,35 +48,117 @@
     }
 
     fn is_serving(&self) -> bool {
-        self.is_serving.load(atomic::Ordering::Relaxed)
+        self.is_serving.load(atomic::Ordering::Acquire)
     }
 }
 
-/// Stream whose reads fail if a request head takes longer than `limit` to arrive.
+/// Time-outs of a caller's connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timeouts {
+    /// Maximum time for a request head to arrive.
+    pub head: clock::Millis,
+    /// Maximum time between two requests.
+    pub idle: clock::Millis,
+}
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Wait {
+    /// The first byte of a request.
+    Request,
+    /// The rest of a request head.
+    Head,
+}
+
+/// Time-out that runs.
+struct Timer {
+    wait: Wait,
+    start: time::Instant,
+    sleep: pin::Pin<Box<time::Sleep>>,
+}
+
+impl Timer {
+    fn new(wait: Wait, limit: clock::Millis) -> Self {
+        Self {
+            wait,
+            start: time::Instant::now(),
+            sleep: Box::pin(time::sleep(limit.duration())),
+        }
+    }
+}
+
+/// Stream whose reads fail if a request head takes too long to arrive, or if no request arrives.
 ///
 /// The header time-out of hyper also counts the idle time before a request, but callers may keep a
-/// connection idle for far longer than a request head may take.
+/// connection idle for far longer than a request head may take. It is also fixed when the
+/// connection is accepted.
 pub struct HeadTimeoutStream {
     stream: net::TcpStream,
     progress: RequestProgress,
-    limit: clock::Millis,
-    /// Timer for the partially received head; `None` if no head has begun to arrive.
-    deadline: Option<pin::Pin<Box<time::Sleep>>>,
+    /// Returns the time-outs in force.
+    timeouts: Box<dyn Fn() -> Timeouts + Send>,
+    /// `None` while a request is served.
+    timer: Option<Timer>,
     /// Number of complete heads at the last read.
     heads: u64,
 }
 
 impl HeadTimeoutStream {
-    /// Wraps `stream`, on which each request head must arrive within `limit`.
-    pub fn new(stream: net::TcpStream, progress: RequestProgress, limit: clock::Millis) -> Self {
+    /// Wraps `stream`, whose time-outs are those that `timeouts` returns when a head begins.
+    pub fn new(
+        stream: net::TcpStream,
+        progress: RequestProgress,
+        timeouts: Box<dyn Fn() -> Timeouts + Send>,
+    ) -> Self {
         Self {
             stream,
             progress,
-            limit,
-            deadline: None,
+            timeouts,
+            timer: None,
             heads: 0,
         }
     }
+
+    /// Waits for the end of the time-out that applies now.
+    fn poll_timer(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Error> {
+        self.progress.reader.register(context.waker());
+        if self.timer.is_none() && !self.progress.is_serving() {
+            let limit = (self.timeouts)().idle;
+            self.timer = Some(Timer::new(Wait::Request, limit));
+        }
+        let Some(timer) = &mut self.timer else {
+            return task::Poll::Pending;
+        };
+        task::ready!(timer.sleep.as_mut().poll(context));
+        if has_input(&self.stream) {
+            // The runtime wakes this task when it learns of the bytes.
+            return task::Poll::Pending;
+        }
+        let reason = match timer.wait {
+            Wait::Head => "the request head was not received within the header time-out",
+            Wait::Request => {
+                let end = timer.start + (self.timeouts)().idle.duration();
+                if end > time::Instant::now() {
+                    // The time-out was raised while the connection was idle.
+                    timer.sleep.as_mut().reset(end);
+                    context.waker().wake_by_ref();
+                    return task::Poll::Pending;
+                }
+                "no request was received within the idle time-out"
+            }
+        };
+        task::Poll::Ready(io::Error::new(io::ErrorKind::TimedOut, reason))
+    }
+}
+
+/// Whether the socket of `stream` holds bytes, or the end of the connection.
+///
+/// After a standstill of the process, the runtime may see that a timer has ended before it sees that
+/// a socket is readable, as the signal that resumes a process interrupts the poll of its sockets.
+fn has_input(stream: &net::TcpStream) -> bool {
+    let mut byte = [mem::MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    !peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
 }
 
 impl tokio_io::AsyncRead for HeadTimeoutStream {
@@ -84,21 +170,23 @@
         let heads = self.progress.heads.load(atomic::Ordering::Relaxed);
         if heads != self.heads {
             self.heads = heads;
-            self.deadline = None;
-        }
-        if let Some(deadline) = &mut self.deadline
-            && deadline.as_mut().poll(context).is_ready()
-        {
-            let reason = format!("request head not received within {}", self.limit);
-            return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, reason)));
+            self.timer = None;
         }
         let before = buffer.filled().len();
-        let read = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
-        let has_begun = buffer.filled().len() > before && !self.progress.is_serving();
-        if has_begun && self.deadline.is_none() {
-            self.deadline = Some(Box::pin(time::sleep(self.limit.duration())));
+        // A head that arrived in time may be read late, after a standstill of the process.
+        if let task::Poll::Ready(read) = pin::Pin::new(&mut self.stream).poll_read(context, buffer)
+        {
+            let is_head = buffer.filled().len() > before && !self.progress.is_serving();
+            let has_begun = self
+                .timer
+                .as_ref()
+                .is_some_and(|timer| timer.wait == Wait::Head);
+            if is_head && !has_begun {
+                self.timer = Some(Timer::new(Wait::Head, (self.timeouts)().head));
+            }
+            return task::Poll::Ready(read);
         }
-        read
+        self.poll_timer(context).map(Err)
     }
 }
 
--- a/crates/basilgrade_edge/src/listener.rs
+++ b/crates/basilgrade_edge/src/listener.rs
@@ -4,6 +4,8 @@
 use std::sync;
 use std::time;
 
+use basilgrade_fleet::model::limits;
+use basilgrade_types::clock;
 use http_body_util::BodyExt as _;
 use hyper::server::conn::http1;
 use hyper::service;
@@ -12,6 +14,7 @@
 use tokio::net as tokio_net;
 use tokio_util::sync::CancellationToken;
 
+use crate::core;
 use crate::http::head_timeout;
 use crate::http::socket;
 use crate::serve;
@@ -21,8 +24,8 @@
 
 /// Multiple of the configured idle time-out after which an idle caller's connection is closed.
 ///
-/// Callers reuse a connection within the idle time-out. Closing it at the time-out could race with
-/// a new request, and the configured time-out may be raised while the connection is open.
+/// Callers reuse a connection within the idle time-out, so closing it at the time-out could race
+/// with a new request.
 const IDLE_TIMEOUT_FACTOR: u64 = 4;
 
 /// Accepts callers' connections until `stop` is cancelled, then waits for all connections to end.
@@ -52,6 +55,12 @@
     connections.shutdown().await;
 }
 
+fn limits_in_force(core: &core::Core) -> limits::Limits {
+    let view = core.view.load();
+    let known = view.configuration.as_ref();
+    known.map(|known| known.limits).unwrap_or_default()
+}
+
 fn serve_connection(
     service: &sync::Arc<serve::Service>,
     stream: tokio_net::TcpStream,
@@ -61,17 +70,18 @@
         log::debug!("event=caller-refused reason={:?}", error.to_string());
         return;
     }
-    let view = service.core.view.load();
-    let limits = view
-        .configuration
-        .as_ref()
-        .map(|known| known.limits)
-        .unwrap_or_default();
-    let idle_timeout = time::Duration::from_millis(limits.idle_timeout.0 * IDLE_TIMEOUT_FACTOR);
+    let limits = limits_in_force(&service.core);
     let service = sync::Arc::clone(service);
     let progress = head_timeout::RequestProgress::default();
-    let timed =
-        head_timeout::HeadTimeoutStream::new(stream, progress.clone(), limits.header_timeout);
+    let core = sync::Arc::clone(&service.core);
+    let timeouts = Box::new(move || {
+        let limits = limits_in_force(&core);
+        head_timeout::Timeouts {
+            head: limits.header_timeout,
+            idle: clock::Millis(limits.idle_timeout.0 * IDLE_TIMEOUT_FACTOR),
+        }
+    });
+    let timed = head_timeout::HeadTimeoutStream::new(stream, progress.clone(), timeouts);
     let serve = service::service_fn(move |message| {
         let service = sync::Arc::clone(&service);
         let serving_guard = progress.begin_request();
@@ -89,8 +99,7 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(idle_timeout)
+        .header_read_timeout(None)
         .max_buf_size((limits.max_head.0 as usize).max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(timed), serve);
     let watched = connections.watch(connection);
