Let calls between daemons outlast a late call of their connection

What callers saw: requests whose pieces another daemon had computed were delayed, or refused in the end, after that daemon stood still or was unreachable for half a second.

Cause: a call that was late, such as a poll of loads, dropped its connection and ended all other calls on it. The daemon then freed the pieces that it had finished for them, and each job began again from zero, three times at most.

Change: a late call stops new calls to the daemon for a while, as before, and later calls get a new connection. Calls in progress go on until they end or their connection breaks. If the daemon fails twice in a row (a late call, the backoff of 1.5 s, another late call: 2.5 to 3 s), the job is also sent elsewhere, and the first results are taken; the other calls are dropped, which frees theirs. Loads of pools with jobs in progress are polled on, so that the second failure is seen.

Considered: only to let the calls go on. To send the job elsewhere at the first late call costs each piece twice at each short standstill.

Price: pieces of a daemon whose VM has gone without a reset are begun again after 2.5 to 3 s (user time-out or second failure) instead of 0.5 to 1 s.

`pieces_in_progress_outlast_a_late_call` failed before: after a standstill of 1.2 s within a stage of 2 s, each of the two pieces was computed twice. Now each is computed once.

--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -38,7 +38,7 @@
     /// Runs streams and waits this many milliseconds before each event.
     Slow(u64),
     /// Runs requests and sends nothing for this many milliseconds before the event of this number;
-    /// event 1 is also the whole answer of a request that is no stream.
+    /// event 1 is also the whole answer of a request that is no stream, or of a stage call.
     Pauses(u64, u64),
     /// Runs requests and never answers.
     Silent,
@@ -242,6 +242,9 @@
                 at: time::Instant::now(),
             });
         if request.uri().path() == "/basilgrade/stage-run" {
+            if let Behaviour::Pauses(1, pause) = behaviour {
+                tokio::time::sleep(time::Duration::from_millis(pause)).await;
+            }
             return Some(self.piece_handles(request.body()));
         }
         let mut answer = match behaviour {
--- a/crates/basilgrade_edge/src/gather.rs
+++ b/crates/basilgrade_edge/src/gather.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod duty_client;
+mod gather_calls;
 pub mod gatherer;
 pub mod gatherers;
 pub mod job_router;
--- a/crates/basilgrade_edge/src/gather/client.rs
+++ b/crates/basilgrade_edge/src/gather/client.rs
@@ -15,6 +15,7 @@
 
 use crate::core;
 use crate::gather::duty_client;
+use crate::gather::gather_calls;
 use crate::gather::gatherers;
 use crate::gather::job_router;
 use crate::peers::service;
@@ -41,6 +42,8 @@
 struct PoolLoad {
     load: load::Load,
     used_at: clock::Millis,
+    /// Held by each job in progress.
+    jobs: sync::Arc<()>,
 }
 
 /// Client of the daemons that route the jobs of this failure domain to queues.
@@ -95,31 +98,31 @@
         }
     }
 
-    fn mark_used(&self, pool: &id::PoolId) {
+    /// Records the use of `pool` by a job, which holds the returned value until it ends.
+    fn mark_used(&self, pool: &id::PoolId) -> sync::Arc<()> {
         let now = self.core.now();
         let mut loads = self.lock();
         let entry = loads.entry(pool.clone()).or_insert(PoolLoad {
             load: load::Load::default(),
             used_at: now,
+            jobs: sync::Arc::default(),
         });
         entry.used_at = now;
+        sync::Arc::clone(&entry.jobs)
     }
 
     /// Has the pieces of `job` computed by upstreams of `pool`.
     pub async fn compute(&self, pool: &id::PoolId, mut job: job::Job) -> outcome::JobOutcome {
-        self.mark_used(pool);
+        let _use = self.mark_used(pool);
         let start = self.core.now();
         let (target_left, time_left) = (job.target_left, job.time_left);
         let duty = self.route_duty(pool);
+        let mut calls = gather_calls::GatherCalls::new(&self.duty_client);
         for _ in 1..MAX_TRIES {
             let Some(daemon) = self.duty_client.assignee(&duty) else {
                 break;
             };
-            let outcome = self
-                .duty_client
-                .gather(&daemon, duty.clone(), job.clone())
-                .await;
-            if let Ok(service::GatherReply::Ended(outcome, load)) = outcome {
+            if let Some((_, outcome, load)) = calls.call(daemon, duty.clone(), job.clone()).await {
                 self.update_load(pool, load);
                 return outcome;
             }
@@ -127,7 +130,8 @@
             job.target_left = target_left - elapsed;
             job.time_left = time_left - elapsed;
         }
-        let (outcome, load) = self.job_router.compute(pool, job).await;
+        let work = self.job_router.compute(pool, job);
+        let (_, outcome, load) = calls.beside(duty, work).await;
         self.update_load(pool, load);
         outcome
     }
@@ -232,9 +236,9 @@
     async fn fetch_loads(&self, now: clock::Millis) {
         let pools: Vec<id::PoolId> = {
             let loads = self.lock();
-            let in_use = loads
-                .iter()
-                .filter(|(_, known)| known.used_at.plus(USE_TTL) > now);
+            let in_use = loads.iter().filter(|(_, known)| {
+                known.used_at.plus(USE_TTL) > now || sync::Arc::strong_count(&known.jobs) > 1
+            });
             in_use.map(|(pool, _)| pool.clone()).collect()
         };
         let mut duties = Vec::new();
--- a/crates/basilgrade_edge/src/gather/duty_client.rs
+++ b/crates/basilgrade_edge/src/gather/duty_client.rs
@@ -83,6 +83,11 @@
         outcome
     }
 
+    /// Waits until another call to the daemon at `address` shows that it does not answer.
+    pub(super) async fn wait_unresponsive(&self, address: net::SocketAddr) {
+        self.core.links.wait_unresponsive(address).await;
+    }
+
     /// Has `daemon` free stage results of `pool` held by upstreams in `domain`.
     ///
     /// An unreachable daemon counts as leaving, as another daemon keeps the queue from now on.
--- a/crates/basilgrade_edge/src/gather/job_router.rs
+++ b/crates/basilgrade_edge/src/gather/job_router.rs
@@ -17,8 +17,8 @@
 use crate::core;
 use crate::gather::client;
 use crate::gather::duty_client;
+use crate::gather::gather_calls;
 use crate::gather::gatherers;
-use crate::peers::service;
 
 /// Maximum number of times a job is sent to a queue; the last time, this daemon queues the job
 /// itself if the queue's daemon is unreachable.
@@ -30,6 +30,8 @@
     /// Directory from which the numbers of upstreams in `cells` were counted.
     directory: Option<sync::Arc<directory::Directory>>,
     used_at: clock::Millis,
+    /// Held by each job in progress.
+    jobs: sync::Arc<()>,
 }
 
 /// Chooses a queue for each job by load and transfer cost.
@@ -124,8 +126,10 @@
         pool: &id::PoolId,
         mut job: job::Job,
     ) -> (outcome::JobOutcome, load::Load) {
+        let _use = self.with_queues(pool, |entry| sync::Arc::clone(&entry.jobs));
         let start = self.core.now();
         let (target_left, time_left) = (job.target_left, job.time_left);
+        let mut calls = gather_calls::GatherCalls::new(&self.duty_client);
         let mut tried = Vec::new();
         let mut has_moved = false;
         let mut domain = self.choose(pool, &job, &tried);
@@ -136,7 +140,10 @@
             } else {
                 job::Fallback::Wait
             };
-            let is_unreachable = match self.compute_at(pool, &domain, job.clone()).await {
+            let is_unreachable = match self
+                .compute_at(pool, &domain, job.clone(), &mut calls)
+                .await
+            {
                 Some(outcome::JobOutcome::HandedBack) => false,
                 None => true,
                 Some(outcome) => return (outcome, self.load(pool)),
@@ -161,9 +168,14 @@
             );
         }
         job.fallback = job::Fallback::Wait;
-        let outcome = match self.compute_at(pool, &domain, job.clone()).await {
-            Some(outcome) => outcome,
-            None => self.gatherers.compute(pool, &domain, job).await.0,
+        let ended = self
+            .compute_at(pool, &domain, job.clone(), &mut calls)
+            .await;
+        let outcome = if let Some(outcome) = ended {
+            outcome
+        } else {
+            let work = self.gatherers.compute(pool, &domain, job);
+            calls.beside(Self::queue_duty(pool, &domain), work).await.1
         };
         (outcome, self.load(pool))
     }
@@ -172,23 +184,25 @@
         self.with_queues(pool, |entry| entry.cells.domains().count())
     }
 
-    /// Has the pieces of `job` computed by the queue in `domain`; `None` if the queue's daemon is
-    /// unreachable.
+    /// Has the pieces of `job` computed by the queue in `domain`, beside `calls`; `None` if the
+    /// queue's daemon is unreachable.
     async fn compute_at(
         &self,
         pool: &id::PoolId,
         domain: &id::DomainId,
         job: job::Job,
+        calls: &mut gather_calls::GatherCalls<'_>,
     ) -> Option<outcome::JobOutcome> {
         let duty = Self::queue_duty(pool, domain);
-        let (outcome, load) = match self.duty_client.assignee(&duty) {
-            Some(daemon) => match self.duty_client.gather(&daemon, duty, job.clone()).await {
-                Ok(service::GatherReply::Ended(outcome, load)) => (outcome, load),
-                Ok(service::GatherReply::Leaving) | Err(_) => return None,
-            },
-            None => self.gatherers.compute(pool, domain, job).await,
+        let (duty, outcome, load) = if let Some(daemon) = self.duty_client.assignee(&duty) {
+            calls.call(daemon, duty, job).await?
+        } else {
+            let work = self.gatherers.compute(pool, domain, job);
+            calls.beside(duty, work).await
         };
-        self.with_queues(pool, |entry| entry.cells.update_load(domain, load));
+        self.with_queues(pool, |entry| {
+            entry.cells.update_load(duty.scope.domain(), load);
+        });
         Some(outcome)
     }
 
@@ -211,7 +225,8 @@
     pub async fn fetch_loads(&self, now: clock::Millis) {
         let mut duties = Vec::new();
         for (pool, entry) in self.lock().iter() {
-            if entry.used_at.plus(client::USE_TTL) > now {
+            if entry.used_at.plus(client::USE_TTL) > now || sync::Arc::strong_count(&entry.jobs) > 1
+            {
                 duties.extend(
                     entry
                         .cells
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time as std_time;
 
 use basilgrade_peer::postcard_format;
@@ -25,13 +26,18 @@
 /// it has ended or restarted.
 const LEAVING_BACKOFF: std_time::Duration = std_time::Duration::from_secs(4);
 
+/// Number of failures in a row after which calls in progress are also made elsewhere.
+const UNRESPONSIVE_FAILURES: u32 = 2;
+
 /// Maximum size of a message between daemons; the records of 1,200 upstreams take 0.5 MB.
 const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
+/// Connection to another daemon; it closes when its last call ends.
+#[derive(Clone)]
 struct PeerLink {
     client: service::PeerClient,
-    /// Cancelled when the link is dropped after a failure, which fails the calls in progress.
-    closed: tokio_util::sync::CancellationToken,
+    /// Distinguishes the link from later ones to the same daemon.
+    number: u64,
 }
 
 /// Links to other daemons by address, and the daemons that get no calls for a while.
@@ -39,6 +45,11 @@
 pub struct PeerLinks {
     open: sync::Mutex<IndexMap<net::SocketAddr, PeerLink>>,
     backoffs: sync::Mutex<IndexMap<net::SocketAddr, time::Instant>>,
+    /// Number of failures of each daemon since its last answer.
+    failures: sync::Mutex<IndexMap<net::SocketAddr, u32>>,
+    has_failed: tokio::sync::Notify,
+    /// Number of links opened so far.
+    opened: atomic::AtomicU64,
 }
 
 /// Codec that separates the messages on a connection by a length prefix.
@@ -75,15 +86,51 @@
         }
     }
 
-    /// Drops the link to the daemon at `address` and stops new calls to it for a while; calls in
-    /// progress fail at once.
-    pub fn mark_failed(&self, address: net::SocketAddr, reason: &str) {
+    /// Stops new calls to the daemon at `address` for a while; later ones get a new connection.
+    ///
+    /// Calls in progress on `link` go on: a daemon that stood still answers them, and a broken
+    /// connection ends them. A link that was replaced before tells nothing of the daemon now.
+    fn retire(&self, address: net::SocketAddr, link: &PeerLink, reason: &str) {
+        let mut open = lock(&self.open);
+        if open
+            .get(&address)
+            .is_none_or(|known| known.number != link.number)
+        {
+            return;
+        }
+        open.swap_remove(&address);
+        self.back_off(address);
+        log::warn!("event=dependency-lost dependency=daemon address={address} reason={reason:?}");
+    }
+
+    fn back_off(&self, address: net::SocketAddr) {
         lock(&self.backoffs).insert(address, time::Instant::now() + FAILURE_BACKOFF);
-        if let Some(link) = lock(&self.open).swap_remove(&address) {
-            log::warn!(
-                "event=dependency-lost dependency=daemon address={address} reason={reason:?}"
-            );
-            link.closed.cancel();
+        *lock(&self.failures).entry(address).or_default() += 1;
+        self.has_failed.notify_waiters();
+    }
+
+    fn failures(&self, address: net::SocketAddr) -> u32 {
+        lock(&self.failures)
+            .get(&address)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Waits until the daemon at `address` fails again and has failed `UNRESPONSIVE_FAILURES` times
+    /// in a row.
+    ///
+    /// One late call may come from a short standstill, after which the daemon goes on.
+    pub async fn wait_unresponsive(&self, address: net::SocketAddr) {
+        let mut known = self.failures(address);
+        loop {
+            let failed = self.has_failed.notified();
+            let failures = self.failures(address);
+            if failures > known && failures >= UNRESPONSIVE_FAILURES {
+                return;
+            }
+            // An answer starts the count anew.
+            known = known.min(failures);
+            failed.await;
         }
     }
 
@@ -101,31 +148,29 @@
     where
         F: Future<Output = Result<T, client::RpcError>>,
     {
-        let (client, closed) = match self.connect(address).await {
-            Ok(link) => link,
-            Err(reason) => {
-                self.mark_failed(address, &reason);
-                return Err(reason);
-            }
-        };
+        let link = self
+            .connect(address)
+            .await
+            .inspect_err(|_| self.back_off(address))?;
         let mut context = context::current();
         context.deadline = std_time::Instant::now() + limit.duration();
-        let outcome = tokio::select! {
-            outcome = call(client, context) => outcome.map_err(|error| error.to_string()),
-            () = closed.cancelled() => Err("another call to the daemon failed".to_owned()),
-        };
-        if let Err(reason) = &outcome {
-            self.mark_failed(address, reason);
+        let outcome = call(link.client.clone(), context).await;
+        match outcome {
+            Ok(reply) => {
+                lock(&self.failures).swap_remove(&address);
+                Ok(reply)
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                self.retire(address, &link, &reason);
+                Err(reason)
+            }
         }
-        outcome
     }
 
-    async fn connect(
-        &self,
-        address: net::SocketAddr,
-    ) -> Result<(service::PeerClient, tokio_util::sync::CancellationToken), String> {
+    async fn connect(&self, address: net::SocketAddr) -> Result<PeerLink, String> {
         if let Some(link) = lock(&self.open).get(&address) {
-            return Ok((link.client.clone(), link.closed.clone()));
+            return Ok(link.clone());
         }
         let stream = socket::connect(address, CONNECT_TIMEOUT, socket::Patience::Call)
             .await
@@ -138,8 +183,8 @@
         // Another call may have connected at the same time; the first link is kept.
         let link = open.entry(address).or_insert_with(|| PeerLink {
             client,
-            closed: tokio_util::sync::CancellationToken::new(),
+            number: self.opened.fetch_add(1, atomic::Ordering::Relaxed),
         });
-        Ok((link.client.clone(), link.closed.clone()))
+        Ok(link.clone())
     }
 }
