--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -39,7 +39,7 @@
     /// Runs streams and waits this many milliseconds before each event.
     Slow(u64),
     /// Runs requests and sends nothing for this many milliseconds before the event of this number;
-    /// event 1 is also the whole answer of a request that is no stream.
+    /// event 1 is also the whole answer of a request that is no stream, or of a stage call.
     Pauses(u64, u64),
     /// Pauses before an event as `Pauses` does, and breaks the connection within the event of the
     /// last number.
