--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Frame;
+use indexmap::IndexMap;
 
 use super::server;
 
@@ -40,6 +41,9 @@
     /// Runs requests and sends nothing for this many milliseconds before the event of this number;
     /// event 1 is also the whole answer of a request that is no stream.
     Pauses(u64, u64),
+    /// Pauses before an event as `Pauses` does, and breaks the connection within the event of the
+    /// last number.
+    PausesAndBreaks(u64, u64, u64),
     /// Runs requests and never answers.
     Silent,
     /// Runs requests; closes the connection without an answer if the prompt has the part named
@@ -49,6 +53,14 @@
     CrashesOnBody(&'static str),
 }
 
+/// Number of the event within which the connection breaks, if it does.
+fn last_event(behaviour: Behaviour) -> Option<u64> {
+    match behaviour {
+        Behaviour::BreaksIn(last) | Behaviour::PausesAndBreaks(_, _, last) => Some(last),
+        _ => None,
+    }
+}
+
 /// One run of a request, as the upstream received it.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -81,8 +93,10 @@
     pub(crate) runs: sync::Mutex<Vec<Run>>,
     /// When work on streams ended, complete or not, with the ids of their requests.
     pub(crate) ends: sync::Arc<sync::Mutex<Vec<(String, time::Instant)>>>,
-    /// Limit on the rate of requests that the answers name.
-    pub(crate) limit: sync::Mutex<Option<&'static str>>,
+    /// Number of requests that have arrived, refused ones and releases of results included.
+    pub(crate) arrivals: sync::atomic::AtomicUsize,
+    /// Headers that all answers carry, by name.
+    pub(crate) notices: sync::Mutex<IndexMap<&'static str, &'static str>>,
     /// Address that the store lists for this upstream.
     pub(crate) address: sync::OnceLock<std::net::SocketAddr>,
     /// Whether the data of each event names the upstream and the run that produced the event.
@@ -101,7 +115,16 @@
 
     /// Has all further answers name the limit `limit`, in requests per second.
     pub(crate) fn name_limit(&self, limit: Option<&'static str>) {
-        *self.limit.lock().expect("no holder of the lock panics") = limit;
+        self.announce("server-limit", limit);
+    }
+
+    /// Has all further answers carry the header `name` with this value, or not at all.
+    pub(crate) fn announce(&self, name: &'static str, value: Option<&'static str>) {
+        let mut notices = self.notices.lock().expect("no holder of the lock panics");
+        match value {
+            Some(value) => notices.insert(name, value),
+            None => notices.swap_remove(name),
+        };
     }
 
     /// Returns all runs in order of arrival.
@@ -162,23 +185,25 @@
             async move {
                 let pause = match behaviour {
                     Behaviour::Slow(pause) => pause,
-                    Behaviour::Pauses(before, pause) if before == event => pause,
+                    Behaviour::Pauses(before, pause)
+                    | Behaviour::PausesAndBreaks(before, pause, _)
+                        if before == event =>
+                    {
+                        pause
+                    }
                     _ => 0,
                 };
                 if pause > 0 {
                     tokio::time::sleep(time::Duration::from_millis(pause)).await;
                 }
                 let mut text = format!("id: {event}\ndata: {name}-{event}\n\n");
-                if behaviour == Behaviour::BreaksIn(event) {
+                if last_event(behaviour) == Some(event) {
                     text.truncate(9);
                 }
                 Ok(Frame::data(Bytes::from(text)))
             }
         });
-        let last = match behaviour {
-            Behaviour::BreaksIn(last) => last,
-            _ => EVENTS,
-        };
+        let last = last_event(behaviour).unwrap_or(EVENTS);
         let count = last.saturating_sub(from) as usize;
         let broken = futures::stream::once(async {
             // The delay makes the daemon receive the bytes before the break and the break
@@ -186,7 +211,7 @@
             tokio::time::sleep(time::Duration::from_millis(50)).await;
             Err(std::io::Error::other("connection broken by the test"))
         });
-        let breaks = usize::from(matches!(behaviour, Behaviour::BreaksIn(_)));
+        let breaks = usize::from(last_event(behaviour).is_some());
         let frames = events.take(count).chain(broken.take(breaks));
         let frames = frames.map(move |frame| {
             let _ = &guard;
@@ -201,11 +226,12 @@
         self: sync::Arc<Self>,
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
+        self.arrivals.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let mut answer = self.answer(request).await?;
-        let limit = *self.limit.lock().expect("no holder of the lock panics");
-        if let Some(limit) = limit {
-            let limit = hyper::header::HeaderValue::from_static(limit);
-            answer.headers_mut().insert("server-limit", limit);
+        let notices = self.notices.lock().expect("no holder of the lock panics");
+        for (name, value) in notices.iter() {
+            let value = hyper::header::HeaderValue::from_static(value);
+            answer.headers_mut().insert(*name, value);
         }
         Some(answer)
     }
@@ -242,6 +268,9 @@
                 at: time::Instant::now(),
             });
         if request.uri().path() == "/basilgrade/stage-run" {
+            if let Behaviour::Pauses(1, pause) = behaviour {
+                tokio::time::sleep(time::Duration::from_millis(pause)).await;
+            }
             return Some(self.piece_handles(request.body()));
         }
         let mut answer = match behaviour {
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -10,12 +10,15 @@
 use basilgrade_fleet::directory::latest;
 use basilgrade_fleet::outage;
 use basilgrade_types::clock;
+use bytes::Bytes;
+use compact_str::CompactString;
 
 use crate::core;
 use crate::follow::mirror;
 use crate::follow::origin;
 use crate::follow::position;
 use crate::follow::restored;
+use crate::follow::unreadable;
 use crate::peers::service;
 
 /// Mirrors of all topics, the registered daemons, and whether the store answers.
@@ -26,6 +29,9 @@
     is_store_reachable: atomic::AtomicBool,
     outages: sync::Mutex<outage::OutageDetector>,
     latest: sync::Mutex<latest::Latest>,
+    /// Record of the configuration in force; newer ones may be unreadable.
+    in_force: sync::Mutex<Option<(CompactString, Bytes)>>,
+    unreadable: sync::Mutex<unreadable::UnreadableRecords>,
     regained: tokio::sync::watch::Sender<u64>,
     changed: tokio::sync::watch::Sender<u64>,
     is_reading: tokio::sync::watch::Sender<bool>,
@@ -59,6 +65,8 @@
             is_store_reachable: atomic::AtomicBool::new(false),
             outages: sync::Mutex::new(outage::OutageDetector::new(heartbeat)),
             latest: sync::Mutex::default(),
+            in_force: sync::Mutex::default(),
+            unreadable: sync::Mutex::default(),
             regained: tokio::sync::watch::Sender::new(0),
             changed: tokio::sync::watch::Sender::new(0),
             is_reading: tokio::sync::watch::Sender::new(true),
@@ -83,11 +91,58 @@
     pub fn since(&self, positions: [Option<position::Position>; 3]) -> Vec<mirror::Update> {
         let mirrors = self.lock();
         let pairs = mirrors.iter().zip(positions);
-        pairs
-            .filter_map(|(mirror, known)| mirror.since(known))
+        let updates = pairs.filter_map(|(mirror, known)| mirror.since(known));
+        updates
+            .map(|update| self.with_configuration(update))
             .collect()
     }
 
+    /// Adds the configuration in force to `update` if that has all records of its topic but not this
+    /// one, as a newer one is unreadable.
+    fn with_configuration(&self, mut update: mirror::Update) -> mirror::Update {
+        if update.topic != store::Topic::Operators {
+            return update;
+        }
+        if let mirror::Changes::All(records) = &mut update.changes
+            && let Some(in_force) = self.lock_in_force().clone()
+            && !records.contains(&in_force)
+        {
+            records.insert(0, in_force);
+        }
+        update
+    }
+
+    fn lock_in_force(&self) -> sync::MutexGuard<'_, Option<(CompactString, Bytes)>> {
+        self.in_force
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn lock_unreadable(&self) -> sync::MutexGuard<'_, unreadable::UnreadableRecords> {
+        self.unreadable
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Counts a record that cannot be decoded, once for each value of its key, and logs it unless
+    /// the key had an unreadable value before; `kind` names the kind of record.
+    fn report_unreadable(
+        &self,
+        topic: store::Topic,
+        kind: &str,
+        (key, value): (&str, &[u8]),
+        reason: &str,
+    ) {
+        let novelty = self.lock_unreadable().insert(topic, key, value);
+        if novelty == unreadable::Novelty::Known {
+            return;
+        }
+        self.core.metrics.unreadable_records.inc();
+        if novelty == unreadable::Novelty::New {
+            log::warn!("event={kind}-unreadable {kind}={key:?} reason={reason:?}");
+        }
+    }
+
     /// Positions of all mirrors, in the order of [`TOPICS`].
     pub fn positions(&self) -> [Option<position::Position>; 3] {
         self.lock().each_ref().map(mirror::Mirror::position)
@@ -113,6 +168,21 @@
         self.era.subscribe()
     }
 
+    /// Daemon that reads the store for this one; `None` if this daemon ranks first in its failure
+    /// domain.
+    pub fn other_reader(&self) -> Option<daemon::Daemon> {
+        let settings = self.core.settings.load();
+        let is_domain_peer = |daemon: &daemon::Daemon| daemon.domain == settings.domain;
+        let mut daemons = self.daemons();
+        daemons.retain(is_domain_peer);
+        daemon::rank("reader", &mut daemons);
+        let is_usable = |daemon: &daemon::Daemon| {
+            daemon.name == settings.name || !self.core.links.is_backing_off(daemon.address)
+        };
+        let reader = daemons.into_iter().find(is_usable)?;
+        (reader.name != settings.name).then_some(reader)
+    }
+
     /// Starts or stops reading the store; `reason` is logged on a change.
     pub fn set_reader(&self, is_reader: bool, reason: &str) {
         let changes = |known: &mut bool| std::mem::replace(known, is_reader) != is_reader;
@@ -173,6 +243,12 @@
         self.lock_outages().is_uncertain(self.core.now())
     }
 
+    /// Whether registrations of live upstreams may be missing, because the store came back from an
+    /// older copy a short time ago.
+    pub fn is_restored_lately(&self) -> bool {
+        self.lock_outages().is_restored_lately(self.core.now())
+    }
+
     /// Pause before the next read of the registrations, which are read every `interval`.
     pub fn read_pause(&self, interval: clock::Millis) -> clock::Millis {
         self.lock_outages().read_pause(self.core.now(), interval)
@@ -237,6 +313,11 @@
             self.lock_outages().record_restore(self.core.now());
             self.keep_lost_records(topic, &mut changes);
         }
+        let has_gap = known.is_some() && matches!(changes, mirror::Changes::All(_));
+        if topic == store::Topic::Upstreams && has_gap {
+            let now = self.core.now();
+            self.core.streams().record_gap(now);
+        }
         if topic == store::Topic::Operators {
             self.keep_configuration(&mut changes);
         }
@@ -251,7 +332,9 @@
             return;
         }
         match topic {
-            store::Topic::Operators => self.update_configuration(&changes, origin),
+            store::Topic::Operators => {
+                self.update_configuration(&changes, origin);
+            }
             store::Topic::Upstreams => self.update_upstreams(changes, origin, is_uncertain),
             store::Topic::Daemons => self.update_daemons(),
         }
@@ -284,14 +367,10 @@
         for update in updates {
             let mut changes = update.changes.clone();
             self.keep_configuration(&mut changes);
-            let record = changes
-                .records()
-                .find(|(key, _)| store::is_configuration_key(key));
-            if let Some((key, value)) = record {
+            if let Some((key, value)) = self.update_configuration(&changes, origin::Origin::Peer) {
                 let operators = topic_index(store::Topic::Operators);
-                self.lock()[operators].put(key.clone(), value.clone());
+                self.lock()[operators].put(key, value);
             }
-            self.update_configuration(&changes, origin::Origin::Peer);
         }
     }
 
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -9,12 +9,13 @@
 use basilgrade_adapter::upstream_registration;
 use basilgrade_fleet::daemon;
 use basilgrade_fleet::directory;
+use basilgrade_fleet::model::configuration as model;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
-use basilgrade_types::id;
 use bytes::Bytes;
 use compact_str::CompactString;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::follow::mirror;
 use crate::follow::mirrors;
@@ -25,31 +26,19 @@
 const REGISTRATION_AGE: clock::Millis = clock::Millis(30 * 60_000);
 
 impl mirrors::Mirrors {
-    pub(super) fn update_configuration(&self, changes: &mirror::Changes, origin: origin::Origin) {
-        let records = changes.records();
-        // Only the newest configuration of a batch takes effect.
-        let newest = records
-            .filter(|(key, _)| store::is_configuration_key(key))
-            .last();
-        let Some((_, value)) = newest else {
-            return;
-        };
-        let configuration = match configuration::decode(value) {
-            Ok(configuration) => configuration,
-            Err(reason) => {
-                self.core.metrics.unreadable_records.inc();
-                log::error!(
-                    "event=configuration-unreadable reason={:?}",
-                    reason.to_string()
-                );
-                return;
-            }
-        };
+    /// Takes over the newest readable configuration in `changes` if it is newer than the one in
+    /// force; returns its record if so.
+    pub(super) fn update_configuration(
+        &self,
+        changes: &mirror::Changes,
+        origin: origin::Origin,
+    ) -> Option<(CompactString, Bytes)> {
+        let (configuration, record) = self.newest_configuration(changes)?;
         let known = self.core.view.load().configuration.clone();
         let version = configuration.version;
         let previous = known.map_or(0, |known| known.version);
         if version <= previous {
-            return;
+            return None;
         }
         let routes: usize = configuration.hosts.values().map(Vec::len).sum();
         log::info!(
@@ -62,6 +51,40 @@
             configuration: Some(sync::Arc::clone(&configuration)),
             ..view::View::clone(view)
         });
+        *self.lock_in_force() = Some(record.clone());
+        Some(record)
+    }
+
+    /// The newest readable configuration in `changes`, with its record.
+    fn newest_configuration(
+        &self,
+        changes: &mirror::Changes,
+    ) -> Option<(model::Configuration, (CompactString, Bytes))> {
+        let topic = store::Topic::Operators;
+        let records = changes.records();
+        let mut newest: Option<(model::Configuration, _)> = None;
+        let mut is_last_readable = false;
+        for (key, value) in records.filter(|(key, _)| store::is_configuration_key(key)) {
+            let decoded = configuration::decode(value);
+            is_last_readable = decoded.is_ok();
+            match decoded {
+                Ok(found) => {
+                    let is_older =
+                        |(known, _): &(model::Configuration, _)| known.version <= found.version;
+                    if newest.as_ref().is_none_or(is_older) {
+                        newest = Some((found, (key.clone(), value.clone())));
+                    }
+                }
+                Err(reason) => {
+                    let reason = reason.to_string();
+                    self.report_unreadable(topic, "configuration", (key, value), &reason);
+                }
+            }
+        }
+        if is_last_readable {
+            self.lock_unreadable().retain(topic, |_| false);
+        }
+        newest
     }
 
     pub(super) fn update_upstreams(
@@ -80,12 +103,17 @@
                     .filter(|id| !records.iter().any(|(key, _)| key == id.as_str()))
                     .map(|id| (CompactString::new(id.as_str()), None))
                     .collect();
+                self.lock_unreadable()
+                    .retain(store::Topic::Upstreams, |known| {
+                        records.iter().any(|(key, _)| key == known)
+                    });
                 let present = records.into_iter().map(|(key, value)| (key, Some(value)));
                 present.chain(gone).collect()
             }
         };
         for (key, value) in records {
-            has_changed |= self.update_upstream(&mut directory, &key, value, origin, is_uncertain);
+            has_changed |=
+                self.update_upstream(&mut directory, &key, value.as_ref(), origin, is_uncertain);
         }
         if has_changed || !self.core.view.load().has_upstreams {
             self.publish_directory(directory);
@@ -96,15 +124,21 @@
         &self,
         directory: &mut directory::Directory,
         key: &str,
-        value: Option<Bytes>,
+        value: Option<&Bytes>,
         origin: origin::Origin,
         is_uncertain: bool,
     ) -> bool {
+        let topic = store::Topic::Upstreams;
+        let decoded = value.map(|value| upstream_registration::decode(key, value));
+        if let (Some(value), Some(Err(reason))) = (value, &decoded) {
+            self.report_unreadable(topic, "upstream", (key, value), &reason.to_string());
+        } else {
+            self.lock_unreadable().remove(topic, key);
+        }
         let Ok(id) = key.parse() else {
-            self.core.metrics.unreadable_records.inc();
             return false;
         };
-        let Some(value) = value else {
+        let Some(decoded) = decoded else {
             self.lock_latest().record_removal(self.core.now(), &id);
             if directory.get(&id).is_none() {
                 return false;
@@ -120,45 +154,39 @@
             }
             return true;
         };
-        match upstream_registration::decode(key, &value) {
-            Ok(entry) => {
-                self.lock_latest().record(&entry);
-                let known = directory.get(&id);
-                let is_same = known
-                    .is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
-                if is_same && !directory.has_missing() {
-                    return false;
-                }
-                if !is_same {
-                    log::info!(
-                        "event=upstream-changed upstream={id} pool={} address={} domain={} \
-                         state={:?} started_at={} sequence={} origin={}",
-                        entry.pool,
-                        entry.address,
-                        entry.domain,
-                        entry.state,
-                        entry.started_at.unwrap_or_default(),
-                        entry.sequence.unwrap_or_default(),
-                        origin.as_str()
-                    );
-                }
-                directory.put(entry);
-                true
-            }
-            Err(reason) => {
-                self.core.metrics.unreadable_records.inc();
-                log::warn!(
-                    "event=upstream-unreadable upstream={id} reason={:?}",
-                    reason.to_string()
-                );
-                let was_known = directory.get(&id).is_some();
-                directory.remove(&id);
-                was_known
-            }
+        let known = directory.get(&id);
+        let Ok(entry) = decoded else {
+            let was_known = known.is_some();
+            directory.remove(&id);
+            return was_known;
+        };
+        self.lock_latest().record(&entry);
+        self.core.record_registration(&entry);
+        let is_same =
+            known.is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
+        if is_same && !directory.has_missing() {
+            return false;
         }
+        if !is_same {
+            log::info!(
+                "event=upstream-changed upstream={id} pool={} address={} domain={} state={:?} \
+                 started_at={} sequence={} origin={}",
+                entry.pool,
+                entry.address,
+                entry.domain,
+                entry.state,
+                entry.started_at.unwrap_or_default(),
+                entry.sequence.unwrap_or_default(),
+                origin.as_str()
+            );
+        }
+        directory.put(entry);
+        true
     }
 
     fn publish_directory(&self, directory: directory::Directory) {
+        // Upstreams that are about to be removed have served until now.
+        self.core.observe_versions();
         let directory = sync::Arc::new(directory);
         self.core.view.rcu(|view| view::View {
             directory: sync::Arc::clone(&directory),
@@ -181,28 +209,6 @@
         self.publish_directory(directory);
     }
 
-    /// Decodes evidence; `None` if it has expired or is unreadable.
-    fn decode_evidence(
-        &self,
-        key: &str,
-        value: &Bytes,
-    ) -> Option<((suspects::Suspect, id::VmId), suspects::Evidence)> {
-        match evidence::decode(key, value) {
-            Ok((known, evidence)) => {
-                let is_valid = evidence.seen_at.plus(suspects::EVIDENCE_TTL) >= self.core.now();
-                is_valid.then_some((known, evidence))
-            }
-            Err(reason) => {
-                self.core.metrics.unreadable_records.inc();
-                log::warn!(
-                    "event=evidence-unreadable key={key:?} reason={:?}",
-                    reason.to_string()
-                );
-                None
-            }
-        }
-    }
-
     pub(super) fn update_daemons(&self) {
         let now = self.core.now();
         let records = self.lock()[mirrors::topic_index(store::Topic::Daemons)]
@@ -210,25 +216,34 @@
             .clone();
         let mut daemons = Vec::new();
         let mut others = IndexMap::<_, IndexMap<_, _>>::new();
+        let mut unreadable = IndexSet::new();
         for (key, value) in &records {
-            if evidence::is_key(key) {
-                if let Some(((suspect, daemon), evidence)) = self.decode_evidence(key, value) {
-                    others.entry(suspect).or_default().insert(daemon, evidence);
+            let (kind, reason) = if evidence::is_key(key) {
+                match evidence::decode(key, value) {
+                    Ok((_, evidence)) if evidence.seen_at.plus(suspects::EVIDENCE_TTL) < now => {
+                        continue;
+                    }
+                    Ok(((suspect, daemon), evidence)) => {
+                        others.entry(suspect).or_default().insert(daemon, evidence);
+                        continue;
+                    }
+                    Err(reason) => ("evidence", reason.to_string()),
                 }
-                continue;
-            }
-            match registration::decode(key, value) {
-                Ok(daemon) if daemon.seen_at.plus(REGISTRATION_AGE) >= now => daemons.push(daemon),
-                Ok(_) => {}
-                Err(reason) => {
-                    self.core.metrics.unreadable_records.inc();
-                    log::warn!(
-                        "event=daemon-unreadable daemon={key:?} reason={:?}",
-                        reason.to_string()
-                    );
+            } else {
+                match registration::decode(key, value) {
+                    Ok(daemon) if daemon.seen_at.plus(REGISTRATION_AGE) < now => continue,
+                    Ok(daemon) => {
+                        daemons.push(daemon);
+                        continue;
+                    }
+                    Err(reason) => ("daemon", reason.to_string()),
                 }
-            }
+            };
+            self.report_unreadable(store::Topic::Daemons, kind, (key, value), &reason);
+            unreadable.insert(key.as_str());
         }
+        self.lock_unreadable()
+            .retain(store::Topic::Daemons, |key| unreadable.contains(key));
         self.core.suspects().replace_others(others);
         let own = self.core.settings.load().name.clone();
         let domain = self.core.settings.load().domain.clone();
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -291,11 +291,17 @@
             Ok(buffered) => buffered,
             Err(failure) => {
                 let is_unsent = failure.verdict == verdict::Verdict::NotRun;
+                let (now, until) = (self.core.now(), entry.stats.notices.paused_until());
+                if is_unsent && now < until {
+                    return Ok(outcome::CallOutcome::Held(until - now));
+                }
                 return Err(format!("{} unsent={is_unsent}", failure.reason));
             }
         };
         let answer = answer::Answer::decode(buffered.status, &buffered.headers, "");
         self.core.record_limit(&entry, &answer);
+        // Only the daemon that keeps the queue sends calls to its upstreams.
+        self.core.record_notices(&entry, &answer, 1);
         piece_calls::decode_answer(
             buffered.status,
             answer.is_unexecuted,
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -3,6 +3,7 @@
 use std::mem;
 use std::sync;
 
+use basilgrade_adapter::answer;
 use basilgrade_adapter::piece_calls;
 use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
@@ -86,6 +87,15 @@
         let Some(entry) = self.core.view.load().directory.at(address).cloned() else {
             return;
         };
+        // The memory of an upstream that is leaving serves no further call.
+        if entry.stats.notices.is_leaving() {
+            return;
+        }
+        let paused_until = || entry.stats.notices.paused_until();
+        let pause = paused_until() - self.core.now();
+        if pause > clock::Millis::ZERO {
+            tokio::time::sleep(pause.duration()).await;
+        }
         let permit = permits::acquire(&self.core, &entry, limit::Claim::Any, false);
         if permit.await.is_err() {
             log::info!(
@@ -107,9 +117,14 @@
         let call = self
             .core
             .connections
-            .call_over(address, connecting, message, "", |_| true);
+            .call_over(address, connecting, message, "", |_| {
+                self.core.now() >= paused_until()
+            });
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
-            Ok(Ok(_)) => {}
+            Ok(Ok(reply)) => {
+                let answer = answer::Answer::decode(reply.status, &reply.headers, "");
+                self.core.record_notices(&entry, &answer, 1);
+            }
             Ok(Err(failure)) => {
                 log::info!(
                     "event=release-failed holder={holder} reason={:?}",
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -16,6 +16,7 @@
 
 use crate::http::connection;
 use crate::http::error;
+use crate::http::socket;
 
 /// Time for which an idle connection is kept if the answer states no keep-alive time-out.
 const DEFAULT_KEEP_ALIVE: clock::Millis = clock::Millis(3000);
@@ -137,7 +138,11 @@
         connect_timeout: clock::Millis,
         is_allowed: impl Fn(bool) -> bool,
     ) -> Result<BufferedAnswer, error::SendError> {
-        let connecting = connection::Connection::open(address, connect_timeout.duration());
+        let connecting = connection::Connection::open(
+            address,
+            connect_timeout.duration(),
+            socket::Patience::Call,
+        );
         self.call_over(address, connecting, message, request_id, is_allowed)
             .await
     }
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -69,6 +69,10 @@
     permits = "permits",
     /// Asks for such a permit that were denied.
     denied_permits = "denied_permits",
+    /// Upstreams that announced in an answer that they are leaving.
+    leaving_notices = "leaving_notices",
+    /// Times that an upstream asked for no requests for a while.
+    pauses = "pauses",
     /// Requests that may have run and were answered with an error, and streams that failed.
     failed = "failed",
     /// Connections to upstreams that were opened through another daemon.
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -4,6 +4,7 @@
 
 use basilgrade_adapter::answer;
 use basilgrade_adapter::forwarded_head;
+use basilgrade_fleet::brittleness;
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
 use basilgrade_fleet::limit;
@@ -33,6 +34,9 @@
 /// Reason why a request is not sent to an upstream that names a limit.
 pub const LIMITED: &str = "the upstreams are at the request limits that they name; retry later";
 
+/// Reason why a request is sent to no upstream while all of them want none.
+pub const PAUSED: &str = "the upstreams want no requests for a while; retry later";
+
 /// Cost, in milliseconds of delay, of transferring a megabyte of stage results to another failure
 /// domain: the transfer time plus the billed price, converted to delay at the rate that applies to
 /// recomputing shared prompt prefixes.
@@ -108,8 +112,10 @@
         tried: &[],
         held: &[],
     };
+    let now = core.now();
     let ready = view.directory.ready(&request.pool);
-    let chosen = placement::choose(core.now(), &view.topology, &demand, ready)?;
+    let ready = ready.filter(|entry| entry.is_accepting(now));
+    let chosen = placement::choose(now, &view.topology, &demand, ready)?;
     Some(chosen.domain.clone())
 }
 
@@ -126,6 +132,7 @@
         let required = sends.version.as_ref();
         required.is_none_or(|version| entry.version == *version)
             && !sends.tried.contains(&entry.id)
+            && entry.is_accepting(now)
             && !entry.stats.is_backing_off(now)
     })
 }
@@ -140,7 +147,7 @@
         /// Whether other daemons may know of a limit that this one does not know.
         is_doubtful: bool,
     },
-    /// Every candidate is at its limit until this time or later.
+    /// Every candidate is at its limit, or at that of this daemon for it, until this time or later.
     Held(clock::Millis),
     /// The pool has no candidate.
     Nothing,
@@ -161,11 +168,13 @@
     let view = core.view.load();
     let now = core.now();
     let tried = &sends.tried;
-    let has_version = |entry: &&sync::Arc<upstream::Upstream>| {
+    let is_eligible = |entry: &&sync::Arc<upstream::Upstream>| {
         let required = sends.version.as_ref();
         required.is_none_or(|version| entry.version == *version)
+            && entry.is_accepting(now)
+            && !(sends.has_silent && entry.stats.is_backing_off(now))
     };
-    let ready = || view.directory.ready(&request.pool).filter(has_version);
+    let ready = || view.directory.ready(&request.pool).filter(is_eligible);
     let is_pool_limited = ready().any(|entry| entry.stats.is_limited());
     let is_doubtful = is_pool_limited || !ready().any(|entry| entry.stats.is_heard());
     // Requests that others serve as well leave the permits to those that gain from cached parts.
@@ -192,6 +201,24 @@
             held_until = Some(held_until.map_or(until, |known| known.min(until)));
         }
     }
+    let brittle = ready().filter(|entry| {
+        let notices = &entry.stats.notices;
+        notices.is_brittle() && !tried.contains(&entry.id) && !held.contains(&entry.id) && {
+            let shares = brittleness::Shares {
+                daemons: view.daemons,
+                slots: entry.slots,
+            };
+            notices
+                .brittleness()
+                .is_full(now, shares, entry.stats.active())
+        }
+    });
+    let brittle: Vec<_> = brittle.map(|entry| entry.id.clone()).collect();
+    if !brittle.is_empty() {
+        let until = now.plus(HOLD_PAUSE);
+        held_until = Some(held_until.map_or(until, |known| known.min(until)));
+        held.extend(brittle);
+    }
     let holder = largest_holder(&view.directory, results);
     let demand = placement::Demand {
         prompt: request.head.prompt.as_ref(),
@@ -225,6 +252,22 @@
     }
 }
 
+/// Time until an upstream takes `request`, if all upstreams that may get it want no requests now.
+pub fn pause(
+    core: &core::Core,
+    request: &request::Request,
+    version: Option<&upstream::Version>,
+) -> Option<clock::Millis> {
+    let view = core.view.load();
+    let now = core.now();
+    let ready = view.directory.ready(&request.pool);
+    let eligible = ready.filter(|entry| version.is_none_or(|version| entry.version == *version));
+    let until = eligible
+        .map(|entry| entry.stats.notices.paused_until())
+        .min()?;
+    (until > now).then(|| until - now)
+}
+
 /// Failure domain that holds the most bytes of `results`, and the cost, in milliseconds of delay,
 /// of transferring these bytes to another failure domain.
 fn largest_holder(
@@ -237,7 +280,8 @@
             continue;
         };
         if let Some(domain) = directory.domain(address) {
-            *bytes.entry(domain).or_default() += size;
+            let sum = bytes.entry(domain).or_default();
+            *sum = sum.saturating_add(size);
         }
     }
     let (domain, size) = bytes.into_iter().max_by_key(|(_, size)| *size)?;
@@ -308,6 +352,7 @@
         ));
     }
     core.record_limit(entry, &answer);
+    core.record_notices(entry, &answer, core.view.load().daemons);
     if answer.is_unexecuted {
         request.end_unexecuted();
         entry.stats.record(core.now(), health::Outcome::Full);
--- a/crates/basilgrade_edge/src/tunnel/dialer.rs
+++ b/crates/basilgrade_edge/src/tunnel/dialer.rs
@@ -14,6 +14,7 @@
 use crate::core;
 use crate::http::connection;
 use crate::http::error;
+use crate::http::socket;
 use crate::tunnel::message;
 use crate::tunnel::stream as tunnel_stream;
 
@@ -89,7 +90,8 @@
 
 async fn open_direct(core: &core::Core, entry: &upstream::Upstream) -> Opened {
     let timeout = CONNECT_TIMEOUT.duration();
-    let opened = connection::Connection::open(entry.address, timeout).await?;
+    let opened =
+        connection::Connection::open(entry.address, timeout, socket::Patience::Answer).await?;
     core.record_direct(&entry.id);
     Ok(opened)
 }
--- a/crates/basilgrade_edge/src/tunnel/forwarder.rs
+++ b/crates/basilgrade_edge/src/tunnel/forwarder.rs
@@ -42,6 +42,7 @@
 }
 
 async fn forward(core: &core::Core, stream: net::TcpStream) -> io::Result<()> {
+    socket::configure(&stream, socket::Patience::Answer)?;
     let (read, write) = stream.into_split();
     let mut requests = codec::FramedRead::new(read, message::codec());
     let opening = tokio::time::timeout(OPEN_TIMEOUT.duration(), requests.next()).await;
@@ -81,13 +82,19 @@
     let view = core.view.load();
     let known = view.directory.get(&open.upstream);
     let usable = known.filter(|entry| {
-        entry.state == upstream::State::Ready && entry.started_at == open.started_at
+        entry.state == upstream::State::Ready
+            && entry.started_at == open.started_at
+            && entry.is_accepting(core.now())
     });
     let address = usable.ok_or(message::Reply::Refused)?.address;
     if core.paths().plan(core.now(), &open.upstream) == paths::Plan::Tunnel {
         return Err(message::Reply::Unreachable);
     }
-    let connecting = socket::connect(address, CONNECT_TIMEOUT.duration());
+    let connecting = socket::connect(
+        address,
+        CONNECT_TIMEOUT.duration(),
+        socket::Patience::Answer,
+    );
     let stream = connecting.await.map_err(|_| message::Reply::Unreachable)?;
     core.record_direct(&open.upstream);
     if !core.accepts(&open.upstream, address) {
--- a/crates/basilgrade_edge/src/tunnel/stream.rs
+++ b/crates/basilgrade_edge/src/tunnel/stream.rs
@@ -63,7 +63,7 @@
     forwarder: net::SocketAddr,
     open: &message::Open,
 ) -> Result<TunnelStream, TunnelError> {
-    let stream = socket::connect(forwarder, TIMEOUT.duration()).await?;
+    let stream = socket::connect(forwarder, TIMEOUT.duration(), socket::Patience::Answer).await?;
     let (read, mut write) = stream.into_split();
     write.write_all(&message::PREAMBLE).await?;
     let mut sink = codec::FramedWrite::new(write, message::codec());
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -165,9 +165,9 @@
             .values()
             .filter(|worker| !worker.is_slow())
             .count();
-        let is_overloaded = waiting > self.profile.batch as usize * healthy.max(1);
+        let is_overloaded = waiting > (self.profile.batch as usize).saturating_mul(healthy.max(1));
         let is_free = |worker: &&worker::Worker| {
-            if worker.is_backing_off(now) || skipped.contains(&worker.upstream.id) {
+            if worker.is_closed(now) || skipped.contains(&worker.upstream.id) {
                 return false;
             }
             if !order.iter().any(|job| self.may_run_on(now, *job, worker)) {
@@ -180,8 +180,11 @@
             if worker.calls.len() < slots {
                 return true;
             }
+            // A brittle upstream may have no room for a call that waits.
+            let takes_waiting = !worker.upstream.stats.notices.is_brittle();
             let is_full_call = waiting >= self.profile.batch as usize;
             worker.calls.len() == slots
+                && takes_waiting
                 && is_full_call
                 && worker.free_at(now) <= now.plus(queue::SEND_AHEAD)
         };
@@ -209,9 +212,7 @@
             return true;
         }
         let is_healthy_local = |other: &worker::Worker| {
-            other.upstream.domain == entry.job.domain
-                && !other.is_slow()
-                && !other.is_backing_off(now)
+            other.upstream.domain == entry.job.domain && !other.is_slow() && !other.is_closed(now)
         };
         !self.workers.values().any(is_healthy_local)
     }
@@ -317,7 +318,7 @@
             upstream: id.clone(),
             address,
             items,
-            timeout: clock::Millis(wait.0 * TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN),
+            timeout: wait.times(TIMEOUT_FACTOR).plus(TIMEOUT_MARGIN),
         }
     }
 }
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod batch;
+pub mod brittleness;
 pub mod budget;
 pub mod daemon;
 pub mod directory;
@@ -12,6 +13,7 @@
 pub mod health;
 pub mod limit;
 pub mod model;
+pub mod notices;
 pub mod outage;
 pub mod paths;
 pub mod placement;
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -6,6 +6,7 @@
 use basilgrade_fleet::batch::job;
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::model::handle;
+use basilgrade_fleet::model::pool;
 use basilgrade_fleet::model::priority;
 use basilgrade_types::clock;
 use basilgrade_types::size;
@@ -26,6 +27,26 @@
     names
 }
 
+/// Guards against calls to an upstream that has announced its leaving, and against jobs that wait for
+/// it although another queue can take them.
+#[test]
+fn leaving_upstream_gets_no_calls() {
+    let entry = common::upstream(0, "a");
+    let mut queue = queue(0);
+    queue.set_upstreams([entry.clone()].into_iter());
+    entry.stats.notices.record_leaving();
+    let job = job::Job {
+        fallback: job::Fallback::HandBack,
+        ..job("one", 2)
+    };
+    let id = queue.submit(START, job);
+
+    assert!(queue.dispatch(START).is_empty());
+
+    let finished = queue.take_finished();
+    assert_eq!(finished, [(id, outcome::JobOutcome::HandedBack)]);
+}
+
 /// Guards against pieces that wait for a fuller call while an upstream is idle.
 #[test]
 fn idle_upstream_gets_a_call_immediately() {
@@ -528,3 +549,59 @@
     );
     assert!(calls.is_empty());
 }
+
+/// Guards against a queue that ends because of numbers in the configuration that exceed what times
+/// and sizes can hold.
+#[test]
+fn extreme_profiles_and_jobs_overflow_nothing() {
+    let max = pool::PieceProfile {
+        slots: u32::MAX,
+        queue: u32::MAX,
+        batch: u32::MAX,
+        call_base: clock::Millis::MAX,
+        piece_us: u64::MAX,
+        capacity: size::ByteCount(u64::MAX),
+        ttl: clock::Millis::MAX,
+    };
+    let usual = common::pieces();
+    let profiles = [
+        max,
+        pool::PieceProfile {
+            call_base: usual.call_base,
+            piece_us: usual.piece_us,
+            ..max
+        },
+        pool::PieceProfile {
+            batch: usual.batch,
+            ..max
+        },
+    ];
+    let ends = [
+        outcome::CallOutcome::Broken,
+        outcome::CallOutcome::Full,
+        outcome::CallOutcome::Held(clock::Millis::MAX),
+    ];
+    for profile in profiles {
+        for end in &ends {
+            let mut queue = queue(2);
+            queue.set_profile(profile);
+            for name in ["one", "two", "three"] {
+                let mut extreme = job(name, 3);
+                extreme.bytes = size::ByteCount(u64::MAX);
+                extreme.fetch_size = size::ByteCount(u64::MAX);
+                extreme.target_left = clock::Millis::MAX;
+                extreme.time_left = clock::Millis::MAX;
+                queue.submit(START, extreme);
+            }
+
+            let calls = queue.dispatch(START);
+            assert!(!calls.is_empty());
+            for (call, at) in calls.iter().zip([START, clock::Millis::MAX]) {
+                queue.complete(at, call.id, end.clone());
+                queue.load(at);
+                queue.next_wakeup(at);
+                queue.dispatch(at);
+            }
+        }
+    }
+}
