--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -320,11 +320,11 @@
     /// Drops the source, whose connection broke for `reason`.
     fn drop_broken(&mut self, reason: String) {
         let source = self.source.take();
-        self.drop_dead(source.map(|source| (source, reason)));
+        self.record_broken(source.map(|source| (source, reason)));
     }
 
-    /// Records why the source, which is no longer in use, broke.
-    fn drop_dead(&mut self, broken: Option<(UpstreamStream, String)>) {
+    /// Records why a source that is no longer in use broke.
+    fn record_broken(&mut self, broken: Option<(UpstreamStream, String)>) {
         let Some((source, reason)) = broken else {
             return;
         };
@@ -377,7 +377,7 @@
         let running = stages::run(&service, &request);
         let mut broken = None;
         let ran = beside(&mut self.source, &mut broken, running).await;
-        self.drop_dead(broken);
+        self.record_broken(broken);
         let results = match ran {
             Ok(Ok(results)) => results,
             Ok(Err(failure)) => {
@@ -390,7 +390,7 @@
             let next = self.sends.next(core, &request, &results);
             let mut broken = None;
             let chosen = beside(&mut self.source, &mut broken, next).await;
-            self.drop_dead(broken);
+            self.record_broken(broken);
             let (entry, permit) = match chosen {
                 Ok(Some(next)) => next,
                 Ok(None) => {
