Probe upstreams with concurrent requests in the test of odd entries

`odd_entries_stop_no_daemon` failed in two runs of two on the merged code: 'the daemon uses the new entries' timed out. The log shows that the daemon had taken the new entry of `desk-1` up (`upstream-changed ... sequence=2`) and then chose `desk-0` 1,024 times: since an upstream that is registered again keeps its statistics, placement sends single requests to the fastest one, which is right. The condition was wrong. Twelve requests at a time reach all upstreams that are in the directory, and both new ones must still get requests from every daemon.

--- a/crates/basilgrade/tests/odd_entries.rs
+++ b/crates/basilgrade/tests/odd_entries.rs
@@ -107,9 +107,14 @@
     for (number, daemon) in deployment.daemons.iter().enumerate() {
         let name = format!("again-{number}");
         deployment::wait_until("the daemon uses the new entries", || async {
-            let request = client::request(&name, "GET", "/safe/x");
-            let answer = client::send(daemon.caller_address, request, "").await;
-            assert_eq!(answer.map(|answer| answer.status), Some(200));
+            // One request at a time would go to the fastest upstream.
+            let sends = (0..12).map(|_| {
+                let request = client::request(&name, "GET", "/safe/x");
+                client::send(daemon.caller_address, request, "")
+            });
+            for answer in futures::future::join_all(sends).await {
+                assert_eq!(answer.map(|answer| answer.status), Some(200));
+            }
             let has_run = |id| {
                 let runs = deployment.upstream(id).runs();
                 runs.iter().any(|run| run.request == name)
