--- a/crates/basilgrade/tests/late_daemons.rs
+++ b/crates/basilgrade/tests/late_daemons.rs
@@ -83,8 +83,7 @@
     answer.expect("the daemon answers")
 }
 
-/// Guards against a late call that ends the other calls of its connection, whose pieces are then
-/// computed again.
+/// Guards against a late call that ends all other calls of its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn pieces_in_progress_outlast_a_late_call() {
     let deployment = start().await;
--- a/crates/basilgrade/tests/partitions.rs
+++ b/crates/basilgrade/tests/partitions.rs
@@ -107,8 +107,7 @@
     assert_served_alike(&after[..2], &after[2..]);
 }
 
-/// Guards against daemons that serve nothing while only their own connections to upstreams are
-/// refused.
+/// Guards against daemons that serve nothing while only their own connections are refused.
 #[tokio::test(flavor = "multi_thread")]
 async fn daemons_whose_connections_are_refused_serve_like_the_others() {
     assert_served_during(path::PathState::Refused).await;
@@ -155,8 +154,7 @@
     }
 }
 
-/// Guards against a second run, or a promise that there was none, after the daemon that forwards a
-/// request has died.
+/// Guards against a second run, or a false promise of none, after a forwarding daemon has died.
 #[tokio::test(flavor = "multi_thread")]
 async fn forwarded_request_that_must_not_repeat_runs_once_if_the_forwarder_dies() {
     let (mut deployment, _partition, daemon) = start_partitioned().await;
@@ -193,8 +191,7 @@
     assert!(!is_complete);
 }
 
-/// Guards against requests that reach a leaving upstream through a daemon that knows of its
-/// departure.
+/// Guards against requests that reach a leaving upstream through another daemon.
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_upstream_gets_no_forwarded_requests() {
     let (deployment, _partition, daemon) = start_partitioned().await;
--- a/crates/basilgrade/tests/rejected_bodies.rs
+++ b/crates/basilgrade/tests/rejected_bodies.rs
@@ -44,8 +44,7 @@
     String::from_utf8_lossy(&text).to_ascii_lowercase()
 }
 
-/// Guards against a rejection that closes a kept connection without notice, as the body of the
-/// request is not read.
+/// Guards against a rejection that closes a kept connection whose body was not read.
 #[tokio::test(flavor = "multi_thread")]
 async fn rejected_request_with_a_late_body_keeps_its_connection() {
     let deployment = deployment::start(&["a"]).await;
--- a/crates/basilgrade/tests/silent_upstreams.rs
+++ b/crates/basilgrade/tests/silent_upstreams.rs
@@ -65,8 +65,7 @@
     answer.expect("the daemon answers")
 }
 
-/// Guards against a sound answer that is given up for its upstream's silence although no other
-/// upstream can take its place.
+/// Guards against a sound answer that is given up although no other upstream can replace it.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_answer_is_kept_while_nothing_can_replace_it() {
     let deployment = deployment::start(&["a"]).await;
@@ -102,8 +101,7 @@
     assert!(lost.is_empty(), "{lost:?}");
 }
 
-/// Guards against work at two engines on one stream, and against a stream that waits for an engine
-/// that is silent for good.
+/// Guards against a stream that waits for a dead engine, or is worked on by two engines.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_an_engine_silent_for_good_goes_on_elsewhere() {
     let deployment = deployment::start(&["a"]).await;
--- a/crates/basilgrade/tests/upstream_notices.rs
+++ b/crates/basilgrade/tests/upstream_notices.rs
@@ -71,8 +71,7 @@
     .await;
 }
 
-/// Guards against requests and streams to an upstream that says in its answers that it is leaving,
-/// but is registered as ready.
+/// Guards against requests to a registered upstream whose answers announce that it is leaving.
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_that_announces_its_leaving_gets_no_further_requests() {
     let deployment = deployment::start_with(&["a"], 2, &deployment::without_stages()).await;
@@ -119,8 +118,7 @@
     assert_eq!(count_runs(&deployment, "encode")[0], 1);
 }
 
-/// Guards against an upstream that gets requests again as its run is registered again, and against
-/// one that gets none after it has started anew.
+/// Guards against a leaving upstream that is registered again, and a new run that gets nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn announced_leaving_ends_with_the_run_of_the_upstream() {
     let deployment = deployment::start_with(&["a"], 1, &deployment::without_stages()).await;
@@ -143,8 +141,7 @@
     .await;
 }
 
-/// Guards against requests to upstreams that have asked for none for a while, and against callers that
-/// wait for them or are told another time.
+/// Guards against requests to paused upstreams, and callers who wait or are told another time.
 #[tokio::test(flavor = "multi_thread")]
 async fn requests_are_refused_at_once_while_all_upstreams_ask_for_none() {
     let deployment = deployment::start_with(&["a"], 2, &deployment::without_stages()).await;
@@ -178,8 +175,7 @@
     }
 }
 
-/// Guards against requests and calls for pieces that wait for an upstream that has asked for none,
-/// although another one takes them.
+/// Guards against requests and pieces that wait for a paused upstream while another one is free.
 #[tokio::test(flavor = "multi_thread")]
 async fn other_upstreams_serve_while_one_asks_for_no_requests() {
     let deployment = deployment::start(&["a"]).await;
--- a/crates/basilgrade_edge/tests/connection_time_outs.rs
+++ b/crates/basilgrade_edge/tests/connection_time_outs.rs
@@ -7,8 +7,7 @@
 /// Longest time-out of a route on the deployments in use.
 const LONGEST_ROUTE: time::Duration = time::Duration::from_mins(1);
 
-/// Guards against a connection that gives up on a silent upstream before the deadline, and against a
-/// user time-out that ends the probes sooner than their count.
+/// Guards against a connection that gives up on a silent upstream before the deadline.
 #[tokio::test]
 async fn connection_of_an_answer_outlasts_every_deadline() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -177,8 +177,7 @@
     assert!(!stats.is_backing_off(NOW.plus(clock::Millis(9000))));
 }
 
-/// Guards against a sound upstream that is avoided for seconds after it was silent for a moment, and
-/// against one that is silent for good and is chosen all the same.
+/// Guards against a sound upstream that is avoided for seconds after it was silent for a moment.
 #[test]
 fn backoff_for_a_silence_ends_with_the_silence() {
     let stats = health::Stats::default();
