--- a/crates/basilgrade_edge/src/serve/opening.rs
+++ b/crates/basilgrade_edge/src/serve/opening.rs
@@ -29,7 +29,7 @@
 
 impl Opening {
     /// Prepares the send, which begins when [`Opening::outcome`] is awaited.
-    pub(super) fn begin(
+    pub(super) fn new(
         core: &sync::Arc<core::Core>,
         request: &sync::Arc<request::Request>,
         entry: sync::Arc<upstream::Upstream>,
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -404,7 +404,7 @@
                 last_event: self.last_event.or(request.head.last_event),
                 ..attempt::SendExtras::default()
             };
-            let opening = opening::Opening::begin(core, &request, entry, permit, extras);
+            let opening = opening::Opening::new(core, &request, entry, permit, extras);
             match self.open(opening).await {
                 Ok(true) => return None,
                 Ok(false) => {}
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -213,7 +213,7 @@
                 ..attempt::SendExtras::default()
             };
             let limit = first_event_timeout(self.core, self.request, &self.sends);
-            let opening = opening::Opening::begin(self.core, self.request, entry, permit, extras);
+            let opening = opening::Opening::new(self.core, self.request, entry, permit, extras);
             if let Some(ended) = self.open(opening, limit).await {
                 return Some(ended);
             }
