--- a/crates/basilgrade_server/src/view/snapshot.rs
+++ b/crates/basilgrade_server/src/view/snapshot.rs
@@ -24,7 +24,7 @@
 
 /// Inputs of a snapshot besides the configuration.
 pub struct BuildContext<'a> {
-    /// The current instant.
+    /// Time at which the state of upstreams and daemons is judged.
     pub now: clock::Millis,
     /// Failure domain of this daemon.
     pub domain: &'a id::DomainId,
