Refuse streams that their callers would abandon before the first event

Cause: callers abandon a stream, also before its first event, after the longest of 2 s, four target latencies and eight gaps. Admission and the queues of pieces knew the deadline only.

Change: a route carries that patience; admission and the stages of a stream end by it, counted from the arrival or the last event. A request that an engine has is kept until its deadline as before.

--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -115,18 +115,20 @@
             ));
         }
         let version = stream::find_version(&self, &request).await?;
-        self.admit(&request)?;
-        let results = stages::run(&self, &request).await?;
+        let send_by = request.send_deadline(request.arrived);
+        self.admit(&request, send_by)?;
+        let results = stages::run(&self, &request, send_by).await?;
         if request.route.kind.is_stream() {
             return stream::serve(&self, request, results, active, version).await;
         }
         buffered::serve(&self, &request, &results).await
     }
 
-    /// Refuses a request whose stages are not expected to end before its deadline.
+    /// Refuses a request whose stages are not expected to end before `send_by`.
     pub(crate) fn admit(
         &self,
         request: &request::Request,
+        send_by: clock::Millis,
     ) -> Result<(), request_failure::RequestFailure> {
         if request.route.stages.is_empty() {
             return Ok(());
@@ -135,7 +137,7 @@
         let arrival = admission::Arrival {
             // During shutdown, a request is finished only if its response starts before the daemon
             // closes.
-            time_left: request.time_left(now).min(self.core.closing_at() - now),
+            time_left: send_by.min(self.core.closing_at()) - now,
             stage_time: self.stage_time(request),
             first_byte: FIRST_EVENT_TIME,
         };
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -155,6 +155,8 @@
     /// Why the stream ended without its last event.
     reason: Option<&'static str>,
     first_event_at: clock::Millis,
+    /// When the caller got the last event.
+    last_event_at: clock::Millis,
     _active: core::ActiveRequest,
 }
 
@@ -217,6 +219,7 @@
             outcome: "caller-left",
             reason: None,
             first_event_at,
+            last_event_at: first_event_at,
             _active: active,
         }
     }
@@ -296,7 +299,7 @@
             self.log_stuck(buffered::BUDGET_SPENT);
             return None;
         }
-        if let Err(failure) = self.service.admit(&self.request) {
+        if let Err(failure) = self.service.admit(&self.request, self.send_deadline()) {
             self.log_stuck(&failure.reason);
             return None;
         }
@@ -339,7 +342,13 @@
         self.sends.has_silent = false;
     }
 
+    /// Time by which another upstream must have the request, so that the caller still waits.
+    fn send_deadline(&self) -> clock::Millis {
+        self.request.send_deadline(self.last_event_at)
+    }
+
     fn record_last_event(&mut self) {
+        self.last_event_at = self.service.core.now();
         if let Some(source) = &self.source {
             self.last_event = source.events.last_id();
         }
@@ -374,7 +383,7 @@
             self.log_stuck("the request must not be sent again");
             return None;
         }
-        let running = stages::run(&service, &request);
+        let running = stages::run(&service, &request, self.send_deadline());
         let mut broken = None;
         let ran = beside(&mut self.source, &mut broken, running).await;
         self.record_broken(broken);
--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -19,6 +19,7 @@
 use crate::core;
 use crate::serve;
 use crate::serve::request_failure;
+use crate::serve::request_reader;
 
 /// Validated request with its route, pool, customer and deadline.
 #[derive(Debug)]
@@ -58,6 +59,14 @@
         self.deadline - now
     }
 
+    /// Time by which an upstream must have the request if its caller got the last event, or sent the
+    /// request, at `last`, as callers abandon a stream after a long gap; the deadline if the answer
+    /// is no stream.
+    pub fn send_deadline(&self, last: clock::Millis) -> clock::Millis {
+        let patience = last.plus(self.route.patience) - request_reader::ANSWER_MARGIN;
+        self.deadline.min(patience)
+    }
+
     /// Time left until the answer misses the target latency of the route.
     pub fn target_left(&self, now: clock::Millis) -> clock::Millis {
         self.arrived.plus(self.route.target_latency) - now
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -30,7 +30,8 @@
     Final(request_failure::RequestFailure),
 }
 
-/// Runs the stages of a request; stages that do not depend on each other run concurrently.
+/// Runs the stages of a request, whose results an upstream must have by `send_by`; stages that do
+/// not depend on each other run concurrently.
 ///
 /// # Errors
 ///
@@ -38,18 +39,19 @@
 pub async fn run(
     service: &serve::Service,
     request: &request::Request,
+    send_by: clock::Millis,
 ) -> Result<stage_results::StageResults, request_failure::RequestFailure> {
     let mut results = stage_results::StageResults::new(std::sync::Arc::clone(&service.job_client));
     if request.route.stages.is_empty() || request.head.piece_counts.is_empty() {
         return Ok(results);
     }
     for _ in 0..=MAX_RERUNS {
-        match run_once(service, request, &mut results).await {
+        match run_once(service, request, send_by, &mut results).await {
             Ok(()) => return Ok(results),
             Err(StageFailure::Final(failure)) => return Err(failure),
             Err(StageFailure::InputGone) => {
                 log::info!("event=stage-input-gone request={}", request.head.request_id);
-                service.admit(request)?;
+                service.admit(request, send_by)?;
                 results =
                     stage_results::StageResults::new(std::sync::Arc::clone(&service.job_client));
             }
@@ -63,6 +65,7 @@
 async fn run_once(
     service: &serve::Service,
     request: &request::Request,
+    send_by: clock::Millis,
     results: &mut stage_results::StageResults,
 ) -> Result<(), StageFailure> {
     let count = request.route.stages.len();
@@ -85,7 +88,7 @@
                 continue;
             }
             let inputs = results.of(stage.after.iter().copied());
-            running.push(run_stage(service, request, index, inputs));
+            running.push(run_stage(service, request, send_by, (index, inputs)));
         }
         // A stage without pieces completes at once, so a stage that depends on it may start now.
         let can_start = (0..count).any(|index| {
@@ -219,8 +222,8 @@
 async fn run_stage(
     service: &serve::Service,
     request: &request::Request,
-    index: usize,
-    inputs: Vec<handle::Handle>,
+    send_by: clock::Millis,
+    (index, inputs): (usize, Vec<handle::Handle>),
 ) -> Result<(usize, Vec<handle::Handle>), StageFailure> {
     let stage = &request.route.stages[index];
     let source = if stage.after.is_empty() {
@@ -246,7 +249,7 @@
         source,
         priority: request.priority(),
         target_left: request.target_left(now) - remaining,
-        time_left: request.time_left(now) - remaining,
+        time_left: send_by - now - remaining,
         bytes: stage.bytes,
         domain,
         fetch_size,
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -129,9 +129,10 @@
                 opener.sends.record_refusal(&request, &entry, reason);
                 if opener.silent.is_none() {
                     opener.sends.allow_last_again();
-                    let admitted = service.admit(&request);
+                    let send_by = request.send_deadline(request.arrived);
+                    let admitted = service.admit(&request, send_by);
                     admitted.map_err(|failure| opener.sends.qualify(failure))?;
-                    let ran = stages::run(service, &request).await;
+                    let ran = stages::run(service, &request, send_by).await;
                     results = ran.map_err(|failure| opener.sends.qualify(failure))?;
                 }
             }
--- a/crates/basilgrade_fleet/src/model/route.rs
+++ b/crates/basilgrade_fleet/src/model/route.rs
@@ -26,6 +26,9 @@
     pub target_latency: clock::Millis,
     /// Target for the time between two events of a stream.
     pub event_gap: clock::Millis,
+    /// Longest time that callers wait for the first event of a stream; [`Route::timeout`] if they
+    /// wait as long as for the whole response.
+    pub patience: clock::Millis,
     /// Priority of the route, 0 the highest.
     pub priority: u8,
     /// Pools that share the requests of the route.
