Keep daemons that start together from all polling the store

Change: a daemon reads again what it has loaded only 1.5 s after its start; by then it has found its reader, which it asks for an answer at once. The topic of daemons is read 0.8 s after its load, when the others have registered. A registration that the store has acknowledged is not written again for 3 s. A daemon without a configuration still waits for it at the store. First copies still come from the store, so they are as new as before.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -28,6 +28,8 @@
     page_keys: sync::OnceLock<usize>,
     /// Reads of the topic `keyed.servers`.
     reads: std::sync::atomic::AtomicUsize,
+    /// Calls of all kinds.
+    calls: std::sync::atomic::AtomicUsize,
     /// Topic to which nothing can be appended.
     full: sync::Mutex<Option<&'static str>>,
     /// Topic whose readers get no answer.
@@ -125,6 +127,16 @@
         self.reads.load(sync::atomic::Ordering::Relaxed)
     }
 
+    /// Counts the calls of all kinds.
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(sync::atomic::Ordering::Relaxed)
+    }
+
+    /// Counts the records of a topic, outdated ones included.
+    pub(crate) fn record_count(&self, topic: &str) -> usize {
+        self.end_offset(topic)
+    }
+
     fn end_offset(&self, topic: &str) -> usize {
         let topics = self.topics.lock().expect("no holder of the lock panics");
         topics.get(topic).map_or(0, Vec::len)
@@ -214,6 +226,7 @@
         self: sync::Arc<Self>,
         request: Request<Bytes>,
     ) -> Option<Response<server::Body>> {
+        self.calls.fetch_add(1, sync::atomic::Ordering::Relaxed);
         let topic = query_parameter(&request, "topic")?;
         let is = |refused: &sync::Mutex<Option<&'static str>>| {
             *refused.lock().expect("no holder of the lock panics") == Some(&*topic)
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -36,6 +36,11 @@
 /// the registrations of daemons that start at the same time.
 const DAEMON_READ_INTERVAL: clock::Millis = clock::Millis(800);
 
+/// Time from the start of this daemon in which it does not read again what it has loaded. Daemons
+/// that start together find their reader in this time, so most of them need no further read. It is
+/// well within the strictest limit on learning news, 2.5 s.
+const SETTLE_TIME: clock::Millis = clock::Millis(1500);
+
 /// Time-out of a store call beyond its long-poll time; a slow store takes up to 500 ms to answer.
 const ANSWER_TIMEOUT: clock::Millis = clock::Millis(900);
 
@@ -70,6 +75,8 @@
     core: sync::Arc<core::Core>,
     mirrors: sync::Arc<mirrors::Mirrors>,
     topic: store::Topic,
+    /// Time from which on the topic is read again after its first load.
+    settled_at: clock::Millis,
     /// Number of malformed records among the newest ones at the last load.
     malformed: atomic::AtomicUsize,
 }
@@ -81,6 +88,7 @@
         topic: store::Topic,
     ) -> Self {
         Self {
+            settled_at: core.now().plus(SETTLE_TIME),
             core,
             mirrors,
             topic,
@@ -100,11 +108,14 @@
             {
                 return;
             }
-            if self.mirrors.position(self.topic).is_none()
-                && let Err(reason) = self.load_newest().await
-            {
-                self.back_off(&reason, &mut failures).await;
-                continue;
+            if self.mirrors.position(self.topic).is_none() {
+                if let Err(reason) = self.load_newest().await {
+                    self.back_off(&reason, &mut failures).await;
+                    continue;
+                }
+                if self.topic == store::Topic::Daemons {
+                    tokio::time::sleep(DAEMON_READ_INTERVAL.duration()).await;
+                }
             }
             failures = 0;
             tokio::select! {
@@ -222,6 +233,7 @@
         let mut regained = self.mirrors.subscribe_regained();
         let mut failures = 0;
         loop {
+            self.settle().await;
             regained.mark_unchanged();
             let read = self.read_appended(wait);
             let outcome = tokio::select! {
@@ -251,6 +263,17 @@
         }
     }
 
+    /// Waits, after the first load, until this daemon has had time to find the daemon that reads the
+    /// store for it.
+    async fn settle(&self) {
+        let pause = match self.topic {
+            store::Topic::Daemons => return,
+            store::Topic::Operators if self.core.view.load().configuration.is_none() => return,
+            store::Topic::Operators | store::Topic::Upstreams => self.settled_at - self.core.now(),
+        };
+        tokio::time::sleep(pause.duration()).await;
+    }
+
     /// Loads the newest records again, because the position of the mirror is not in the store.
     async fn reload(&self) -> Result<(), String> {
         let known = self.mirrors.position(self.topic);
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -19,6 +19,10 @@
 /// Interval between checks of whether the registration is missing or due for renewal.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(500);
 
+/// Time in which a registration that the store has acknowledged is not written again, although it is
+/// not in the mirror yet.
+const ACKNOWLEDGED_TTL: clock::Millis = clock::Millis(3000);
+
 fn own_registration(core: &core::Core) -> daemon::Daemon {
     let settings = core.settings.load();
     daemon::Daemon {
@@ -31,10 +35,16 @@
 
 /// Keeps this daemon registered; never returns.
 pub async fn keep_registered(core: sync::Arc<core::Core>, mirrors: sync::Arc<mirrors::Mirrors>) {
+    let mut acknowledged_at: Option<clock::Millis> = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        let is_acknowledged =
+            acknowledged_at.is_some_and(|at| at.plus(ACKNOWLEDGED_TTL) > core.now());
         // Until the topic of daemons has been read, it is unknown whether a registration exists.
-        if core.is_draining() || mirrors.position(store::Topic::Daemons).is_none() {
+        if core.is_draining()
+            || is_acknowledged
+            || mirrors.position(store::Topic::Daemons).is_none()
+        {
             continue;
         }
         let own = own_registration(&core);
@@ -59,7 +69,10 @@
         };
         match reader::append(&core, store::Topic::Daemons, &[record]).await {
             // The mirror receives the record with the next read of the topic of daemons.
-            Ok(()) => log::info!("event=registered name={}", own.name),
+            Ok(()) => {
+                acknowledged_at = Some(core.now());
+                log::info!("event=registered name={}", own.name);
+            }
             Err(reason) => log::warn!("event=registration-failed reason={reason:?}"),
         }
     }
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -59,8 +59,14 @@
                 self.read_store_directly().await;
                 continue;
             };
+            // A daemon that reads the store itself asks for an answer at once, to stop reading.
+            let wait = if self.mirrors.is_reader() {
+                clock::Millis::ZERO
+            } else {
+                HOLD_TIME
+            };
             match self
-                .fetch_updates(reader.address, HOLD_TIME, HOLD_TIME.plus(ANSWER_TIMEOUT))
+                .fetch_updates(reader.address, wait, HOLD_TIME.plus(ANSWER_TIMEOUT))
                 .await
             {
                 Ok(updates) if updates.is_store_reachable => {
