Refuse streams that would be cut off at the end of a shutdown

Callers saw: a stream that arrived within the 3 s in which a stopping daemon still takes connections, and takes longer than the rest of the grace period, got its first events and was cut off. One that must not be repeated was lost. Other operators reported the same of requests that came late in the grace period.

Cause: admission knew the end of the shutdown only for the stages of a request, not for its answer.

Change: from the termination signal on, a request that may end after the daemon closes is refused before it runs, and its connection closed. The time that a stream may take is its token limit at the pace of the slowest streams of late; while that pace is unknown, only requests that may be repeated are let through. For other requests it is four mean latencies of the slowest upstream of the pool.

--- a/crates/basilgrade/tests/edge.rs
+++ b/crates/basilgrade/tests/edge.rs
@@ -521,3 +521,49 @@
     assert_eq!(answer.status, 504, "{answer:?}");
     assert!(deployment.daemons[0].wait_for_exit().await);
 }
+
+/// Guards against requests that are taken late in a shutdown, passed on, and cut off at its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_refuses_streams_that_would_be_cut_off_at_its_end() {
+    let mut deployment = deployment::start(&["a"]).await;
+    let address = deployment.daemons[0].caller_address;
+    let set_pause = |pause| {
+        for number in 0..2 {
+            let engine = deployment.upstream(&format!("engine-{number}"));
+            engine.set_behaviour(upstream::Behaviour::Slow(pause));
+        }
+    };
+    set_pause(50);
+    let known = client::send(address, client::staged_request("known", "/stream/x"), "").await;
+    set_pause(900);
+
+    deployment.daemons[0].signal("TERM");
+    deployment::wait_until(
+        "the readiness check of the daemon turns negative",
+        || async { !deployment.is_ready(0).await },
+    )
+    .await;
+    set_pause(50);
+    let short = client::staged_request("short", "/stream/x");
+    let short = client::send(address, short, "").await;
+    set_pause(900);
+    // Forty times the tokens of the first stream.
+    let long = client::request("long", "POST", "/stream/x")
+        .header("x-model", "m")
+        .header("x-token-usage", "1000,2000")
+        .header("x-prefix-hash", "aa:400,bb:400,cc:200")
+        .header("x-pieces", "2,3")
+        .header("x-piece-key", "piece-key");
+    let long = client::send(address, long, "")
+        .await
+        .expect("the daemon answers");
+
+    assert_eq!(known.expect("the daemon answers").status, 200);
+    let short = short.expect("the daemon answers");
+    assert_eq!((short.status, short.is_whole), (200, true), "{short:?}");
+    assert_eq!(long.status, 503, "{long:?}");
+    assert!(long.headers.contains_key("retry-after"), "{long:?}");
+    assert_eq!(long.headers["connection"], "close");
+    assert_eq!(deployment.count_runs("long"), 0);
+    assert!(deployment.daemons[0].wait_for_exit().await);
+}
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -11,12 +11,14 @@
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::health;
 use basilgrade_fleet::limit;
+use basilgrade_fleet::pace;
 use basilgrade_fleet::paths;
 use basilgrade_fleet::streams;
 use basilgrade_fleet::suspects;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::rate;
+use indexmap::IndexMap;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -44,6 +46,8 @@
     paths: sync::Mutex<paths::Paths>,
     pub metrics: metrics::Metrics,
     budget: sync::Mutex<budget::Budget>,
+    /// Paces at which the engines of the pools generate tokens.
+    paces: sync::Mutex<IndexMap<id::PoolId, pace::TokenPace>>,
     /// Evidence about requests and prompt parts that crash engines.
     suspects: sync::Mutex<suspects::Suspects>,
     /// Software versions at which streams began.
@@ -88,6 +92,7 @@
             tunnels: TaskTracker::new(),
             paths: sync::Mutex::default(),
             metrics: metrics::Metrics::new()?,
+            paces: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
             streams: sync::Mutex::default(),
             streams_changed: tokio::sync::Notify::new(),
@@ -178,6 +183,28 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    fn paces(&self) -> sync::MutexGuard<'_, IndexMap<id::PoolId, pace::TokenPace>> {
+        self.paces
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Records that the stream of `request` took `span` from its first event on.
+    pub fn record_generation(&self, request: &request::Request, span: clock::Millis) {
+        if let Some(prompt) = &request.head.prompt {
+            let mut paces = self.paces();
+            let pace = paces.entry(request.pool.clone()).or_default();
+            pace.record(prompt.max_output, span);
+        }
+    }
+
+    /// Time that the stream of `request` may take from its first event on; `None` if that is
+    /// unknown.
+    pub fn generation_time(&self, request: &request::Request) -> Option<clock::Millis> {
+        let prompt = request.head.prompt.as_ref()?;
+        self.paces().get(&request.pool)?.span(prompt.max_output)
+    }
+
     /// Records a direct connection to the upstream `id`.
     pub fn record_direct(&self, id: &id::UpstreamId) {
         if self.paths().record_direct(id) {
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -18,6 +18,7 @@
 
 use basilgrade_adapter::incoming_head;
 use basilgrade_fleet::admission;
+use basilgrade_fleet::closing;
 use basilgrade_fleet::model::pool;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -48,6 +49,16 @@
 /// and back.
 const STAGE_OVERHEAD: clock::Millis = clock::Millis(60);
 
+/// Time that an answer may take, in mean latencies of the slowest upstream of its pool.
+const LATENCY_FACTOR: u64 = 4;
+
+/// Minimum time that an answer may take.
+const MIN_ANSWER_TIME: clock::Millis = clock::Millis(250);
+
+/// Reason of a refusal of a request that may not end before the shutdown of its daemon.
+const SHUTTING_DOWN: &str = "the daemon is shutting down and the request may not end before; send it \
+     again on a new connection";
+
 impl Service {
     /// Serves one request of a caller; failures become error responses.
     pub async fn serve(
@@ -114,6 +125,7 @@
                 left,
             ));
         }
+        self.check_closing(&request)?;
         let version = stream::find_version(&self, &request).await?;
         let send_by = request.send_deadline(request.arrived);
         self.admit(&request, send_by)?;
@@ -124,6 +136,46 @@
         buffered::serve(&self, &request, &results).await
     }
 
+    /// Refuses a request that arrives during the shutdown of this daemon and may not end before it.
+    fn check_closing(
+        &self,
+        request: &request::Request,
+    ) -> Result<(), request_failure::RequestFailure> {
+        if !self.core.is_draining() {
+            return Ok(());
+        }
+        let now = self.core.now();
+        let arrival = closing::Arrival {
+            kind: request.route.kind,
+            until_deadline: request.time_left(now),
+            until_close: self.core.closing_at() - now,
+            needed: self.longest_span(request),
+        };
+        if closing::can_end(&arrival) {
+            return Ok(());
+        }
+        // Callers retry at another daemon.
+        let wait =
+            admission::retry_after(arrival.until_deadline, clock::Millis::ZERO, rand::random());
+        Err(request_failure::RequestFailure::refused(
+            SHUTTING_DOWN,
+            wait,
+        ))
+    }
+
+    /// Time that `request` may take from now on; `None` if that is unknown.
+    fn longest_span(&self, request: &request::Request) -> Option<clock::Millis> {
+        if request.route.kind.is_stream() {
+            let generation = self.core.generation_time(request)?;
+            let opening = self.stage_time(request).plus(FIRST_EVENT_TIME);
+            return Some(opening.plus(generation));
+        }
+        let view = self.core.view.load();
+        let ready = view.directory.ready(&request.pool);
+        let slowest = ready.map(|entry| entry.stats.latency()).max()?;
+        Some(slowest.times(LATENCY_FACTOR).max(MIN_ANSWER_TIME))
+    }
+
     /// Refuses a request whose stages are not expected to end before `send_by`.
     pub(crate) fn admit(
         &self,
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -258,7 +258,9 @@
                     self.outcome = "complete";
                     // An engine that crashes may close the connection as if the answer were empty.
                     if self.last_event.is_some() {
-                        self.service.core.record_complete(&self.request);
+                        let core = &self.service.core;
+                        core.record_complete(&self.request);
+                        core.record_generation(&self.request, core.now() - self.first_event_at);
                     }
                     return None;
                 }
