Read the store through the next daemon if it refuses the reader

What operators pay: while the store refuses some machines, all daemons of a failure domain whose reader is refused polled it themselves.

Cause: a daemon knew one reader, the first by rank, and itself.

Change: a daemon whose reader is not answered by the store asks the next one by rank, which finds itself first among the others and reads. After three of them, or if a daemon does not answer, it reads the store itself as before. Those passed over are asked again after a second.

--- a/crates/basilgrade/tests/edge_support/deployment.rs
+++ b/crates/basilgrade/tests/edge_support/deployment.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the store and the upstreams, and daemon processes in front of them.
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -215,12 +216,17 @@
 
     /// Starts a daemon in the failure domain `domain`, with the other daemons as seeds.
     pub(crate) fn add_daemon(&mut self, name: &str, domain: &str) {
+        self.add_daemon_at(name, domain, self.store_server.address);
+    }
+
+    /// Starts a daemon as `add_daemon` does, which reaches the store at the address `store`.
+    pub(crate) fn add_daemon_at(&mut self, name: &str, domain: &str, store: net::SocketAddr) {
         let seeds: Vec<_> = self
             .daemons
             .iter()
             .map(|daemon| daemon.peer_address)
             .collect();
-        let mut daemon = daemon::Daemon::new(name, domain, self.store_server.address, &seeds);
+        let mut daemon = daemon::Daemon::new(name, domain, store, &seeds);
         daemon.start();
         self.daemons.push(daemon);
     }
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -168,16 +168,20 @@
         self.era.subscribe()
     }
 
-    /// Daemon that reads the store for this one; `None` if this daemon ranks first in its failure
-    /// domain.
-    pub fn other_reader(&self) -> Option<daemon::Daemon> {
+    /// Daemon that reads the store for this one; `None` if this daemon ranks first among those of its
+    /// failure domain for which `is_able` returns `true`.
+    pub fn other_reader(
+        &self,
+        is_able: impl Fn(&daemon::Daemon) -> bool,
+    ) -> Option<daemon::Daemon> {
         let settings = self.core.settings.load();
         let is_domain_peer = |daemon: &daemon::Daemon| daemon.domain == settings.domain;
         let mut daemons = self.daemons();
         daemons.retain(is_domain_peer);
         daemon::rank("reader", &mut daemons);
         let is_usable = |daemon: &daemon::Daemon| {
-            daemon.name == settings.name || !self.core.links.is_backing_off(daemon.address)
+            daemon.name == settings.name
+                || (!self.core.links.is_backing_off(daemon.address) && is_able(daemon))
         };
         let reader = daemons.into_iter().find(is_usable)?;
         (reader.name != settings.name).then_some(reader)
--- a/crates/basilgrade_edge/src/follow/registrations.rs
+++ b/crates/basilgrade_edge/src/follow/registrations.rs
@@ -73,7 +73,7 @@
     }
 
     async fn refresh_from_reader(&self) -> bool {
-        let Some(reader) = self.mirrors.other_reader() else {
+        let Some(reader) = self.mirrors.other_reader(|_| true) else {
             return false;
         };
         let positions = self.mirrors.positions();
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -1,15 +1,18 @@
 //! Updates of the topic mirrors from other daemons.
 //!
 //! One daemon of each failure domain, the reader, reads the store for the others, which saves most
-//! of the billed store calls. A daemon reads the store itself if its reader does not answer, or if
-//! the store does not answer the reader. A daemon that the store does not answer fetches updates
-//! from any other daemon.
+//! of the billed store calls. If the store does not answer the reader, the next daemon by rank reads
+//! it instead. A daemon reads the store itself if its reader does not answer. A daemon that the store
+//! does not answer fetches updates from any other daemon.
 
 use std::net;
 use std::sync;
 
 use basilgrade_adapter::store;
+use basilgrade_fleet::daemon;
 use basilgrade_types::clock;
+use basilgrade_types::id;
+use indexmap::IndexMap;
 use rand::seq::IndexedRandom as _;
 
 use crate::core;
@@ -29,6 +32,12 @@
 /// Interval at which a daemon that reads the store itself determines the reader again.
 const READER_CHECK_INTERVAL: clock::Millis = clock::Millis(400);
 
+/// Time after which a daemon that the store does not answer may be asked again to read for others.
+const UNABLE_TTL: clock::Millis = clock::Millis(1000);
+
+/// Number of daemons that the store does not answer after which this daemon reads it itself.
+const MAX_UNABLE: usize = 3;
+
 /// Number of daemons whose answers tell the configuration in force, as one may have missed it.
 const CONFIGURATION_ANSWERS: usize = 3;
 
@@ -52,8 +61,14 @@
     }
 
     async fn follow(&self) {
+        // Daemons of this failure domain that the store does not answer, and until when they are
+        // passed over.
+        let mut unable: IndexMap<id::VmId, clock::Millis> = IndexMap::new();
         loop {
-            let Some(reader) = self.mirrors.other_reader() else {
+            let now = self.core.now();
+            unable.retain(|_, until| *until > now);
+            let is_able = |daemon: &daemon::Daemon| !unable.contains_key(&daemon.name);
+            let Some(reader) = self.mirrors.other_reader(is_able) else {
                 self.mirrors
                     .set_reader(true, "this daemon ranks first in its failure domain");
                 self.read_store_directly().await;
@@ -75,9 +90,12 @@
                 }
                 Ok(updates) => {
                     self.mirrors.apply_reply(updates, true);
-                    self.mirrors
-                        .set_reader(true, "the store does not answer the reader");
-                    self.read_store_directly().await;
+                    unable.insert(reader.name, self.core.now().plus(UNABLE_TTL));
+                    if unable.len() >= MAX_UNABLE {
+                        self.mirrors
+                            .set_reader(true, "the store does not answer the reader");
+                        self.read_store_directly().await;
+                    }
                 }
                 Err(reason) => self.mirrors.set_reader(true, &reason),
             }
