Wait longer after each record that the store refuses

What operators pay: while the store refuses a machine, its daemon wrote evidence about broken engines every 0.6 s and its registration every 0.5 s.

Change: the wait doubles from 0.5 s to 4 s with each failure in a row, for both.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -30,6 +30,8 @@
     reads: std::sync::atomic::AtomicUsize,
     /// Calls of all kinds.
     calls: std::sync::atomic::AtomicUsize,
+    /// Refused appends.
+    refusals: std::sync::atomic::AtomicUsize,
     /// Topic to which nothing can be appended.
     full: sync::Mutex<Option<&'static str>>,
     /// Topic whose readers get no answer.
@@ -132,6 +134,11 @@
         self.calls.load(sync::atomic::Ordering::Relaxed)
     }
 
+    /// Counts the refused appends.
+    pub(crate) fn refusals(&self) -> usize {
+        self.refusals.load(sync::atomic::Ordering::Relaxed)
+    }
+
     /// Counts the records of a topic, outdated ones included.
     pub(crate) fn record_count(&self, topic: &str) -> usize {
         self.end_offset(topic)
@@ -234,6 +241,7 @@
         let mut answer = match request.uri().path() {
             "/basilgrade/log-read" | "/basilgrade/log-newest" if is(&self.silent) => return None,
             "/basilgrade/log-append" if is(&self.full) => {
+                self.refusals.fetch_add(1, sync::atomic::Ordering::Relaxed);
                 let mut refusal = Response::new(server::full_body("{}"));
                 *refusal.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
                 refusal
--- a/crates/basilgrade/tests/store_calls.rs
+++ b/crates/basilgrade/tests/store_calls.rs
@@ -4,8 +4,10 @@
 
 use std::time;
 
+use edge_support::client;
 use edge_support::deployment;
 use edge_support::path;
+use edge_support::upstream;
 
 /// Daemons that start at the same time.
 const DAEMONS: usize = 8;
@@ -70,6 +72,46 @@
     assert!(refused < 2 * steady, "{refused} calls, before {steady}");
 }
 
+/// Time for which the store refuses records.
+const REFUSAL: time::Duration = time::Duration::from_secs(7);
+
+/// Attempts to write one kind of record within [`REFUSAL`] if the waits between them double.
+const MOST_ATTEMPTS: usize = 5;
+
+/// Guards against records that are written again and again to a store that refuses them.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_records_are_written_again_less_and_less_often() {
+    let configuration = deployment::configuration(1, &["key-one"]);
+    let mut deployment = deployment::start_with(&[], 2, &configuration).await;
+    deployment.store.refuse_appends(Some("keyed.status"));
+    deployment.add_daemon("vm-0", "a");
+    deployment.wait_until_ready(0).await;
+    for number in 0..2 {
+        let engine = deployment.upstream(&format!("engine-{number}"));
+        engine.set_behaviour(upstream::Behaviour::Mute);
+    }
+    let address = deployment.daemons[0].caller_address;
+    let request = client::staged_request("breaks", "/stream/x");
+    client::send(address, request, "").await;
+    deployment::wait_until("the daemon writes a record", || async {
+        deployment.store.refusals() > 0
+    })
+    .await;
+
+    tokio::time::sleep(REFUSAL).await;
+
+    let refusals = deployment.store.refusals();
+    assert!(refusals <= 2 * MOST_ATTEMPTS, "{refusals} appends");
+    deployment.store.refuse_appends(None);
+    for kind in ["vm-0", "request:"] {
+        deployment::wait_until("the registration and the evidence are written", || async {
+            let records = deployment.store.newest("keyed.status");
+            records.keys().any(|key| key.starts_with(kind))
+        })
+        .await;
+    }
+}
+
 /// Counts the calls to the store within `span`.
 async fn count_calls(deployment: &deployment::Deployment, span: time::Duration) -> usize {
     let before = deployment.store.calls();
--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -4,6 +4,7 @@
 //! domain reads the store for the others. A daemon that the store does not answer fetches newer
 //! records from other daemons. The position of a mirror never decreases.
 
+mod backoff;
 pub mod evidence_log;
 pub mod mirror;
 pub mod mirrors;
--- a/crates/basilgrade_edge/src/follow/evidence_log.rs
+++ b/crates/basilgrade_edge/src/follow/evidence_log.rs
@@ -12,6 +12,7 @@
 use basilgrade_types::clock;
 
 use crate::core;
+use crate::follow::backoff;
 use crate::follow::reader;
 
 /// Delay before evidence is published, which collects the requests that one crash breaks.
@@ -20,11 +21,9 @@
 /// Interval between checks for expired evidence while there is no new evidence.
 const EXPIRY_INTERVAL: clock::Millis = clock::Millis(20_000);
 
-/// Wait after a failed publication.
-const RETRY_DELAY: clock::Millis = clock::Millis(500);
-
 /// Publishes evidence whenever it has changed; never returns.
 pub async fn publish(core: sync::Arc<core::Core>) {
+    let mut backoff = backoff::Backoff::default();
     loop {
         let notified = core.evidence_changed.notified();
         // After the time-out, evidence may have expired.
@@ -62,8 +61,10 @@
             log::warn!("event=evidence-failed reason={reason:?}");
             let changed = changed.iter().map(|(suspect, _)| *suspect);
             core.suspects().restore(changed, dropped);
-            tokio::time::sleep(RETRY_DELAY.duration()).await;
+            backoff.wait().await;
             core.evidence_changed.notify_one();
+        } else {
+            backoff.reset();
         }
     }
 }
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -10,6 +10,7 @@
 use compact_str::CompactString;
 
 use crate::core;
+use crate::follow::backoff;
 use crate::follow::mirrors;
 use crate::follow::reader;
 
@@ -35,6 +36,7 @@
 
 /// Keeps this daemon registered; never returns.
 pub async fn keep_registered(core: sync::Arc<core::Core>, mirrors: sync::Arc<mirrors::Mirrors>) {
+    let mut backoff = backoff::Backoff::default();
     let mut acknowledged_at: Option<clock::Millis> = None;
     loop {
         tokio::time::sleep(CHECK_INTERVAL.duration()).await;
@@ -70,10 +72,14 @@
         match reader::append(&core, store::Topic::Daemons, &[record]).await {
             // The mirror receives the record with the next read of the topic of daemons.
             Ok(()) => {
+                backoff.reset();
                 acknowledged_at = Some(core.now());
                 log::info!("event=registered name={}", own.name);
             }
-            Err(reason) => log::warn!("event=registration-failed reason={reason:?}"),
+            Err(reason) => {
+                log::warn!("event=registration-failed reason={reason:?}");
+                backoff.wait().await;
+            }
         }
     }
 }
