Give each call for stage results a connection of its own

Callers saw: possibly an answer made from the stage results of another request. Other operators reported a second copy of an answer, late, on a connection that was in use again.

Cause: calls for pieces and releases of results used kept connections, and their answers name no call. A second copy that arrives when the next call has left was taken for its answer. Callers' requests were safe: each has a connection of its own and an id.

Change: such calls open a connection each. Only calls to the store keep theirs. A call is no longer sent again after a kept connection was lost.

Test: `late_copy_of_a_stage_answer_is_not_taken_for_the_next_one` failed before (a handle of `first-42` among the inputs of `next-0`), passes.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -36,7 +36,7 @@
     pub clock: clock::SystemClock,
     /// Latest snapshot of the configuration and the upstreams.
     pub view: ArcSwap<view::View>,
-    /// Idle keep-alive connections to upstreams and the store.
+    /// Idle keep-alive connections to the store.
     pub connections: pool::ConnectionPool,
     /// Connections to other daemons.
     pub links: links::PeerLinks,
@@ -222,8 +222,6 @@
                 entry.id,
                 entry.domain
             );
-            // Calls on connections that are kept would hang.
-            self.connections.close_idle(entry.address);
         }
     }
 
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -24,6 +24,7 @@
 
 use crate::core;
 use crate::gather::result_releases;
+use crate::http::single_call;
 use crate::permits;
 use crate::tunnel::dialer;
 
@@ -277,17 +278,11 @@
             Err(until) => return Ok(outcome::CallOutcome::Held(until - self.core.now())),
         };
         let connecting = dialer::open(&self.core, &entry);
-        let sent = self
-            .core
-            .connections
-            .call_over(call.address, connecting, message, "", |is_resend| {
-                let is_counted = permit != limit::Permit::Unlimited;
-                self.core.accepts(&call.upstream, call.address)
-                    && entry.stats.limit().allows(self.core.now(), permit)
-                    && !(is_resend && is_counted)
-            })
-            .await;
-        let buffered = match sent {
+        let is_allowed = || {
+            self.core.accepts(&call.upstream, call.address)
+                && entry.stats.limit().allows(self.core.now(), permit)
+        };
+        let buffered = match single_call::send(connecting, message, is_allowed).await {
             Ok(buffered) => buffered,
             Err(failure) => {
                 let is_unsent = failure.verdict == verdict::Verdict::NotRun;
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexMap;
 
 use crate::core;
+use crate::http::single_call;
 use crate::permits;
 use crate::tunnel::dialer;
 
@@ -114,12 +115,8 @@
             }
         };
         let connecting = dialer::open(&self.core, &entry);
-        let call = self
-            .core
-            .connections
-            .call_over(address, connecting, message, "", |_| {
-                self.core.now() >= paused_until()
-            });
+        let is_allowed = || self.core.now() >= paused_until();
+        let call = single_call::send(connecting, message, is_allowed);
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
             Ok(Ok(reply)) => {
                 let answer = answer::Answer::decode(reply.status, &reply.headers, "");
--- a/crates/basilgrade_edge/src/http.rs
+++ b/crates/basilgrade_edge/src/http.rs
@@ -4,4 +4,5 @@
 pub mod error;
 pub mod head_timeout;
 pub mod pool;
+pub mod single_call;
 pub mod socket;
--- a/crates/basilgrade_edge/src/http/pool.rs
+++ b/crates/basilgrade_edge/src/http/pool.rs
@@ -1,4 +1,4 @@
-//! Pool of idle keep-alive connections, for idempotent calls.
+//! Pool of idle keep-alive connections, for idempotent calls to the store.
 
 use std::net;
 use std::sync;
@@ -28,7 +28,7 @@
 const MAX_IDLE_PER_ADDRESS: usize = 4;
 
 /// Maximum size of the body of an answer.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+pub(super) const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Answer of an upstream or the store, with the body read into memory.
 #[derive(Clone, Debug)]
@@ -90,11 +90,6 @@
         }
     }
 
-    /// Closes the idle connections to `address`.
-    pub fn close_idle(&self, address: net::SocketAddr) {
-        self.lock().swap_remove(&address);
-    }
-
     /// Closes idle connections that have expired or that the upstream has closed.
     pub fn close_expired(&self) {
         let now = self.clock.now();
@@ -137,29 +132,6 @@
         request_id: &str,
         connect_timeout: clock::Millis,
         is_allowed: impl Fn(bool) -> bool,
-    ) -> Result<BufferedAnswer, error::SendError> {
-        let connecting = connection::Connection::open(
-            address,
-            connect_timeout.duration(),
-            socket::Patience::Call,
-        );
-        self.call_over(address, connecting, message, request_id, is_allowed)
-            .await
-    }
-
-    /// Like [`ConnectionPool::call_while`], with a new connection to `address` that `connecting`
-    /// opens.
-    ///
-    /// # Errors
-    ///
-    /// [`error::SendError`] with the verdict on whether the call may have run.
-    pub async fn call_over(
-        &self,
-        address: net::SocketAddr,
-        connecting: impl Future<Output = Result<connection::Connection, error::SendError>>,
-        message: Request<Full<Bytes>>,
-        request_id: &str,
-        is_allowed: impl Fn(bool) -> bool,
     ) -> Result<BufferedAnswer, error::SendError> {
         let mut verdict = verdict::Verdict::NotRun;
         let forbidden = |verdict| error::SendError {
@@ -183,6 +155,8 @@
                 outcome => return outcome,
             }
         }
+        let timeout = connect_timeout.duration();
+        let connecting = connection::Connection::open(address, timeout, socket::Patience::Call);
         let connection = connecting.await?;
         if !is_allowed(verdict != verdict::Verdict::NotRun) {
             return Err(forbidden(verdict));
