Give each test process ports of its own

What was seen: two runs of the tests at once collided on port 24318, and one of them failed.

Change: a process claims blocks of ports by listening on the first port of each, until it ends, and hands out the ports of its blocks only.

Test: `test_processes_get_different_ports` failed before (460 different ports of 480), passes.

--- a/crates/basilgrade/tests/support/port.rs
+++ b/crates/basilgrade/tests/support/port.rs
@@ -1,29 +1,63 @@
 //! Fixed ports for daemons, so that a restarted daemon listens on the same addresses.
 
 use std::net;
-use std::process;
-use std::sync::atomic;
+use std::sync;
 
 /// First port to hand out. The range lies below the ephemeral ports, which the system uses for
 /// outgoing connections and could take while a daemon restarts.
 const FIRST_PORT: u16 = 20_000;
 
-/// Number of ports in the range.
-const PORT_COUNT: u16 = 10_000;
+/// Number of blocks in the range.
+const BLOCK_COUNT: u16 = 200;
 
-/// Offset of the next port to probe, relative to the start offset of this process.
-static NEXT_OFFSET: atomic::AtomicU16 = atomic::AtomicU16::new(0);
+/// Number of ports in a block, of which the first one is its guard.
+const BLOCK_SIZE: u16 = 50;
 
-/// Returns a loopback address that nothing listens on, another one at each call.
-///
-/// The start offset depends on the process id, so that concurrent test processes probe different
-/// ports.
+/// Blocks of ports that belong to this process.
+static PORTS: sync::Mutex<Ports> = sync::Mutex::new(Ports {
+    guards: Vec::new(),
+    next: 0,
+    end: 0,
+});
+
+struct Ports {
+    /// Listeners on the first port of each block, held until the process ends: other test processes
+    /// pass over a block whose guard they cannot take.
+    guards: Vec<net::TcpListener>,
+    /// Next port to hand out.
+    next: u16,
+    /// End of the current block.
+    end: u16,
+}
+
+impl Ports {
+    fn claim_block(&mut self) {
+        let block = |number| FIRST_PORT + number * BLOCK_SIZE;
+        let claimed = (0..BLOCK_COUNT).find_map(|number| {
+            let guard = net::TcpListener::bind(loopback(block(number))).ok()?;
+            Some((number, guard))
+        });
+        let (number, guard) = claimed.expect("a block of ports is free");
+        self.guards.push(guard);
+        self.next = block(number) + 1;
+        self.end = block(number) + BLOCK_SIZE;
+    }
+}
+
+const fn loopback(port: u16) -> net::SocketAddr {
+    net::SocketAddr::V4(net::SocketAddrV4::new(net::Ipv4Addr::LOCALHOST, port))
+}
+
+/// Returns a loopback address that nothing listens on, another one at each call, which no other test
+/// process is given while this one runs.
 pub(crate) fn free_address() -> net::SocketAddr {
-    let start_offset = (process::id() % 97) as u16 * 100;
+    let mut ports = PORTS.lock().unwrap_or_else(sync::PoisonError::into_inner);
     loop {
-        let offset = NEXT_OFFSET.fetch_add(1, atomic::Ordering::Relaxed);
-        let port = FIRST_PORT + (start_offset + offset) % PORT_COUNT;
-        let address = net::SocketAddr::from(([127, 0, 0, 1], port));
+        if ports.next == ports.end {
+            ports.claim_block();
+        }
+        let address = loopback(ports.next);
+        ports.next += 1;
         if net::TcpListener::bind(address).is_ok() {
             return address;
         }
