Give two tests callers that wait as long as their deadline

`pieces_of_a_daemon_that_hangs_are_computed_elsewhere` failed in each of four runs since streams are refused whose callers would have left, and tests of partitions in two runs on a busy machine ("served before the partition" 51 to 59 of 60, refused as the stages were expected to take over 4 s).

Cause: the tests allow 8 s, but by the figures of their routes callers of streams leave after 4 s (four target latencies of 1 s). The first one needs more: a stage of 2 s runs again after a daemon was found to hang. The refusals are what such callers want, and `caller_patience` checks them.

Change: streams of these tests have a target latency of 2 s, so their callers wait 8 s, as the tests meant. The checks are unchanged.

--- a/crates/basilgrade/tests/edge_support/deployment.rs
+++ b/crates/basilgrade/tests/edge_support/deployment.rs
@@ -83,6 +83,19 @@
     .to_string()
 }
 
+/// Returns `configuration` with target latencies of streams whose callers wait for the first event
+/// until their deadline of 8 s; with those of [`configuration`], they leave after 4 s.
+pub(crate) fn with_patient_callers(configuration: &str) -> String {
+    let mut document: serde_json::Value =
+        serde_json::from_str(configuration).expect("the configuration is JSON");
+    let routes = document["routes"].as_array_mut();
+    let routes = routes.expect("`routes` is a list").iter_mut();
+    for route in routes.filter(|route| route["kind"] == "stream") {
+        route["target-latency-ms"] = 2000.into();
+    }
+    document.to_string()
+}
+
 /// Returns a configuration without stages and without the services that run them.
 pub(crate) fn without_stages() -> String {
     let text = configuration(1, &["key-one"]);
--- a/crates/basilgrade/tests/late_daemons.rs
+++ b/crates/basilgrade/tests/late_daemons.rs
@@ -9,7 +9,8 @@
 use edge_support::deployment;
 use edge_support::upstream;
 
-/// Returns a configuration whose stage `encode` takes about two seconds.
+/// Returns a configuration whose stage `encode` takes about two seconds, and whose callers wait for
+/// the first event of a stream until their deadline.
 fn configuration() -> String {
     let text = deployment::configuration(1, &["key-one"]);
     let mut document: serde_json::Value =
@@ -22,7 +23,7 @@
             service["pieces"]["call-ms"] = 2000.0.into();
         }
     }
-    document.to_string()
+    deployment::with_patient_callers(&document.to_string())
 }
 
 /// Starts two daemons that know each other; all upstreams are in the failure domain of the first one,
--- a/crates/basilgrade/tests/partitions.rs
+++ b/crates/basilgrade/tests/partitions.rs
@@ -27,7 +27,9 @@
 /// that can cut their paths to the upstreams. All upstreams are in the failure domain of the first
 /// one, so the duties of their pools are its own.
 async fn start() -> (deployment::Deployment, partition::Partition, [usize; 2]) {
-    let mut deployment = deployment::start(&["b", "b"]).await;
+    let configuration = deployment::configuration(1, &["key-one"]);
+    let configuration = deployment::with_patient_callers(&configuration);
+    let mut deployment = deployment::start_with(&["b", "b"], 2, &configuration).await;
     let partition = partition::Partition::start(&deployment).await;
     let first = partition.add_daemon(&mut deployment, "vm-2", "a").await;
     let second = partition.add_daemon(&mut deployment, "vm-3", "c").await;
