Leave time to read the store after the reader was lost

Cause, from reading: since, a daemon that had lost its reader asked the next one for an answer at once and stopped its own read of the store before that had an answer. The next reader may be behind.

Change: only a daemon that has just started asks at once; later calls wait for up to 0.7 s as before, in which the store is read.

--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -66,6 +66,7 @@
         let mut unable: IndexMap<id::VmId, clock::Millis> = IndexMap::new();
         // Daemon that reads the store for this one, by its last answer.
         let mut source: Option<id::VmId> = None;
+        let mut has_followed = false;
         loop {
             let now = self.core.now();
             unable.retain(|_, until| *until > now);
@@ -77,9 +78,10 @@
                 self.read_store_directly().await;
                 continue;
             };
-            // Another daemon is asked for an answer at once, as news may be missed meanwhile.
             let is_source = source.as_ref() == Some(&reader.name);
-            let wait = if is_source {
+            // A daemon that starts asks for an answer at once, to stop reading. Later, the wait leaves
+            // time for a read of the store after the reader was lost: the next one may be behind.
+            let wait = if has_followed {
                 HOLD_TIME
             } else {
                 clock::Millis::ZERO
@@ -92,6 +94,7 @@
                     self.mirrors.apply_reply(updates, true);
                     self.mirrors.set_reader(false, reader.name.as_str());
                     source = Some(reader.name);
+                    has_followed = true;
                 }
                 Ok(updates) => {
                     self.mirrors.apply_reply(updates, true);
