Log whether a failed request takes up a stream, and its deadline

Callers saw take-ups refused, and streams broken at a deadline that nobody could place. The log told neither a refused take-up from a refused new stream, nor the caller's deadline from the route's, nor what a failed stage had waited for.

`request-failed` and `stream-ended` now give the deadline, what set it and the attempt that is taken up; `stage-failed` gives the time that a stage had, the wait that was expected and how long it took. No decision changes.

--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -243,7 +243,7 @@
         tried.len(),
         view.configuration.as_ref().map_or(0, |known| known.version),
         chosen.version,
-        request.head.resumes.as_deref().unwrap_or("-")
+        request.resumed_name()
     );
     Choice::Chosen {
         entry: sync::Arc::clone(chosen),
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -175,7 +175,7 @@
         core.metrics.answer_time.record(now - self.request.arrived);
         log::info!(
             "event=stream-ended request={} route={} customer={} outcome={} upstream={} sends={} \
-             first={} span={} last_event={} reason={:?}",
+             first={} span={} deadline={} origin={} resumes={} last_event={} reason={:?}",
             self.request.head.request_id,
             self.request.route.name,
             self.request.customer_name(),
@@ -186,6 +186,9 @@
             self.sends.tried.len(),
             self.first_event_at - self.request.arrived,
             now - self.request.arrived,
+            self.request.deadline - self.request.arrived,
+            self.request.deadline_origin,
+            self.request.resumed_name(),
             self.last_event.unwrap_or_default(),
             self.reason.unwrap_or("-")
         );
--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -1,5 +1,6 @@
 //! Validated request of a caller.
 
+use std::fmt;
 use std::sync;
 use std::sync::atomic;
 
@@ -21,6 +22,24 @@
 use crate::serve::request_failure;
 use crate::serve::request_reader;
 
+/// What sets the deadline of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DeadlineOrigin {
+    /// The time that the caller waits.
+    Caller,
+    /// The time-out of the route.
+    Route,
+}
+
+impl fmt::Display for DeadlineOrigin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Caller => "caller",
+            Self::Route => "route",
+        })
+    }
+}
+
 /// Validated request with its route, pool, customer and deadline.
 #[derive(Debug)]
 pub struct Request {
@@ -49,6 +68,7 @@
     /// Time by which the request must be answered, by the caller's deadline or the route's
     /// time-out.
     pub deadline: clock::Millis,
+    pub deadline_origin: DeadlineOrigin,
     /// Number of sends after which an upstream may have run the request.
     pub uncertain_sends: atomic::AtomicU32,
 }
@@ -104,7 +124,7 @@
     pub fn log_failure(&self, core: &core::Core, failure: &request_failure::RequestFailure) {
         log::info!(
             "event=request-failed request={} route={} kind={} customer={} status={} verdict={} \
-             wait={} span={} reason={:?}",
+             wait={} span={} deadline={} origin={} resumes={} reason={:?}",
             self.head.request_id,
             self.route.name,
             self.route.kind,
@@ -113,10 +133,22 @@
             failure.verdict,
             failure.wait.unwrap_or_default(),
             core.now() - self.arrived,
+            self.deadline - self.arrived,
+            self.deadline_origin,
+            self.resumed_name(),
             failure.reason
         );
     }
 
+    /// Attempt whose stream the request takes up, for logs, or `-` if it takes up none.
+    pub fn resumed_name(&self) -> &str {
+        match (&self.head.resumes, self.head.last_event) {
+            (Some(attempt), _) => attempt,
+            (None, Some(_)) => &self.head.request_id,
+            (None, None) => "-",
+        }
+    }
+
     /// Name of the customer for logs, or `-` if there is none.
     pub fn customer_name(&self) -> &str {
         self.customer
--- a/crates/basilgrade_edge/src/serve/request_reader.rs
+++ b/crates/basilgrade_edge/src/serve/request_reader.rs
@@ -71,7 +71,10 @@
         customer,
         pool,
     } = checked;
-    let time_allowed = head.time_left.unwrap_or(route.timeout).min(route.timeout);
+    let (time_allowed, deadline_origin) = match head.time_left {
+        Some(left) if left < route.timeout => (left, request::DeadlineOrigin::Caller),
+        _ => (route.timeout, request::DeadlineOrigin::Route),
+    };
     let deadline = arrived.plus(time_allowed) - ANSWER_MARGIN;
     let limit = limits.max_body.0 as usize;
     let body_timeout = (deadline - core.now()).duration();
@@ -111,6 +114,7 @@
         has_keys: known.is_some_and(|known| known.customers.is_some()),
         arrived,
         deadline,
+        deadline_origin,
         uncertain_sends: atomic::AtomicU32::new(0),
     })
 }
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -256,7 +256,21 @@
         inputs: exclusive_inputs(request, index),
         fallback: job::Fallback::Wait,
     };
-    match service.job_client.compute(&stage.pool, job).await {
+    let (time_left, priority) = (job.time_left, job.priority);
+    let expected = service.job_client.load(&stage.pool).wait_for(priority);
+    let outcome = service.job_client.compute(&stage.pool, job).await;
+    if !matches!(outcome, outcome::JobOutcome::Completed(_)) {
+        log::info!(
+            "event=stage-failed request={} stage={index} pool={} pieces={} outcome={outcome} \
+             left={time_left} wait={expected} span={} resumes={}",
+            request.head.request_id,
+            stage.pool,
+            piece_count(request, index),
+            service.core.now() - now,
+            request.resumed_name()
+        );
+    }
+    match outcome {
         outcome::JobOutcome::Completed(handles) => {
             log::info!(
                 "event=stage-done request={} stage={index} pieces={} span={}",
--- a/crates/basilgrade_fleet/src/batch/outcome.rs
+++ b/crates/basilgrade_fleet/src/batch/outcome.rs
@@ -1,5 +1,7 @@
 //! Outcomes of jobs, pieces and calls.
 
+use std::fmt;
+
 use basilgrade_types::clock;
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,6 +22,18 @@
     Failed,
 }
 
+impl fmt::Display for JobOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Completed(_) => "completed",
+            Self::TimedOut => "timed-out",
+            Self::InputGone => "input-gone",
+            Self::HandedBack => "handed-back",
+            Self::Failed => "failed",
+        })
+    }
+}
+
 /// Outcome of one piece of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PieceOutcome {
