Probe the ports of test daemons without listening on them

The probe of a free port listened on it for a moment. A process that another thread of the test starts meanwhile holds a copy of the listening socket from its fork until it executes its program, and the daemon that was given the port cannot listen until then. The probe now binds a socket with `SO_REUSEADDR` and does not listen; a copy of it keeps nobody from listening.

`port_can_be_listened_on_while_processes_start` takes 1,500 ports while three threads start processes.

--- a/crates/basilgrade/tests/ports.rs
+++ b/crates/basilgrade/tests/ports.rs
@@ -5,8 +5,12 @@
 
 use std::collections;
 use std::env;
+use std::io;
 use std::io::BufRead as _;
+use std::net;
 use std::process;
+use std::sync::atomic;
+use std::thread;
 
 /// Variable that has this test hand out ports in a process of its own.
 const CHILD_VARIABLE: &str = "BASILGRADE_TEST_PORTS";
@@ -17,6 +21,15 @@
 /// Ports that each of them takes.
 const PORTS: usize = 120;
 
+/// Threads that start processes while ports are taken.
+const STARTERS: usize = 3;
+
+/// Ports that are taken and listened on while processes are started.
+const TAKEN_PORTS: usize = 1500;
+
+/// Ports that are taken for each process that has started.
+const PORTS_PER_PROCESS: usize = 5;
+
 /// Takes ports, prints them, and holds them until its input ends.
 fn take_ports() {
     for _ in 0..PORTS {
@@ -69,3 +82,47 @@
     assert_eq!(ports.len(), PROCESSES * PORTS);
     assert_eq!(distinct.len(), ports.len());
 }
+
+/// Takes ports and listens on each, in step with the processes that have `started`; returns the errors.
+fn listen_on_taken_ports(started: &atomic::AtomicUsize) -> Vec<io::Error> {
+    let listen = |number| {
+        while started.load(atomic::Ordering::Relaxed) < number / PORTS_PER_PROCESS {
+            thread::yield_now();
+        }
+        net::TcpListener::bind(port::free_address()).err()
+    };
+    (0..TAKEN_PORTS).filter_map(listen).collect()
+}
+
+/// Guards against a daemon that cannot listen on its port since a process that starts meanwhile, and
+/// inherits all sockets until it executes its program, holds one that listens there.
+#[test]
+fn port_can_be_listened_on_while_processes_start() {
+    if env::var(CHILD_VARIABLE).is_ok() {
+        return;
+    }
+    let started = atomic::AtomicUsize::new(0);
+    let is_done = atomic::AtomicBool::new(false);
+    let start_processes = || {
+        while !is_done.load(atomic::Ordering::Relaxed) {
+            let status = process::Command::new("true").status();
+            assert!(status.is_ok_and(|status| status.success()));
+            started.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    };
+
+    let errors = thread::scope(|scope| {
+        for _ in 0..STARTERS {
+            scope.spawn(start_processes);
+        }
+        let errors = listen_on_taken_ports(&started);
+        is_done.store(true, atomic::Ordering::Relaxed);
+        errors
+    });
+
+    assert!(
+        errors.is_empty(),
+        "{} of {TAKEN_PORTS}: {errors:?}",
+        errors.len()
+    );
+}
--- a/crates/basilgrade/tests/support/port.rs
+++ b/crates/basilgrade/tests/support/port.rs
@@ -48,6 +48,19 @@
     net::SocketAddr::V4(net::SocketAddrV4::new(net::Ipv4Addr::LOCALHOST, port))
 }
 
+/// Whether nothing listens on `address`.
+///
+/// The socket only binds: a process that starts meanwhile holds a copy of it for a moment, and a copy
+/// that listened would keep the daemon from doing so.
+fn is_free(address: net::SocketAddr) -> bool {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+    let socket = socket.expect("the system has sockets left");
+    socket
+        .set_reuse_address(true)
+        .expect("the option can be set");
+    socket.bind(&address.into()).is_ok()
+}
+
 /// Returns a loopback address that nothing listens on, another one at each call, which no other test
 /// process is given while this one runs.
 pub(crate) fn free_address() -> net::SocketAddr {
@@ -58,7 +71,7 @@
         }
         let address = loopback(ports.next);
         ports.next += 1;
-        if net::TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             return address;
         }
     }
