Bound the memory of all answers that are held at once

Seen by callers: an upstream whose bodies ran without end could take the daemon's VM out of memory, and the requests of all other callers on it were lost.

Cause: each answer was bounded by 8 MiB alone, nothing bounded all of them together.

Change: an account counts the bytes of all answers of upstreams, plain ones until the caller has taken them and those to calls for pieces. Above a quarter of the VM's memory (`[limits] memory`, 160 MB if absent, from `limits.memory-mb` of the platform), the largest answer of the upstream that holds the most is given up and counts as a broken connection. The first 64 KiB of an answer are never given up, so small ones go on.

`EndlessUpstream` moved from `endless_answers` to the support of the tests and can pause; its checks did not change.

--- /dev/null
+++ b/crates/basilgrade/tests/answer_memory.rs
@@ -0,0 +1,77 @@
+//! Memory of a daemon whose upstreams send many bytes at once.
+
+mod edge_support;
+
+use std::time;
+
+use edge_support::client;
+use edge_support::deployment;
+use edge_support::endless_upstream;
+
+/// Memory of the smallest VM.
+const VM_MEMORY: u64 = 160_000_000;
+
+/// Number of requests in progress at a time.
+const REQUESTS: usize = 96;
+
+/// Starts a daemon whose route `/safe/` leads to a sound upstream, and all others to six upstreams
+/// of `pool` that answer with `start` and pause before `pause_at` bytes.
+async fn start(pool: &str, start: &'static str, pause_at: u64) -> deployment::Deployment {
+    let sound = if pool == "desk" { "engine" } else { "desk" };
+    let mut document: serde_json::Value =
+        serde_json::from_str(&deployment::without_stages()).expect("the configuration is JSON");
+    for route in document["routes"].as_array_mut().expect("a list") {
+        if route["name"] == "safe" {
+            route["service"] = sound.into();
+        }
+    }
+    let mut deployment = deployment::start_with(&["a"], 0, &document.to_string()).await;
+    deployment.add_upstream(sound, 0).await;
+    for number in 0..6 {
+        endless_upstream::EndlessUpstream::start_with_pause(start, "zzzzzzzz", pause_at)
+            .await
+            .register(&deployment, pool, number);
+    }
+    deployment::wait_until("the daemon knows the upstreams", || async {
+        request(&deployment, "probe", "/safe/probe").await == Some(200)
+    })
+    .await;
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    deployment
+}
+
+/// Sends a request with the id `id` for `path`; returns the status of the answer.
+async fn request(deployment: &deployment::Deployment, id: &str, path: &str) -> Option<u16> {
+    let address = deployment.daemons[0].caller_address;
+    let request = client::request(id, "POST", path)
+        .header("x-model", "m")
+        .header("x-token-usage", "1000,50");
+    Some(client::send(address, request, "").await?.status)
+}
+
+/// Sends [`REQUESTS`] requests for `path` at once, and for the sound upstream beside them; checks
+/// the memory of the daemon and that each sound request is answered in time.
+async fn check_memory(deployment: &deployment::Deployment, path: &str) {
+    let endless = (0..REQUESTS)
+        .map(|number| async move { request(deployment, &format!("endless-{number}"), path).await });
+    let sound = async {
+        for number in 0..60 {
+            let status = request(deployment, &format!("sound-{number}"), "/safe/ask").await;
+            assert_eq!(status, Some(200), "sound request {number}");
+            tokio::time::sleep(time::Duration::from_millis(50)).await;
+        }
+    };
+    let (statuses, ()) = tokio::join!(futures::future::join_all(endless), sound);
+
+    let peak = deployment.daemons[0].peak_memory();
+    assert!(peak < VM_MEMORY, "the daemon took {peak} bytes");
+    assert!(deployment.is_ready(0).await);
+}
+
+/// Guards against a daemon that runs out of memory as many answers without end are read at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_without_end_stay_within_the_memory_of_the_vm() {
+    let head = "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\n\r\n";
+    let deployment = start("desk", head, 15 << 19).await;
+    check_memory(&deployment, "/once/charge").await;
+}
--- a/crates/basilgrade/tests/edge_support/daemon.rs
+++ b/crates/basilgrade/tests/edge_support/daemon.rs
@@ -106,6 +106,17 @@
         assert!(sent.is_ok_and(|status| status.success()));
     }
 
+    /// Largest resident memory of the process so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let child = self.child.as_ref().expect("the daemon process was started");
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let digits = line.and_then(|line| line.trim().strip_suffix(" kB"));
+        let count: u64 = digits.and_then(|text| text.parse().ok()).expect("a size");
+        count << 10
+    }
+
     /// Kills the process with SIGKILL and waits for its end.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/crates/basilgrade/tests/edge_support/mod.rs
+++ b/crates/basilgrade/tests/edge_support/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod client;
 pub(crate) mod daemon;
 pub(crate) mod deployment;
+pub(crate) mod endless_upstream;
 pub(crate) mod partition;
 pub(crate) mod path;
 #[path = "../support/port.rs"]
--- a/crates/basilgrade/tests/endless_answers.rs
+++ b/crates/basilgrade/tests/endless_answers.rs
@@ -2,77 +2,20 @@
 
 mod edge_support;
 
-use std::net;
-use std::sync;
 use std::sync::atomic;
 
 use edge_support::client;
 use edge_support::deployment;
-use tokio::io::AsyncReadExt as _;
-use tokio::io::AsyncWriteExt as _;
+use edge_support::endless_upstream;
 
 /// Number of bytes that a daemon may read of an answer, with ample buffers of the sockets.
 const MAX_READ: u64 = 24 << 20;
 
-/// An upstream that answers each request with `start` and then with `filler` until its caller
-/// closes the connection.
-struct EndlessUpstream {
-    address: net::SocketAddr,
-    /// Bytes sent on all connections, and connections that their caller has closed.
-    sent: sync::Arc<atomic::AtomicU64>,
-    closed: sync::Arc<atomic::AtomicU64>,
-}
-
-impl EndlessUpstream {
-    async fn start(start: &'static str, filler: &'static str) -> Self {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a loopback port is free");
-        let upstream = Self {
-            address: listener
-                .local_addr()
-                .expect("the listener has a local address"),
-            sent: sync::Arc::default(),
-            closed: sync::Arc::default(),
-        };
-        let (sent, closed) = (
-            sync::Arc::clone(&upstream.sent),
-            sync::Arc::clone(&upstream.closed),
-        );
-        tokio::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let (sent, closed) = (sync::Arc::clone(&sent), sync::Arc::clone(&closed));
-                tokio::spawn(async move {
-                    let mut request = [0; 4096];
-                    if stream.read(&mut request).await.unwrap_or(0) == 0 {
-                        return;
-                    }
-                    let chunk = filler.repeat(4096 / filler.len());
-                    let mut next = start.as_bytes();
-                    while stream.write_all(next).await.is_ok() {
-                        sent.fetch_add(next.len() as u64, atomic::Ordering::Relaxed);
-                        next = chunk.as_bytes();
-                    }
-                    closed.fetch_add(1, atomic::Ordering::Relaxed);
-                });
-            }
-        });
-        upstream
-    }
-
-    fn register(&self, deployment: &deployment::Deployment, pool: &str) {
-        let entry = serde_json::json!({"service": pool, "address": self.address, "zone": "a",
-            "version": "v1", "slots": 8, "state": "ready", "sequence": 1});
-        let topic = "keyed.servers";
-        deployment.store.put(topic, "endless-0", &entry.to_string());
-    }
-}
-
 /// Sends a request for `path` to a daemon whose only upstream is `upstream`; checks that the daemon
 /// closes the connection early, reports a failure and still serves.
-async fn check_is_cut(upstream: EndlessUpstream, pool: &str, path: &str) {
+async fn check_is_cut(upstream: endless_upstream::EndlessUpstream, pool: &str, path: &str) {
     let deployment = deployment::start_with(&["a"], 0, &deployment::without_stages()).await;
-    upstream.register(&deployment, pool);
+    upstream.register(&deployment, pool, 0);
     let address = deployment.daemons[0].caller_address;
     let mut number = 0;
     let status = loop {
@@ -100,14 +43,16 @@
 /// Guards against a daemon that reads a head without end.
 #[tokio::test(flavor = "multi_thread")]
 async fn head_without_end_is_cut() {
-    let upstream = EndlessUpstream::start("HTTP/1.1 200 OK\r\n", "x-more: yyyyyyyy\r\n").await;
+    let upstream =
+        endless_upstream::EndlessUpstream::start("HTTP/1.1 200 OK\r\n", "x-more: yyyyyyyy\r\n")
+            .await;
     check_is_cut(upstream, "desk", "/once/charge").await;
 }
 
 /// Guards against a daemon that reads bytes without end that are not HTTP.
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_a_line_end_are_cut() {
-    let upstream = EndlessUpstream::start("", "zzzzzzzz").await;
+    let upstream = endless_upstream::EndlessUpstream::start("", "zzzzzzzz").await;
     check_is_cut(upstream, "desk", "/once/charge").await;
 }
 
@@ -115,7 +60,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn body_without_end_is_cut() {
     let start = "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\n\r\n";
-    let upstream = EndlessUpstream::start(start, "zzzzzzzz").await;
+    let upstream = endless_upstream::EndlessUpstream::start(start, "zzzzzzzz").await;
     check_is_cut(upstream, "desk", "/once/charge").await;
 }
 
@@ -123,6 +68,6 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn event_without_end_is_cut() {
     let start = "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\n\r\nid: 1\ndata: ";
-    let upstream = EndlessUpstream::start(start, "zzzzzzzz").await;
+    let upstream = endless_upstream::EndlessUpstream::start(start, "zzzzzzzz").await;
     check_is_cut(upstream, "engine", "/stream/plan").await;
 }
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::http::answer_memory;
 use crate::http::pool;
 use crate::metrics;
 use crate::peers::links;
@@ -38,6 +39,8 @@
     pub view: ArcSwap<view::View>,
     /// Idle keep-alive connections to the store.
     pub connections: pool::ConnectionPool,
+    /// Account of the answers of upstreams that are held.
+    pub answers: sync::Arc<answer_memory::AnswerMemory>,
     /// Connections to other daemons.
     pub links: links::PeerLinks,
     /// Connections that this daemon forwards for others.
@@ -82,8 +85,12 @@
     ///
     /// A message if the metrics cannot be registered.
     pub fn new(settings: settings::Settings, view: view::View) -> Result<Self, String> {
+        let metrics = metrics::Metrics::new()?;
+        let given_up = metrics.given_up_answers.clone();
+        let answers = answer_memory::AnswerMemory::new(settings.memory, given_up);
         Ok(Self {
             budget: sync::Mutex::new(budget::Budget::new(settings.retries)),
+            answers: sync::Arc::new(answers),
             settings: ArcSwap::from_pointee(settings),
             clock: clock::SystemClock::new(),
             view: ArcSwap::from_pointee(view),
@@ -91,7 +98,7 @@
             links: links::PeerLinks::default(),
             tunnels: TaskTracker::new(),
             paths: sync::Mutex::default(),
-            metrics: metrics::Metrics::new()?,
+            metrics,
             paces: sync::Mutex::default(),
             suspects: sync::Mutex::default(),
             streams: sync::Mutex::default(),
@@ -438,9 +445,10 @@
         );
     }
 
-    /// Replaces the settings and the configuration of the retry budget.
+    /// Replaces the settings, the configuration of the retry budget and the limit of held answers.
     pub fn reload(&self, settings: settings::Settings) {
         self.budget().set_config(settings.retries);
+        self.answers.set_memory(settings.memory);
         self.settings.store(sync::Arc::new(settings));
     }
 
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -91,12 +91,13 @@
     logger::start().map_err(|error| error.to_string())?;
     log::set_max_level(settings.level);
     log::info!(
-        "event=start name={} domain={} callers={} peers={} store={}",
+        "event=start name={} domain={} callers={} peers={} store={} memory={}",
         settings.name,
         settings.domain,
         settings.callers,
         settings.peers,
-        settings.store
+        settings.store,
+        settings.memory
     );
     // Signal handlers are registered before the listeners open, so that no later signal is lost.
     let mut terminate =
--- a/crates/basilgrade_edge/src/gather/gatherer.rs
+++ b/crates/basilgrade_edge/src/gather/gatherer.rs
@@ -282,7 +282,8 @@
             self.core.accepts(&call.upstream, call.address)
                 && entry.stats.limit().allows(self.core.now(), permit)
         };
-        let buffered = match single_call::send(connecting, message, is_allowed).await {
+        let held = self.core.answers.hold(call.address);
+        let buffered = match single_call::send(connecting, message, held, is_allowed).await {
             Ok(buffered) => buffered,
             Err(failure) => {
                 let is_unsent = failure.verdict == verdict::Verdict::NotRun;
--- a/crates/basilgrade_edge/src/gather/result_releases.rs
+++ b/crates/basilgrade_edge/src/gather/result_releases.rs
@@ -116,7 +116,8 @@
         };
         let connecting = dialer::open(&self.core, &entry);
         let is_allowed = || self.core.now() >= paused_until();
-        let call = single_call::send(connecting, message, is_allowed);
+        let held = self.core.answers.hold(entry.address);
+        let call = single_call::send(connecting, message, held, is_allowed);
         match tokio::time::timeout(CALL_TIMEOUT.duration(), call).await {
             Ok(Ok(reply)) => {
                 let answer = answer::Answer::decode(reply.status, &reply.headers, "");
--- a/crates/basilgrade_edge/src/http.rs
+++ b/crates/basilgrade_edge/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP connections to callers, upstreams and the store.
 
+pub mod answer_memory;
 pub mod connection;
 pub mod error;
 pub mod head_timeout;
--- a/crates/basilgrade_edge/src/http/connection.rs
+++ b/crates/basilgrade_edge/src/http/connection.rs
@@ -1,5 +1,6 @@
 //! HTTP/1 client connection to an upstream or the store.
 
+use std::mem;
 use std::net;
 use std::time;
 
@@ -15,12 +16,17 @@
 use tokio::io;
 use tokio::task;
 
+use crate::http::answer_memory;
 use crate::http::error;
 use crate::http::socket;
 
 /// Maximum size of a connection's read buffer, which limits the size of an answer's head.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// Size of the parts in which a long body is read. A buffer that grows would be copied each time, and
+/// the memory of the copies is not free at once.
+const CHUNK_BYTES: usize = 64 << 10;
+
 /// HTTP/1 client connection, closed on drop even during an exchange.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -104,22 +110,64 @@
 /// # Errors
 ///
 /// [`error::SendError`] if the connection fails or the body is longer than `max_bytes`.
-pub async fn read_body(
+pub async fn read_body(body: body::Incoming, max_bytes: usize) -> Result<Bytes, error::SendError> {
+    read(body, max_bytes, |_| ()).await
+}
+
+/// Like [`read_body`], with the bytes counted by `held`.
+///
+/// # Errors
+///
+/// [`error::SendError`] if the connection fails, the body is longer than `max_bytes`, or the answer
+/// is given up.
+pub async fn read_held_body(
+    body: body::Incoming,
+    max_bytes: usize,
+    held: &answer_memory::HeldAnswer,
+) -> Result<Bytes, error::SendError> {
+    tokio::select! {
+        biased;
+        () = held.given_up() => Err(error::SendError::broken(answer_memory::GIVEN_UP)),
+        whole = read(body, max_bytes, |bytes| held.set(bytes)) => whole,
+    }
+}
+
+/// Reads a body into memory, and calls `record` with the number of bytes read so far.
+async fn read(
     mut body: body::Incoming,
     max_bytes: usize,
+    record: impl Fn(usize),
 ) -> Result<Bytes, error::SendError> {
-    let mut whole = BytesMut::new();
+    let mut chunks = Vec::new();
+    let mut last = BytesMut::new();
+    let mut count = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(error::SendError::broken)?;
-        let Ok(data) = frame.into_data() else {
+        let Ok(mut data) = frame.into_data() else {
             continue;
         };
-        if whole.len() + data.len() > max_bytes {
+        count += data.len();
+        if count > max_bytes {
             return Err(error::SendError::broken(
                 "the answer body exceeds the size limit",
             ));
         }
-        whole.extend_from_slice(&data);
+        while last.len() + data.len() > CHUNK_BYTES {
+            last.extend_from_slice(&data.split_to(CHUNK_BYTES - last.len()));
+            chunks.push(mem::replace(
+                &mut last,
+                BytesMut::with_capacity(CHUNK_BYTES),
+            ));
+        }
+        last.extend_from_slice(&data);
+        record(count);
+    }
+    if chunks.is_empty() {
+        return Ok(last.freeze());
+    }
+    let mut whole = BytesMut::with_capacity(count);
+    for chunk in chunks.into_iter().chain([last]) {
+        whole.extend_from_slice(&chunk);
     }
     Ok(whole.freeze())
 }
--- a/crates/basilgrade_edge/src/http/single_call.rs
+++ b/crates/basilgrade_edge/src/http/single_call.rs
@@ -9,11 +9,13 @@
 use http_body_util::Full;
 use hyper::Request;
 
+use crate::http::answer_memory;
 use crate::http::connection;
 use crate::http::error;
 use crate::http::pool;
 
-/// Opens a connection by `connecting`, sends a call and reads the answer into memory.
+/// Opens a connection by `connecting`, sends a call and reads the answer into memory, which `guard`
+/// counts meanwhile.
 ///
 /// Nothing is sent unless `is_allowed` holds before and when the connection is open.
 ///
@@ -23,6 +25,7 @@
 pub async fn send(
     connecting: impl Future<Output = Result<connection::Connection, error::SendError>>,
     message: Request<Full<Bytes>>,
+    guard: answer_memory::HeldAnswer,
     is_allowed: impl Fn() -> bool,
 ) -> Result<pool::BufferedAnswer, error::SendError> {
     let forbidden = || error::SendError {
@@ -46,7 +49,7 @@
             "the answer echoes the id of a request",
         ));
     }
-    let body = connection::read_body(body, pool::MAX_ANSWER_BYTES).await?;
+    let body = connection::read_held_body(body, pool::MAX_ANSWER_BYTES, &guard).await?;
     Ok(pool::BufferedAnswer {
         status: head.status,
         headers: head.headers,
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -91,6 +91,8 @@
     pieces = "pieces",
     /// Batch calls for stage pieces without a usable answer.
     broken_piece_calls = "piece_calls_broken",
+    /// Answers of upstreams that were given up because those held at once exceeded their limit.
+    given_up_answers = "answers_given_up",
     /// Calls to the platform's store.
     store_calls = "store_calls",
     /// Calls to the platform's store that failed.
@@ -100,6 +102,7 @@
 }
 
 /// Monotonic counter.
+#[derive(Clone, Debug)]
 pub struct Counter(metrics::Counter<u64>);
 
 impl Counter {
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -269,7 +269,8 @@
             answer.status.as_u16()
         ));
     }
-    let body = connection::read_body(body, MAX_ANSWER_BYTES).await;
+    let held = core.answers.hold(entry.address);
+    let body = connection::read_held_body(body, MAX_ANSWER_BYTES, &held).await;
     drop((connection, load));
     let body = match body {
         Ok(body) => body,
@@ -287,7 +288,7 @@
         upstream: entry.id.clone(),
         status: answer.status,
         headers,
-        body,
+        body: held.keep(body),
     };
     let now = core.now();
     if answer.status.is_server_error() {
--- a/crates/basilgrade_edge/src/settings.rs
+++ b/crates/basilgrade_edge/src/settings.rs
@@ -6,12 +6,19 @@
 use basilgrade_fleet::budget;
 use basilgrade_types::clock;
 use basilgrade_types::id;
+use basilgrade_types::size;
 use indexmap::IndexMap;
 use quick_error::quick_error;
 
 /// Interval at which upstreams renew their registrations if the settings do not state it.
 const DEFAULT_HEARTBEAT: clock::Millis = clock::Millis(1200);
 
+/// Memory of the VM if the settings do not state it: that of the smallest VM.
+const DEFAULT_MEMORY: size::ByteCount = size::ByteCount(160_000_000);
+
+/// Minimum memory of a VM; the daemon does not run in less.
+const MIN_MEMORY: size::ByteCount = size::ByteCount(32_000_000);
+
 quick_error! {
     /// Error in the settings file.
     #[derive(Debug)]
@@ -56,6 +63,8 @@
     pub grace: clock::Millis,
     /// Retry budget, shared by all daemons.
     pub retries: budget::Config,
+    /// Memory of the VM; the process is killed when it takes more.
+    pub memory: size::ByteCount,
     /// Minimum severity of log lines that are written.
     pub level: log::LevelFilter,
 }
@@ -103,6 +112,17 @@
             .ok_or_else(|| SettingsError::Invalid(section, key.into(), text.into()))
     }
 
+    /// Parses the memory of the VM, a size with a unit.
+    fn memory(&self) -> Result<size::ByteCount, SettingsError> {
+        let (section, key) = ("limits", "memory");
+        let memory: size::ByteCount = self.value(section, key)?;
+        if memory < MIN_MEMORY {
+            let text = self.required(section, key)?;
+            return Err(SettingsError::Invalid(section, key.into(), text.into()));
+        }
+        Ok(memory)
+    }
+
     fn seeds(&self) -> Result<Vec<net::SocketAddr>, SettingsError> {
         let text = self
             .file
@@ -160,6 +180,10 @@
         None | Some("") => DEFAULT_HEARTBEAT,
         Some(_) => reader.duration("platform", "heartbeat")?,
     };
+    let memory = match reader.file.get_from(Some("limits"), "memory") {
+        None | Some("") => DEFAULT_MEMORY,
+        Some(_) => reader.memory()?,
+    };
     Ok(Settings {
         name: reader.value("vm", "name")?,
         domain: reader.value("vm", "domain")?,
@@ -177,6 +201,7 @@
             floor: reader.value("retries", "floor")?,
             window: reader.duration("retries", "window")?,
         },
+        memory,
         level,
     })
 }
--- a/crates/basilgrade_edge/tests/settings.rs
+++ b/crates/basilgrade_edge/tests/settings.rs
@@ -45,6 +45,24 @@
     );
 }
 
+/// Guards against a bound on held answers that does not follow the memory of the VM.
+#[test]
+fn parses_memory() {
+    let with = |line: &str| settings::parse(&format!("{TEXT}[limits]\n{line}\n"));
+
+    let memory = |line: &str| with(line).map(|settings| settings.memory.0).ok();
+
+    assert_eq!(memory("memory = 260MB"), Some(260_000_000));
+    assert_eq!(memory("memory = 256MiB"), Some(256 << 20));
+    assert_eq!(memory("memory ="), Some(160_000_000));
+    assert_eq!(memory("other = 1"), Some(160_000_000));
+    for value in ["260", "-1MB", "MB", "1MB", "99999999999999999999MB"] {
+        let error = with(&format!("memory = {value}")).expect_err(value);
+        let expected = format!("invalid value `{value}` for `memory` in section `[limits]`");
+        assert!(error.to_string().contains(&expected), "{error}");
+    }
+}
+
 /// Guards against a rejected settings file in a deployment with one VM, where the template leaves
 /// the optional values empty.
 #[test]
--- a/crates/basilgrade_types/src/size.rs
+++ b/crates/basilgrade_types/src/size.rs
@@ -24,7 +24,7 @@
 impl str::FromStr for ByteCount {
     type Err = parse::ParseError;
 
-    /// Parses a whole number with one of the units `B`, `KiB`, `MiB` and `GiB`, such as `64KiB`.
+    /// Parses a whole number with one of the units `B`, `MB`, `KiB`, `MiB` and `GiB`, such as `64KiB`.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let invalid = || parse::ParseError::new(text, "a size with unit, such as `64KiB`");
         let unit_start = text
@@ -34,6 +34,7 @@
         let value: u64 = digits.parse().map_err(|_| invalid())?;
         let factor: u64 = match unit {
             "B" => 1,
+            "MB" => 1_000_000,
             "KiB" => 1 << 10,
             "MiB" => 1 << 20,
             "GiB" => 1 << 30,
