Let streams that have begun precede new requests

The stages of a take-up run again, and its jobs were sorted like those of new requests: by a target latency counted from its own arrival, and then by the priority of its route. Under load they went behind all new requests again and again, until their inputs expired or no time was left, and on arrival they were refused by the wait of the whole queue, although their callers have less time left and hold a part of the answer. It was the same for streams that a daemon moves to another upstream itself.

The stages of a stream that has begun now run with the highest priority and no target latency, and admission and engines use this priority too. No format changes: old builds read the priority and the times as before.

--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -20,6 +20,7 @@
 use basilgrade_fleet::admission;
 use basilgrade_fleet::closing;
 use basilgrade_fleet::model::pool;
+use basilgrade_fleet::model::priority;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::verdict;
@@ -127,9 +128,9 @@
         }
         self.check_closing(&request)?;
         let version = stream::find_version(&self, &request).await?;
-        let send_by = request.send_deadline(request.arrived);
-        self.admit(&request, send_by)?;
-        let results = stages::run(&self, &request, send_by).await?;
+        let terms = request.stage_terms();
+        self.admit(&request, terms)?;
+        let results = stages::run(&self, &request, terms).await?;
         if request.route.kind.is_stream() {
             return stream::serve(&self, request, results, active, version).await;
         }
@@ -167,7 +168,8 @@
     fn longest_span(&self, request: &request::Request) -> Option<clock::Millis> {
         if request.route.kind.is_stream() {
             let generation = self.core.generation_time(request)?;
-            let opening = self.stage_time(request).plus(FIRST_EVENT_TIME);
+            let priority = request.priority(request.has_begun(None));
+            let opening = self.stage_time(request, priority).plus(FIRST_EVENT_TIME);
             return Some(opening.plus(generation));
         }
         let view = self.core.view.load();
@@ -176,11 +178,11 @@
         Some(slowest.times(LATENCY_FACTOR).max(MIN_ANSWER_TIME))
     }
 
-    /// Refuses a request whose stages are not expected to end before `send_by`.
+    /// Refuses a request whose stages are not expected to end in time for `terms`.
     pub(crate) fn admit(
         &self,
         request: &request::Request,
-        send_by: clock::Millis,
+        terms: stages::Terms,
     ) -> Result<(), request_failure::RequestFailure> {
         if request.route.stages.is_empty() {
             return Ok(());
@@ -189,8 +191,8 @@
         let arrival = admission::Arrival {
             // During shutdown, a request is finished only if its response starts before the daemon
             // closes.
-            time_left: send_by.min(self.core.closing_at()) - now,
-            stage_time: self.stage_time(request),
+            time_left: terms.send_by.min(self.core.closing_at()) - now,
+            stage_time: self.stage_time(request, request.priority(terms.has_begun)),
             first_byte: FIRST_EVENT_TIME,
         };
         let admission::Admission::Refuse(capacity_in) = admission::admit(&arrival) else {
@@ -206,8 +208,13 @@
         Err(request_failure::RequestFailure::refused(reason, wait))
     }
 
-    /// Expected time of the request's stages, including waits in queues, along the longest path.
-    fn stage_time(&self, request: &request::Request) -> clock::Millis {
+    /// Expected time of the request's stages, including waits in queues with `priority`, along the
+    /// longest path.
+    fn stage_time(
+        &self,
+        request: &request::Request,
+        priority: priority::Priority,
+    ) -> clock::Millis {
         let (route, pieces) = (&request.route, &request.head.piece_counts);
         let mut ends: Vec<clock::Millis> = Vec::with_capacity(route.stages.len());
         for (index, stage) in route.stages.iter().enumerate() {
@@ -217,9 +224,7 @@
             let span = if has_pieces {
                 let load = self.job_client.load(&stage.pool);
                 let call = self.typical_call_time(&stage.pool);
-                load.wait_for(request.priority())
-                    .plus(call)
-                    .plus(STAGE_OVERHEAD)
+                load.wait_for(priority).plus(call).plus(STAGE_OVERHEAD)
             } else {
                 clock::Millis::ZERO
             };
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -321,7 +321,11 @@
         time_left: request.time_left(sent),
         customer: request.customer.as_ref().map(|customer| &customer.name),
         has_keys: request.has_keys,
-        priority: request.route.kind.is_stream().then(|| request.priority()),
+        priority: request
+            .route
+            .kind
+            .is_stream()
+            .then(|| request.priority(request.has_begun(extras.last_event))),
         results: &extras.results,
         last_event: extras.last_event,
     };
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -401,7 +401,8 @@
                         return None;
                     }
                     // Urgent requests ask first.
-                    let delay = clock::Millis(u64::from(request.priority().0) * PRIORITY_DELAY.0);
+                    let priority = request.priority(request.has_begun(None));
+                    let delay = clock::Millis(u64::from(priority.0) * PRIORITY_DELAY.0);
                     tokio::time::sleep((until - now).plus(delay).duration()).await;
                     denials = 0;
                 }
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -304,7 +304,7 @@
             self.log_stuck(buffered::BUDGET_SPENT);
             return None;
         }
-        if let Err(failure) = self.service.admit(&self.request, self.send_deadline()) {
+        if let Err(failure) = self.service.admit(&self.request, self.stage_terms()) {
             self.log_stuck(&failure.reason);
             return None;
         }
@@ -347,9 +347,13 @@
         self.sends.has_silent = false;
     }
 
-    /// Time by which another upstream must have the request, so that the caller still waits.
-    fn send_deadline(&self) -> clock::Millis {
-        self.request.send_deadline(self.last_event_at)
+    /// Terms on which the stages run again; another upstream must have the request while the caller
+    /// still waits.
+    fn stage_terms(&self) -> stages::Terms {
+        stages::Terms {
+            send_by: self.request.send_deadline(self.last_event_at),
+            has_begun: self.request.has_begun(self.last_event),
+        }
     }
 
     fn record_last_event(&mut self) {
@@ -388,7 +392,7 @@
             self.log_stuck("the request must not be sent again");
             return None;
         }
-        let running = stages::run(&service, &request, self.send_deadline());
+        let running = stages::run(&service, &request, self.stage_terms());
         let mut broken = None;
         let ran = beside(&mut self.source, &mut broken, running).await;
         self.record_broken(broken);
--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -21,6 +21,7 @@
 use crate::serve;
 use crate::serve::request_failure;
 use crate::serve::request_reader;
+use crate::serve::stages;
 
 /// What sets the deadline of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -92,8 +93,26 @@
         self.arrived.plus(self.route.target_latency) - now
     }
 
-    /// Priority of the request in queues and at engines.
-    pub fn priority(&self) -> priority::Priority {
+    /// Whether the caller has a part of the answer, by the event `last` that this request brought or
+    /// by one that an earlier request did.
+    pub fn has_begun(&self, last: Option<u64>) -> bool {
+        self.route.kind.is_resumable() && last.or(self.head.last_event).is_some()
+    }
+
+    /// Terms on which the stages run before the first event of this request.
+    pub fn stage_terms(&self) -> stages::Terms {
+        stages::Terms {
+            send_by: self.send_deadline(self.arrived),
+            has_begun: self.has_begun(None),
+        }
+    }
+
+    /// Priority of the request in queues and at engines; a stream that has begun precedes requests
+    /// that have not, as its caller has less time left and would lose a part of the answer.
+    pub fn priority(&self, has_begun: bool) -> priority::Priority {
+        if has_begun {
+            return priority::Priority::HIGHEST;
+        }
         let customer = self
             .customer
             .as_ref()
--- a/crates/basilgrade_edge/src/serve/stages.rs
+++ b/crates/basilgrade_edge/src/serve/stages.rs
@@ -30,8 +30,17 @@
     Final(request_failure::RequestFailure),
 }
 
-/// Runs the stages of a request, whose results an upstream must have by `send_by`; stages that do
-/// not depend on each other run concurrently.
+/// Terms on which the stages of a request run.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Time by which an upstream must have the results.
+    pub send_by: clock::Millis,
+    /// Whether the caller has a part of the answer.
+    pub has_begun: bool,
+}
+
+/// Runs the stages of a request on `terms`; stages that do not depend on each other run
+/// concurrently.
 ///
 /// # Errors
 ///
@@ -39,19 +48,19 @@
 pub async fn run(
     service: &serve::Service,
     request: &request::Request,
-    send_by: clock::Millis,
+    terms: Terms,
 ) -> Result<stage_results::StageResults, request_failure::RequestFailure> {
     let mut results = stage_results::StageResults::new(std::sync::Arc::clone(&service.job_client));
     if request.route.stages.is_empty() || request.head.piece_counts.is_empty() {
         return Ok(results);
     }
     for _ in 0..=MAX_RERUNS {
-        match run_once(service, request, send_by, &mut results).await {
+        match run_once(service, request, terms, &mut results).await {
             Ok(()) => return Ok(results),
             Err(StageFailure::Final(failure)) => return Err(failure),
             Err(StageFailure::InputGone) => {
                 log::info!("event=stage-input-gone request={}", request.head.request_id);
-                service.admit(request, send_by)?;
+                service.admit(request, terms)?;
                 results =
                     stage_results::StageResults::new(std::sync::Arc::clone(&service.job_client));
             }
@@ -65,7 +74,7 @@
 async fn run_once(
     service: &serve::Service,
     request: &request::Request,
-    send_by: clock::Millis,
+    terms: Terms,
     results: &mut stage_results::StageResults,
 ) -> Result<(), StageFailure> {
     let count = request.route.stages.len();
@@ -88,7 +97,7 @@
                 continue;
             }
             let inputs = results.of(stage.after.iter().copied());
-            running.push(run_stage(service, request, send_by, (index, inputs)));
+            running.push(run_stage(service, request, terms, (index, inputs)));
         }
         // A stage without pieces completes at once, so a stage that depends on it may start now.
         let can_start = (0..count).any(|index| {
@@ -222,7 +231,7 @@
 async fn run_stage(
     service: &serve::Service,
     request: &request::Request,
-    send_by: clock::Millis,
+    terms: Terms,
     (index, inputs): (usize, Vec<handle::Handle>),
 ) -> Result<(usize, Vec<handle::Handle>), StageFailure> {
     let stage = &request.route.stages[index];
@@ -242,21 +251,28 @@
     let (domain, fetch_size) = source_domain(service, request, index, &source);
     let now = service.core.now();
     let remaining = remaining_time(service, request, index);
+    let time_left = terms.send_by - now - remaining;
+    // A stream that has begun has met its target latency or missed it.
+    let target_left = if terms.has_begun {
+        time_left
+    } else {
+        request.target_left(now) - remaining
+    };
+    let priority = request.priority(terms.has_begun);
     let job = job::Job {
         request: request.head.request_id.clone(),
         stage: index as u32,
         pieces: piece_count(request, index),
         source,
-        priority: request.priority(),
-        target_left: request.target_left(now) - remaining,
-        time_left: send_by - now - remaining,
+        priority,
+        target_left,
+        time_left,
         bytes: stage.bytes,
         domain,
         fetch_size,
         inputs: exclusive_inputs(request, index),
         fallback: job::Fallback::Wait,
     };
-    let (time_left, priority) = (job.time_left, job.priority);
     let expected = service.job_client.load(&stage.pool).wait_for(priority);
     let outcome = service.job_client.compute(&stage.pool, job).await;
     if !matches!(outcome, outcome::JobOutcome::Completed(_)) {
@@ -282,10 +298,7 @@
         }
         outcome::JobOutcome::InputGone => Err(StageFailure::InputGone),
         outcome::JobOutcome::TimedOut => {
-            let wait = service
-                .job_client
-                .load(&stage.pool)
-                .wait_for(request.priority());
+            let wait = service.job_client.load(&stage.pool).wait_for(priority);
             let left = request.time_left(service.core.now());
             let wait = basilgrade_fleet::admission::retry_after(left, wait, rand::random());
             let reason = format!("stage `{index}` cannot end before the deadline; retry later");
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -129,10 +129,10 @@
                 opener.sends.record_refusal(&request, &entry, reason);
                 if opener.silent.is_none() {
                     opener.sends.allow_last_again();
-                    let send_by = request.send_deadline(request.arrived);
-                    let admitted = service.admit(&request, send_by);
+                    let terms = request.stage_terms();
+                    let admitted = service.admit(&request, terms);
                     admitted.map_err(|failure| opener.sends.qualify(failure))?;
-                    let ran = stages::run(service, &request, send_by).await;
+                    let ran = stages::run(service, &request, terms).await;
                     results = ran.map_err(|failure| opener.sends.qualify(failure))?;
                 }
             }
--- a/crates/basilgrade_fleet/src/model/priority.rs
+++ b/crates/basilgrade_fleet/src/model/priority.rs
@@ -19,6 +19,9 @@
 pub struct Priority(pub u8);
 
 impl Priority {
+    /// The highest priority.
+    pub const HIGHEST: Self = Self(0);
+
     /// Combines the priority of the customer, if any, with that of the route.
     pub fn new(customer: Option<u8>, route: u8) -> Self {
         let customer = customer.unwrap_or(MIDDLE);
--- a/crates/basilgrade_fleet/src/model/request_kind.rs
+++ b/crates/basilgrade_fleet/src/model/request_kind.rs
@@ -21,6 +21,11 @@
         matches!(self, Self::Idempotent | Self::ResumableStream)
     }
 
+    /// Whether the response is an event stream that another upstream can resume.
+    pub const fn is_resumable(self) -> bool {
+        matches!(self, Self::ResumableStream)
+    }
+
     /// Whether the response is an event stream.
     pub const fn is_stream(self) -> bool {
         matches!(self, Self::Stream | Self::ResumableStream)
