Count events that are not complete among the answers held

Seen by callers: engines that sent events without end on many streams at once could take the VM of a daemon out of memory, and all its requests were lost.

Cause: each stream keeps up to 256 KiB of an event that is not complete, and each connection to an upstream up to 128 KiB in two read buffers; nothing bounded all of them together.

Change: such events are counted by the account of answers, and a stream that is given up goes on like one whose connection broke. A read buffer of a connection to an upstream or the store has at most 16 KiB, like those of callers by default; so a head of an answer above 16 KiB is now refused (64 KiB before).

--- a/crates/basilgrade/tests/answer_memory.rs
+++ b/crates/basilgrade/tests/answer_memory.rs
@@ -11,12 +11,18 @@
 /// Memory of the smallest VM.
 const VM_MEMORY: u64 = 160_000_000;
 
-/// Number of requests in progress at a time.
-const REQUESTS: usize = 96;
+async fn start(pool: &str, start: &'static str, pause_at: u64) -> deployment::Deployment {
+    start_with(pool, start, "zzzzzzzz", pause_at).await
+}
 
 /// Starts a daemon whose route `/safe/` leads to a sound upstream, and all others to six upstreams
-/// of `pool` that answer with `start` and pause before `pause_at` bytes.
-async fn start(pool: &str, start: &'static str, pause_at: u64) -> deployment::Deployment {
+/// of `pool` that answer with `start` and `filler` without end, and pause before `pause_at` bytes.
+async fn start_with(
+    pool: &str,
+    start: &'static str,
+    filler: &'static str,
+    pause_at: u64,
+) -> deployment::Deployment {
     let sound = if pool == "desk" { "engine" } else { "desk" };
     let mut document: serde_json::Value =
         serde_json::from_str(&deployment::without_stages()).expect("the configuration is JSON");
@@ -28,7 +34,7 @@
     let mut deployment = deployment::start_with(&["a"], 0, &document.to_string()).await;
     deployment.add_upstream(sound, 0).await;
     for number in 0..6 {
-        endless_upstream::EndlessUpstream::start_with_pause(start, "zzzzzzzz", pause_at)
+        endless_upstream::EndlessUpstream::start_with_pause(start, filler, pause_at)
             .await
             .register(&deployment, pool, number);
     }
@@ -49,10 +55,10 @@
     Some(client::send(address, request, "").await?.status)
 }
 
-/// Sends [`REQUESTS`] requests for `path` at once, and for the sound upstream beside them; checks
+/// Sends `count` requests for `path` at once, and for the sound upstream beside them; checks
 /// the memory of the daemon and that each sound request is answered in time.
-async fn check_memory(deployment: &deployment::Deployment, path: &str) {
-    let endless = (0..REQUESTS)
+async fn check_memory(deployment: &deployment::Deployment, path: &str, count: usize) {
+    let endless = (0..count)
         .map(|number| async move { request(deployment, &format!("endless-{number}"), path).await });
     let sound = async {
         for number in 0..60 {
@@ -61,9 +67,10 @@
             tokio::time::sleep(time::Duration::from_millis(50)).await;
         }
     };
-    let (statuses, ()) = tokio::join!(futures::future::join_all(endless), sound);
+    let (_, ()) = tokio::join!(futures::future::join_all(endless), sound);
 
     let peak = deployment.daemons[0].peak_memory();
+    println!("{path}: {peak} bytes at the peak");
     assert!(peak < VM_MEMORY, "the daemon took {peak} bytes");
     assert!(deployment.is_ready(0).await);
 }
@@ -73,5 +80,26 @@
 async fn bodies_without_end_stay_within_the_memory_of_the_vm() {
     let head = "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\n\r\n";
     let deployment = start("desk", head, 15 << 19).await;
-    check_memory(&deployment, "/once/charge").await;
+    check_memory(&deployment, "/once/charge", 96).await;
+}
+
+/// Guards against a daemon that runs out of memory as many events without end are read at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn events_without_end_stay_within_the_memory_of_the_vm() {
+    let head = "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\n\r\nid: 1\ndata: ";
+    let deployment = start("engine", head, 250 << 10).await;
+    check_memory(&deployment, "/stream/plan", 600).await;
+}
+
+/// Guards against the extensions of a chunk, or trailers, without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn extensions_and_trailers_without_end_stay_within_the_memory_of_the_vm() {
+    const EXTENSION: &str =
+        "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\ntransfer-encoding: chunked\r\n\r\n1;";
+    const TRAILERS: &str =
+        "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    for (start, filler) in [(EXTENSION, "xxxxxxxx"), (TRAILERS, "x-more: yyyyyyyy\r\n")] {
+        let deployment = start_with("desk", start, filler, u64::MAX).await;
+        check_memory(&deployment, "/once/charge", 96).await;
+    }
 }
--- a/crates/basilgrade_edge/src/http/connection.rs
+++ b/crates/basilgrade_edge/src/http/connection.rs
@@ -21,7 +21,7 @@
 use crate::http::socket;
 
 /// Maximum size of a connection's read buffer, which limits the size of an answer's head.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+const MAX_BUFFER_BYTES: usize = 16 << 10;
 
 /// Size of the parts in which a long body is read. A buffer that grows would be copied each time, and
 /// the memory of the copies is not free at once.
--- a/crates/basilgrade_edge/src/serve/opening.rs
+++ b/crates/basilgrade_edge/src/serve/opening.rs
@@ -106,10 +106,12 @@
         return OpenOutcome::Ended(buffered::Outcome::Failed(reason.to_owned(), None));
     }
     let sent = answered.sent;
+    let held = core.answers.hold(entry.address);
     let mut source = Box::new(relay::UpstreamStream::new(
         entry,
         answered,
         extras.last_event,
+        held,
     ));
     match source.next().await {
         relay::StreamItem::Events(first) => {
--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -21,6 +21,7 @@
 use hyper::header;
 
 use crate::core;
+use crate::http::answer_memory;
 use crate::http::connection;
 use crate::serve;
 use crate::serve::attempt;
@@ -51,6 +52,8 @@
     events: events::EventSplitter,
     has_event: bool,
     load: attempt::LoadGuard,
+    /// Counts the bytes of an event that has not arrived completely.
+    held: answer_memory::HeldAnswer,
     _connection: connection::Connection,
 }
 
@@ -65,11 +68,13 @@
 }
 
 impl UpstreamStream {
-    /// Stream of the answer `answered`; events up to and including the id `last_event` are skipped.
+    /// Stream of the answer `answered`, of which `held` counts what is held; events up to and
+    /// including the id `last_event` are skipped.
     pub fn new(
         entry: sync::Arc<upstream::Upstream>,
         answered: attempt::UnreadAnswer,
         last_event: Option<u64>,
+        held: answer_memory::HeldAnswer,
     ) -> Self {
         Self {
             entry,
@@ -79,6 +84,7 @@
             events: events::EventSplitter::resume_after(last_event),
             has_event: false,
             load: answered.load,
+            held,
             _connection: answered.connection,
         }
     }
@@ -102,7 +108,14 @@
     /// Waits for complete events, the end or a failure of the stream.
     pub async fn next(&mut self) -> StreamItem {
         loop {
-            match self.body.frame().await {
+            let frame = tokio::select! {
+                biased;
+                () = self.held.given_up() => {
+                    return StreamItem::Broken(answer_memory::GIVEN_UP.to_owned());
+                }
+                frame = self.body.frame() => frame,
+            };
+            match frame {
                 None if self.events.is_partial() => {
                     return StreamItem::Broken("the stream ended within an event".to_owned());
                 }
@@ -117,7 +130,12 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    match self.events.push(&data) {
+                    let was_partial = self.events.is_partial();
+                    let output = self.events.push(&data);
+                    if was_partial || self.events.is_partial() {
+                        self.held.set(self.events.pending_bytes());
+                    }
+                    match output {
                         events::Output::Complete(events) if events.is_empty() => {}
                         events::Output::Complete(events) => {
                             self.has_event = true;
--- a/crates/basilgrade_fleet/src/events.rs
+++ b/crates/basilgrade_fleet/src/events.rs
@@ -48,6 +48,11 @@
         !self.pending.is_empty()
     }
 
+    /// Number of bytes of the incomplete event in the buffer.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Adds bytes and returns the events that are now complete.
     ///
     /// Events with an id up to the last one are dropped: an upstream may repeat the last event when
