Keep jobs whose pieces upstreams refuse for now

Cause: a call that an upstream refuses as full, or without room for the result, counted as a retry of its pieces like one that broke, and the fifth ended the job. Nothing had run.

Such a refusal no longer counts; the upstream is backed off as before, and the deadline of the job bounds the calls. Calls that break count as before.

job_is_kept_while_upstreams_refuse_its_pieces fails on the code before and passes.

--- a/crates/basilgrade_fleet/src/batch/queue/ending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/ending.rs
@@ -41,12 +41,11 @@
                 }
                 self.record_outcomes(now, running, outcomes);
             }
-            outcome::CallOutcome::Full => self.requeue(running, |worker| worker.on_full(now, id)),
+            outcome::CallOutcome::Full => {
+                self.requeue_refused(running, |worker| worker.on_full(now, id));
+            }
             outcome::CallOutcome::Held(wait) => {
-                self.release_worker(&running, |worker| worker.on_held(now, id, wait));
-                for (job, piece, _) in running.pieces {
-                    self.queue_again(job, piece);
-                }
+                self.requeue_refused(running, |worker| worker.on_held(now, id, wait));
             }
             outcome::CallOutcome::WrongUpstream => {
                 self.workers.swap_remove(&running.upstream);
@@ -77,6 +76,19 @@
         }
     }
 
+    /// Has the pieces of a call sent again that its upstream refused for now; the deadlines of the jobs
+    /// bound how often.
+    fn requeue_refused(
+        &mut self,
+        running: running::RunningCall,
+        update: impl FnOnce(&mut worker::Worker),
+    ) {
+        self.release_worker(&running, update);
+        for (job, piece, _) in running.pieces {
+            self.queue_again(job, piece);
+        }
+    }
+
     fn requeue(&mut self, running: running::RunningCall, update: impl FnOnce(&mut worker::Worker)) {
         self.release_worker(&running, update);
         for (job, piece, _) in running.pieces {
@@ -135,9 +147,8 @@
                 outcome::PieceOutcome::InputGone => {
                     self.finish(job, outcome::JobOutcome::InputGone);
                 }
-                outcome::PieceOutcome::NoRoom | outcome::PieceOutcome::Failed => {
-                    self.retry_piece(job, piece);
-                }
+                outcome::PieceOutcome::NoRoom => self.queue_again(job, piece),
+                outcome::PieceOutcome::Failed => self.retry_piece(job, piece),
             }
         }
         if has_no_room && let Some(worker) = self.workers.get_mut(&worker) {
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -335,6 +335,35 @@
     assert!(queue.take_consumed().is_empty());
 }
 
+/// Guards against jobs that are given up long before their deadline because upstreams that are busy
+/// with other calls, or hold other results, refuse them.
+#[test]
+fn job_is_kept_while_upstreams_refuse_its_pieces() {
+    for refusal in [
+        outcome::CallOutcome::Full,
+        outcome::CallOutcome::Answered(vec![outcome::PieceOutcome::NoRoom]),
+    ] {
+        let mut queue = queue(1);
+        let id = queue.submit(START, job("one", 1));
+        let mut refusals = 0;
+        let results = (1..60).find_map(|step| {
+            let now = START.plus(clock::Millis(step * 130));
+            let call = queue.dispatch(now).pop()?;
+            if refusals < 8 {
+                refusals += 1;
+                queue.complete(now, call.id, refusal.clone());
+                return None;
+            }
+            queue.complete(now, call.id, all_completed(&call));
+            Some(vec![common::handle(&call, 0)])
+        });
+
+        let results = results.expect("the job is kept");
+        let expected = outcome::JobOutcome::Completed(results);
+        assert_eq!(queue.take_finished(), [(id, expected)]);
+    }
+}
+
 /// Guards against jobs that fail because the limit of their upstream delays them.
 #[test]
 fn calls_held_by_a_limit_do_not_count_as_retries() {
