Bound the memory of the bodies of all requests in progress

Seen by callers: many large bodies sent at once could take the VM of a daemon out of memory, and the requests of all other callers on it were lost.

Cause: each body may have `max-body-bytes` (4 MiB in deployments whose VMs have 260 MB), and nothing bounded all of them together.

Change: bodies may take a quarter of the VM's memory. A request whose body goes beyond that is refused with 503 and may be sent again; the first 64 KiB of a body are always taken. Bodies are copied into parts of 64 KiB by the reader that answers use.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -24,6 +24,7 @@
 
 use crate::http::answer_memory;
 use crate::http::pool;
+use crate::http::request_memory;
 use crate::metrics;
 use crate::peers::links;
 use crate::serve::request;
@@ -41,6 +42,8 @@
     pub connections: pool::ConnectionPool,
     /// Account of the answers of upstreams that are held.
     pub answers: sync::Arc<answer_memory::AnswerMemory>,
+    /// Account of the bodies of requests that are held.
+    pub request_memory: sync::Arc<request_memory::RequestMemory>,
     /// Connections to other daemons.
     pub links: links::PeerLinks,
     /// Connections that this daemon forwards for others.
@@ -90,6 +93,7 @@
         let answers = answer_memory::AnswerMemory::new(settings.memory, given_up);
         Ok(Self {
             budget: sync::Mutex::new(budget::Budget::new(settings.retries)),
+            request_memory: sync::Arc::new(request_memory::RequestMemory::new(settings.memory)),
             answers: sync::Arc::new(answers),
             settings: ArcSwap::from_pointee(settings),
             clock: clock::SystemClock::new(),
@@ -445,10 +449,11 @@
         );
     }
 
-    /// Replaces the settings, the configuration of the retry budget and the limit of held answers.
+    /// Replaces the settings, the configuration of the retry budget and the limits of held bodies.
     pub fn reload(&self, settings: settings::Settings) {
         self.budget().set_config(settings.retries);
         self.answers.set_memory(settings.memory);
+        self.request_memory.set_memory(settings.memory);
         self.settings.store(sync::Arc::new(settings));
     }
 
--- a/crates/basilgrade_edge/src/http/connection.rs
+++ b/crates/basilgrade_edge/src/http/connection.rs
@@ -1,12 +1,9 @@
 //! HTTP/1 client connection to an upstream or the store.
 
-use std::mem;
 use std::net;
 use std::time;
 
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -17,16 +14,13 @@
 use tokio::task;
 
 use crate::http::answer_memory;
+use crate::http::body_reader;
 use crate::http::error;
 use crate::http::socket;
 
 /// Maximum size of a connection's read buffer, which limits the size of an answer's head.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
-/// Size of the parts in which a long body is read. A buffer that grows would be copied each time, and
-/// the memory of the copies is not free at once.
-const CHUNK_BYTES: usize = 64 << 10;
-
 /// HTTP/1 client connection, closed on drop even during an exchange.
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -110,8 +104,12 @@
 /// # Errors
 ///
 /// [`error::SendError`] if the connection fails or the body is longer than `max_bytes`.
-pub async fn read_body(body: body::Incoming, max_bytes: usize) -> Result<Bytes, error::SendError> {
-    read(body, max_bytes, |_| ()).await
+pub async fn read_body(
+    mut body: body::Incoming,
+    max_bytes: usize,
+) -> Result<Bytes, error::SendError> {
+    let whole = body_reader::read(&mut body, max_bytes, |_| true).await;
+    whole.map_err(error::SendError::broken)
 }
 
 /// Like [`read_body`], with the bytes counted by `held`.
@@ -121,53 +119,19 @@
 /// [`error::SendError`] if the connection fails, the body is longer than `max_bytes`, or the answer
 /// is given up.
 pub async fn read_held_body(
-    body: body::Incoming,
+    mut body: body::Incoming,
     max_bytes: usize,
     held: &answer_memory::HeldAnswer,
 ) -> Result<Bytes, error::SendError> {
+    let record = |bytes| {
+        held.set(bytes);
+        true
+    };
     tokio::select! {
         biased;
         () = held.given_up() => Err(error::SendError::broken(answer_memory::GIVEN_UP)),
-        whole = read(body, max_bytes, |bytes| held.set(bytes)) => whole,
-    }
-}
-
-/// Reads a body into memory, and calls `record` with the number of bytes read so far.
-async fn read(
-    mut body: body::Incoming,
-    max_bytes: usize,
-    record: impl Fn(usize),
-) -> Result<Bytes, error::SendError> {
-    let mut chunks = Vec::new();
-    let mut last = BytesMut::new();
-    let mut count = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(error::SendError::broken)?;
-        let Ok(mut data) = frame.into_data() else {
-            continue;
-        };
-        count += data.len();
-        if count > max_bytes {
-            return Err(error::SendError::broken(
-                "the answer body exceeds the size limit",
-            ));
+        whole = body_reader::read(&mut body, max_bytes, record) => {
+            whole.map_err(error::SendError::broken)
         }
-        while last.len() + data.len() > CHUNK_BYTES {
-            last.extend_from_slice(&data.split_to(CHUNK_BYTES - last.len()));
-            chunks.push(mem::replace(
-                &mut last,
-                BytesMut::with_capacity(CHUNK_BYTES),
-            ));
-        }
-        last.extend_from_slice(&data);
-        record(count);
-    }
-    if chunks.is_empty() {
-        return Ok(last.freeze());
-    }
-    let mut whole = BytesMut::with_capacity(count);
-    for chunk in chunks.into_iter().chain([last]) {
-        whole.extend_from_slice(&chunk);
     }
-    Ok(whole.freeze())
 }
--- a/crates/basilgrade_edge/src/serve/request_reader.rs
+++ b/crates/basilgrade_edge/src/serve/request_reader.rs
@@ -13,15 +13,13 @@
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header;
 
 use crate::core;
+use crate::http::body_reader;
 use crate::serve::discarded_body;
 use crate::serve::request;
 use crate::serve::request_failure;
@@ -78,7 +76,7 @@
     let deadline = arrived.plus(time_allowed) - ANSWER_MARGIN;
     let limit = limits.max_body.0 as usize;
     let body_timeout = (deadline - core.now()).duration();
-    let reading = tokio::time::timeout(body_timeout, read_body(&mut body, limit));
+    let reading = tokio::time::timeout(body_timeout, read_body(core, &mut body, limit));
     let whole = reading.await.unwrap_or_else(|_| {
         Err(rejected(
             StatusCode::REQUEST_TIMEOUT,
@@ -184,15 +182,22 @@
 }
 
 async fn read_body(
+    core: &core::Core,
     body: &mut Incoming,
     limit: usize,
 ) -> Result<Bytes, request_failure::RequestFailure> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(rejected(
+    let mut held = core.request_memory.hold();
+    match body_reader::read(body, limit, |bytes| held.try_set(bytes)).await {
+        Ok(whole) => Ok(held.keep(whole)),
+        Err(body_reader::ReadError::TooLong) => Err(rejected(
             StatusCode::PAYLOAD_TOO_LARGE,
             "the request body exceeds the configured limit; send a smaller body",
         )),
-        Err(error) => Err(rejected(StatusCode::BAD_REQUEST, error)),
+        Err(body_reader::ReadError::Stopped) => Err(request_failure::RequestFailure::unavailable(
+            "the bodies of the requests in progress take too much memory; retry later",
+        )),
+        Err(body_reader::ReadError::Broken(reason)) => {
+            Err(rejected(StatusCode::BAD_REQUEST, reason))
+        }
     }
 }
