Drop the bodies of rejected requests as they arrive

Seen by callers: many large bodies of requests that are rejected, even without a valid key, could take the VM of a daemon out of memory.

Cause: the body of a rejected request was collected up to `max-body-bytes` before it was dropped.

Change: each part is dropped when it has arrived.

--- a/crates/basilgrade/tests/request_memory.rs
+++ b/crates/basilgrade/tests/request_memory.rs
@@ -90,3 +90,12 @@
     let refused = answers.iter().filter(|answer| answer.ends_with("503"));
     assert!(refused.count() > REQUESTS / 2, "{answers:?}");
 }
+
+/// Guards against a daemon that keeps the bodies of rejected requests in memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_bodies_at_once_stay_within_the_memory_of_the_vm() {
+    let answers = check_memory("key-none").await;
+
+    let rejected = answers.iter().filter(|answer| answer.ends_with("401"));
+    assert_eq!(rejected.count(), REQUESTS, "{answers:?}");
+}
--- a/crates/basilgrade_edge/src/serve/discarded_body.rs
+++ b/crates/basilgrade_edge/src/serve/discarded_body.rs
@@ -6,7 +6,6 @@
 use basilgrade_adapter::incoming_head;
 use basilgrade_fleet::model::limits;
 use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
@@ -45,9 +44,9 @@
             left - request_reader::ANSWER_MARGIN
         })
         .min(limits.header_timeout);
-    let reading = Limited::new(&mut body, limit as usize).collect();
+    let reading = tokio::time::timeout(patience.duration(), discard(&mut body, limit));
     let is_read = tokio::select! {
-        read = tokio::time::timeout(patience.duration(), reading) => matches!(read, Ok(Ok(_))),
+        read = reading => read.unwrap_or(false),
         () = core.wait_closing() => false,
     };
     if is_read {
@@ -57,6 +56,21 @@
     }
 }
 
+/// Reads and drops `body`; `false` if it is longer than `limit` or breaks.
+async fn discard(body: &mut Incoming, limit: u64) -> bool {
+    let mut count = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return false;
+        };
+        count += frame.data_ref().map_or(0, |data| data.len() as u64);
+        if count > limit {
+            return false;
+        }
+    }
+    true
+}
+
 /// Returns `failure` as the last answer of its connection, and discards what arrives of `body` in
 /// the background until the caller has seen the answer.
 pub(super) fn reject_last(
