Count the buffers of events rather than their bytes

The buffer for an event that is not complete grows by doubling, so the bytes that were counted were up to half of what it took, and it kept its size after a long event. The account of answers now counts the buffer, and one above 16 KiB shrinks when its event has ended.

--- a/crates/basilgrade_edge/src/serve/relay.rs
+++ b/crates/basilgrade_edge/src/serve/relay.rs
@@ -52,7 +52,7 @@
     events: events::EventSplitter,
     has_event: bool,
     load: attempt::LoadGuard,
-    /// Counts the bytes of an event that has not arrived completely.
+    /// Counts the buffer for an event that has not arrived completely.
     held: answer_memory::HeldAnswer,
     _connection: connection::Connection,
 }
@@ -130,10 +130,10 @@
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    let was_partial = self.events.is_partial();
+                    let before = self.events.buffer_bytes();
                     let output = self.events.push(&data);
-                    if was_partial || self.events.is_partial() {
-                        self.held.set(self.events.pending_bytes());
+                    if before != self.events.buffer_bytes() {
+                        self.held.set(self.events.buffer_bytes());
                     }
                     match output {
                         events::Output::Complete(events) if events.is_empty() => {}
--- a/crates/basilgrade_fleet/src/events.rs
+++ b/crates/basilgrade_fleet/src/events.rs
@@ -7,6 +7,9 @@
 /// Maximum size of an event; what is longer is no event.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Size of the buffer that is kept for the next event.
+const KEPT_BYTES: usize = 16 << 10;
+
 /// Buffers bytes of a stream and returns complete events.
 ///
 /// An upstream can fail in the middle of an event. The incomplete event must not reach the caller,
@@ -48,9 +51,9 @@
         !self.pending.is_empty()
     }
 
-    /// Number of bytes of the incomplete event in the buffer.
-    pub fn pending_bytes(&self) -> usize {
-        self.pending.len()
+    /// Size of the buffer for an incomplete event.
+    pub fn buffer_bytes(&self) -> usize {
+        self.pending.capacity()
     }
 
     /// Adds bytes and returns the events that are now complete.
@@ -78,6 +81,9 @@
             complete.extend_from_slice(event);
         }
         self.pending.drain(..start);
+        if start > 0 && self.pending.capacity() > KEPT_BYTES {
+            self.pending.shrink_to(KEPT_BYTES);
+        }
         if self.pending.len() > MAX_EVENT_BYTES {
             return Output::TooLong;
         }
