Lower the share of memory for answers to an eighth

The tests of both accounts came close to the memory of the smallest VM, and both may be full at once. Answers now take up to an eighth of the memory of the VM, and 32 KiB of each are never given up (64 KiB before).

--- a/crates/basilgrade_edge/src/http/answer_memory.rs
+++ b/crates/basilgrade_edge/src/http/answer_memory.rs
@@ -14,10 +14,10 @@
 
 /// The answers that are held take up to `1 / MEMORY_DIVISOR` of the memory of the VM; buffers of
 /// connections, requests and copies while an answer grows need the rest.
-const MEMORY_DIVISOR: u64 = 4;
+const MEMORY_DIVISOR: u64 = 8;
 
 /// Part of an answer that is read even if the memory for answers is used up.
-const RESERVED_BYTES: u64 = 64 << 10;
+const RESERVED_BYTES: u64 = 32 << 10;
 
 /// Reason why an answer ends that is given up.
 pub const GIVEN_UP: &str =
