Add failing tests of jobs of streams that have begun

A job of a stream that has begun has no target before its deadline, yet it counts as late and goes behind all new jobs once less than half a call is left. The wait for the highest priority is reported as zero while all upstreams are busy, if only jobs of lower priorities wait.

--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -163,6 +163,39 @@
     assert_eq!(requests(&calls[0]), ["in-time"]);
 }
 
+/// Guards against a stream that has begun and goes behind all new ones as its deadline comes near.
+#[test]
+fn job_without_a_target_before_its_deadline_is_never_late() {
+    let mut queue = queue(1);
+    let mut begun = job("begun", 1);
+    begun.time_left = clock::Millis(225);
+    begun.target_left = begun.time_left;
+    queue.submit(START, begun);
+    queue.submit(START, job("new", 8));
+
+    let calls = queue.dispatch(START);
+
+    assert_eq!(requests(&calls[0])[0], "begun");
+}
+
+/// Guards against jobs of the highest priority that are admitted as if no call were running.
+#[test]
+fn reported_wait_of_the_highest_priority_includes_running_calls() {
+    let mut queue = queue(1);
+    queue.submit(START, job("running", 8));
+    queue.dispatch(START);
+    let mut low = job("low", 8);
+    low.priority = priority::Priority(1);
+    queue.submit(START, low);
+
+    let load = queue.load(START);
+
+    assert_eq!(
+        load.wait_for(priority::Priority::HIGHEST),
+        clock::Millis(280)
+    );
+}
+
 /// Guards against jobs that wait although they can no longer meet their deadline.
 #[test]
 fn job_that_cannot_meet_its_deadline_times_out() {
