Keep a job without a target ahead until its deadline

Callers that took up a stream with little time left were refused. Their jobs have no target before the deadline, yet they counted as late when less than a call for half a batch was left, and went behind all new jobs.

job_without_a_target_before_its_deadline_is_never_late failed before, with the new job first, and passes.

--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -141,7 +141,9 @@
             .iter()
             .filter(|(_, entry)| !entry.unsent.is_empty())
             .map(|(id, entry)| {
-                let is_late = now.plus(call) > entry.target_at;
+                // A job without a target before its deadline would be lost, not late.
+                let has_target = entry.target_at < entry.deadline;
+                let is_late = has_target && now.plus(call) > entry.target_at;
                 let due = entry.submitted_at.plus(clock::Millis(
                     PRIORITY_STEP.0 * u64::from(entry.job.priority.0),
                 ));
