Report the wait for running calls to the highest priority

Streams that callers took up were admitted as if every upstream were idle while only jobs of lower priorities waited: the wait for a priority above all waiting ones was reported as zero. The queue now always states it; the format does not change.

reported_wait_of_the_highest_priority_includes_running_calls failed before with 0 ms instead of 280 ms, and passes.

--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -191,6 +191,10 @@
         for entry in self.jobs.values().filter(|entry| !entry.unsent.is_empty()) {
             *counts.entry(entry.job.priority).or_default() += entry.unsent.len();
         }
+        if !counts.is_empty() {
+            // A job that precedes all others still waits for the running calls.
+            counts.entry(priority::Priority::HIGHEST).or_default();
+        }
         let mut ahead = 0;
         let by_priority = counts.into_iter().map(|(priority, pieces)| {
             ahead += pieces;
