Expect slow upstreams of stages to take calls, as they do

Callers that take up a stream were refused within a millisecond or so of their arrival, as "the stages and the first event are expected to take 2318ms, but only 1980ms are left", while the upstreams of the stage were idle and would have taken 22 ms.

Cause: an upstream whose call took much longer than usual, as after one silence, counts as slow until calls every 2.5 s have shown otherwise. If all upstreams of a queue are slow, the queue sends them the next call at once, but the wait that it reported was that of a pool without any upstream, 2 s for each stage. So admission refused streams with little time left, which take-ups are, for as long as nothing was sent that could show that the upstreams had recovered.

The queue now reports by how much a call at its fastest open upstream is expected to take longer than usual, at most the 2 s as before. Nothing changes while one upstream is not slow, or all are backed off.

--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -172,7 +172,20 @@
     /// Expected waits of a new job.
     pub fn load(&self, now: clock::Millis) -> load::Load {
         let is_usable = |worker: &&worker::Worker| !worker.is_excluded(now);
-        let usable: Vec<_> = self.workers.values().filter(is_usable).collect();
+        let mut usable: Vec<_> = self.workers.values().filter(is_usable).collect();
+        let fill = self.mean_fill as u32;
+        let nominal = self.profile.call_time(fill);
+        let mut call = nominal;
+        if usable.is_empty() {
+            // Slow upstreams get the calls if there are no others.
+            let is_open = |worker: &&worker::Worker| !worker.is_closed(now);
+            usable.extend(self.workers.values().filter(is_open));
+            let times = usable
+                .iter()
+                .map(|worker| worker.expected_time(&self.profile, fill));
+            call = times.min().unwrap_or(nominal).max(nominal);
+        }
+        let delay = (call - nominal).min(cells::NO_UPSTREAM_WAIT);
         let free_at = |worker: &&worker::Worker| worker.free_at(now).max(worker.backoff_until());
         let earliest = usable.iter().map(free_at).min();
         let Some(earliest) = earliest else {
@@ -182,10 +195,11 @@
                 by_priority: Vec::new(),
             };
         };
-        let call = self.profile.call_time(self.mean_fill as u32).as_f64();
+        let call = call.as_f64();
         let wait = |pieces: usize| {
             let calls = (pieces as f64 / self.mean_fill).floor();
-            clock::Millis((calls * call / usable.len() as f64) as u64).plus(earliest - now)
+            let ahead = clock::Millis((calls * call / usable.len() as f64) as u64);
+            ahead.plus(earliest - now).plus(delay)
         };
         let mut counts: BTreeMap<priority::Priority, usize> = BTreeMap::new();
         for entry in self.jobs.values().filter(|entry| !entry.unsent.is_empty()) {
