Add a failing test of requests that are blamed for given-up answers

The daemon gives up answers when those held at once exceed its limit, and records each as a crash of the engine by the request. After three, the request is refused with 503 for half an hour as if it crashed engines.

--- a/crates/basilgrade/tests/answer_memory.rs
+++ b/crates/basilgrade/tests/answer_memory.rs
@@ -75,3 +75,26 @@
     let deployment = start("desk", head, 15 << 19).await;
     check_memory(&deployment, "/once/charge").await;
 }
+
+/// Guards against requests that are blocked as if they crashed engines, as the daemon itself gave up
+/// their answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn given_up_answers_do_not_block_their_request() {
+    let head = "HTTP/1.1 200 OK\r\nx-engine-signature: s\r\n\r\n";
+    let deployment = start("desk", head, 15 << 19).await;
+    let address = deployment.daemons[0].caller_address;
+    let sends = (0..40).map(|number| async move {
+        tokio::time::sleep(time::Duration::from_millis(100 * number)).await;
+        let request = client::request(&format!("large-{number}"), "POST", "/once/charge")
+            .header("x-model", "m")
+            .header("x-token-usage", "1000,50");
+        client::send(address, request, "").await
+    });
+
+    let answers = futures::future::join_all(sends).await;
+
+    for answer in answers.into_iter().flatten() {
+        let is_blocked = answer.body.contains("crashes engines");
+        assert!(!is_blocked, "{}", answer.body);
+    }
+}
