Do not blame requests for answers that the daemon gave up

Requests with large answers were refused with 503 for half an hour as if they crashed engines: an answer that is given up for memory was recorded as a crash by its request. It still counts against the upstream.

given_up_answers_do_not_block_their_request failed before with 'the request or a part of its prompt crashes engines', and passes.

--- a/crates/basilgrade_edge/src/http/answer_memory.rs
+++ b/crates/basilgrade_edge/src/http/answer_memory.rs
@@ -167,6 +167,11 @@
         self.given_up.cancelled().await;
     }
 
+    /// Whether the answer was given up, so that its end tells nothing about the request.
+    pub fn is_given_up(&self) -> bool {
+        self.given_up.is_cancelled()
+    }
+
     /// Counts `body`, the whole answer, until it is dropped.
     pub fn keep(self, body: Bytes) -> Bytes {
         if let Some(answer) = self.account.lock().answers.get_mut(&self.key) {
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -276,7 +276,9 @@
         Ok(body) => body,
         Err(failure) => {
             entry.stats.record(core.now(), health::Outcome::Unreachable);
-            core.record_break(entry, request);
+            if !held.is_given_up() {
+                core.record_break(entry, request);
+            }
             return Outcome::Failed(failure.reason, None);
         }
     };
