End connections whose interim answers go on without end

Seen by callers: while 12 requests were at engines that sent interim answers (103) without end, a request to a sound engine got 504.

Cause: the HTTP library drops interim answers without counting them; the reads of these connections kept the only thread of the daemon busy until the deadline of the requests.

Change: interim answers and the head of the final one may have 64 KiB together; then the connection counts as broken.

--- a/crates/basilgrade/tests/answer_memory.rs
+++ b/crates/basilgrade/tests/answer_memory.rs
@@ -91,6 +91,14 @@
     check_memory(&deployment, "/stream/plan", 600).await;
 }
 
+/// Guards against interim answers without end that are kept in memory or keep out other requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_answers_without_end_stay_within_the_memory_of_the_vm() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nlink: <x>\r\n\r\n";
+    let deployment = start_with("desk", "", interim, u64::MAX).await;
+    check_memory(&deployment, "/once/charge", 12).await;
+}
+
 /// Guards against the extensions of a chunk, or trailers, without end.
 #[tokio::test(flavor = "multi_thread")]
 async fn extensions_and_trailers_without_end_stay_within_the_memory_of_the_vm() {
--- a/crates/basilgrade_edge/src/http.rs
+++ b/crates/basilgrade_edge/src/http.rs
@@ -4,6 +4,7 @@
 pub mod body_reader;
 pub mod connection;
 pub mod error;
+pub mod head_limit;
 pub mod head_timeout;
 pub mod pool;
 pub mod request_memory;
--- a/crates/basilgrade_edge/src/http/connection.rs
+++ b/crates/basilgrade_edge/src/http/connection.rs
@@ -16,6 +16,7 @@
 use crate::http::answer_memory;
 use crate::http::body_reader;
 use crate::http::error;
+use crate::http::head_limit;
 use crate::http::socket;
 
 /// Maximum size of a connection's read buffer, which limits the size of an answer's head.
@@ -25,6 +26,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: task::JoinHandle<()>,
+    head_limit: head_limit::HeadLimit,
 }
 
 impl Drop for Connection {
@@ -59,6 +61,8 @@
         stream: impl io::AsyncRead + io::AsyncWrite + Send + Unpin + 'static,
         address: net::SocketAddr,
     ) -> Result<Self, error::SendError> {
+        let head_limit = head_limit::HeadLimit::default();
+        let stream = head_limit::HeadLimitStream::new(stream, head_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -70,7 +74,11 @@
                 log::debug!("event=connection-ended upstream={address} reason={reason:?}");
             }
         });
-        Ok(Self { sender, task })
+        Ok(Self {
+            sender,
+            task,
+            head_limit,
+        })
     }
 
     /// Whether the connection is open and can send another request.
@@ -87,15 +95,15 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<body::Incoming>, error::SendError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut failure| {
-                if failure.take_message().is_some() {
-                    return error::SendError::unsent(failure.into_error());
-                }
-                error::SendError::broken(failure.into_error())
-            })
+        self.head_limit.start();
+        let answered = self.sender.try_send_request(request).await;
+        self.head_limit.end();
+        answered.map_err(|mut failure| {
+            if failure.take_message().is_some() {
+                return error::SendError::unsent(failure.into_error());
+            }
+            error::SendError::broken(failure.into_error())
+        })
     }
 }
 
