Keep the limit of a head from outlasting the head

The count of a read was stored without regard to the end of the head, which another thread may have recorded meanwhile; the limit would then hold for the body. The daemon's runtime has one thread, so no caller has seen this; tests and the other binary run several. Found by reading, no test shows it.

--- a/crates/basilgrade_edge/src/http/head_limit.rs
+++ b/crates/basilgrade_edge/src/http/head_limit.rs
@@ -38,6 +38,17 @@
     fn left(&self) -> usize {
         self.0.load(atomic::Ordering::Relaxed)
     }
+
+    /// Records that `count` bytes were read. The head may have become complete meanwhile.
+    fn consume(&self, count: usize) {
+        let consumed = |left: usize| (left != UNLIMITED).then(|| left.saturating_sub(count));
+        // An error says that there is no limit, so nothing is counted.
+        let _ = self.0.fetch_update(
+            atomic::Ordering::Relaxed,
+            atomic::Ordering::Relaxed,
+            consumed,
+        );
+    }
 }
 
 /// Stream whose reads fail when a head takes too many bytes.
@@ -62,18 +73,13 @@
         context: &mut task::Context<'_>,
         buffer: &mut tokio_io::ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        let left = self.limit.left();
-        if left == 0 {
+        if self.limit.left() == 0 {
             let reason = "the head of the answer exceeds the size limit";
             return task::Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
         let before = buffer.filled().len();
         let read = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
-        if left != UNLIMITED {
-            let count = buffer.filled().len() - before;
-            let left = left.saturating_sub(count);
-            self.limit.0.store(left, atomic::Ordering::Relaxed);
-        }
+        self.limit.consume(buffer.filled().len() - before);
         read
     }
 }
