--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -55,7 +55,7 @@
         record["status"] = int(start.split(" ")[1])
         if "retry-after" in headers:
             record["retry_after"] = float(headers["retry-after"])
-        if record["status"] != 200:
+        if "content-length" in headers:
             body = await reader.readexactly(int(headers.get("content-length", 0)))
             record["body"] = body.decode("utf-8", "replace").strip()
             record["end"] = "answered"
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import json
+import random
 import time
 
 import wire
 
 HEARTBEAT_S = 1.2
 
+# Time that a request which is no stream takes.
+WORK_S = 0.015
+
 
 class Engine:
     """Registers itself in the store and answers requests; `runs` lists what it has run."""
@@ -17,6 +21,8 @@
         self.store, self.events, self.pause_s, self.slots = store, events, pause_s, slots
         self.state = "ready"
         self.runs = []
+        # Share of the requests that fail after the work is done, and the status of these failures.
+        self.failing, self.failure_status = 0.0, 500
         self.sequence = 0
         self.born = None
 
@@ -28,7 +34,8 @@
         self.beating = asyncio.create_task(self._beat())
         return self
 
-    async def register(self):
+    async def register(self, late_s=None):
+        """Writes the entry. With `late_s`, the call gets no answer and is done that much later."""
         self.sequence += 1
         entry = {
             "service": self.service, "address": self.address, "zone": self.zone,
@@ -37,6 +44,13 @@
             "models": [{"name": "m", "version": 1, "adapters": []}],
             "sequence": self.sequence, "born": self.born,
         }
+        if late_s is None:
+            await self.store.put("keyed.servers", self.id, entry)
+        else:
+            asyncio.create_task(self._put_late(entry, late_s))
+
+    async def _put_late(self, entry, late_s):
+        await asyncio.sleep(late_s)
         await self.store.put("keyed.servers", self.id, entry)
 
     async def _beat(self):
@@ -44,6 +58,20 @@
             await asyncio.sleep(HEARTBEAT_S)
             await self.register()
 
+    async def drain(self):
+        """Reports that it is leaving, and goes on to do so each heartbeat; returns when the store has
+        accepted the report."""
+        self.beating.cancel()
+        self.state = "draining"
+        await self.register()
+        self.beating = asyncio.create_task(self._beat())
+
+    async def leave(self):
+        """Ends: the entry goes, and nothing is answered any more."""
+        self.beating.cancel()
+        await self.store.put("keyed.servers", self.id, None)
+        self.server.server.close()
+
     async def _handle(self, request, reader, writer):
         headers = request.headers
         id = headers.get("x-attempt-id", "")
@@ -56,10 +84,19 @@
             await writer.drain()
             return True
         run = {"at": time.monotonic(), "id": id, "engine": self.id, "service": self.service,
-               "version": self.version, "last": headers.get("last-event-id"), "path": request.path}
+               "version": self.version, "last": headers.get("last-event-id"), "path": request.path,
+               "tenant": headers.get("x-tenant")}
         self.runs.append(run)
         common = [("X-Attempt-Id", id), ("X-Engine-Signature", f"{self.id}.{len(self.runs)}")]
+        if not request.path.startswith("/stream") and random.random() < self.failing:
+            await asyncio.sleep(WORK_S)
+            run["answered"] = self.failure_status
+            writer.write(wire.answer(self.failure_status, common, b"failed"))
+            await writer.drain()
+            return True
         if not request.path.startswith("/stream"):
+            await asyncio.sleep(WORK_S)
+            run["answered"] = 200
             writer.write(wire.answer(200, common, f"{self.id} {id}".encode()))
             await writer.drain()
             return True
