Keep copies of streams at other daemons

A daemon that ends takes its knowledge with it.

Each daemon now sends the streams that it begins to two others, one in its failure domain and one outside. A daemon that does not know a stream asks those that may keep it before it reads the store. A keeper that has lost its memory is recognised by the number that it draws at its start, and gets all streams again. Registrations of daemons say whether they keep copies, so earlier builds are not called, whose connections would break.

--- a/crates/basilgrade/tests/edge_support/deployment.rs
+++ b/crates/basilgrade/tests/edge_support/deployment.rs
@@ -255,6 +255,17 @@
         wait_until("the daemon becomes ready", || self.is_ready(number)).await;
     }
 
+    /// Waits until all daemons can have read the registrations of `count` daemons.
+    pub(crate) async fn wait_until_registered(&self, count: usize) {
+        wait_until("the daemons are registered", || async {
+            let known = self.store.newest("keyed.status");
+            known.keys().filter(|key| key.starts_with("vm-")).count() >= count
+        })
+        .await;
+        // Time for a long poll of the daemons that follow a reader.
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+    }
+
     /// Counts the runs of the request with the id `id` at all upstreams.
     pub(crate) fn count_runs(&self, id: &str) -> usize {
         let runs = self.upstreams.iter().flat_map(|upstream| upstream.runs());
--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -87,7 +87,8 @@
     engines
         .into_iter()
         .filter(|(id, _)| {
-            let runs = deployment.upstream(id).runs();
+            let found = deployment.upstreams.iter().find(|known| known.id == *id);
+            let runs = found.map(|known| known.runs()).unwrap_or_default();
             runs.iter().any(|run| ids.contains(&run.request.as_str()))
         })
         .map(|(_, version)| version)
@@ -254,3 +255,112 @@
     })
     .await;
 }
+
+/// Time in which a busy daemon has sent its streams to other daemons.
+const COPY_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// Starts two engines at version `v1` that have just started, and a daemon in each of `domains`.
+async fn start_young(domains: &[&str]) -> deployment::Deployment {
+    let mut deployment = deployment::start_with(&[], 2, &deployment::without_stages()).await;
+    let now = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .expect("the clock is past 1970");
+    for number in 0..2 {
+        deployment.register_start("engine", number, now.as_millis() as u64);
+    }
+    for (number, domain) in domains.iter().enumerate() {
+        deployment.add_daemon(&format!("vm-{number}"), domain);
+    }
+    for number in 0..domains.len() {
+        deployment.wait_until_ready(number).await;
+    }
+    deployment.wait_until_registered(domains.len()).await;
+    deployment
+}
+
+/// Guards against streams that are lost with their daemon soon after all daemons and engines have
+/// started, when none of them has known the only version for as long as a stream can last.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_killed_daemon_go_on_soon_after_the_start_of_all() {
+    let mut deployment = start_young(&["a", "a", "b"]).await;
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+    deployment.daemons[0].kill();
+
+    let count = take_up_all(&deployment, &[1, 2], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
+/// Guards against streams that are lost with their daemon if a release begins before their callers
+/// take them up.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_killed_daemon_go_on_after_a_release_has_begun() {
+    let mut deployment = start_young(&["a", "a", "b"]).await;
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+    deployment.daemons[0].kill();
+    add_version(&mut deployment, &[1, 2]).await;
+
+    let count = take_up_all(&deployment, &[1, 2], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
+/// Guards against streams that are lost with their daemon if the store took no records while they
+/// began, also at a daemon that has lost its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_begin_without_the_store_go_on_after_their_daemon_is_killed() {
+    let mut deployment = start_young(&["a", "a", "b"]).await;
+    add_version(&mut deployment, &[0, 1, 2]).await;
+    deployment.store.refuse_appends(Some("streams"));
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+    deployment.daemons[0].kill();
+    deployment.store.refuse_appends(None);
+    deployment.daemons[0].start();
+    deployment.wait_until_ready(0).await;
+
+    let count = take_up_all(&deployment, &[0, 1, 2], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
+/// Guards against streams that are lost with all daemons of their failure domain.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_in_another_domain_after_all_daemons_of_theirs_are_killed() {
+    let mut deployment = start_young(&["a", "a", "b", "b"]).await;
+    add_version(&mut deployment, &[0, 1, 2, 3]).await;
+    deployment.store.refuse_appends(Some("streams"));
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+    deployment.daemons[0].kill();
+    deployment.daemons[1].kill();
+
+    let count = take_up_all(&deployment, &[2, 3], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
+/// Guards against streams that are lost with their daemon after the daemon that kept copies of them
+/// has lost its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_their_copies_were_lost_before_their_daemon() {
+    let mut deployment = start_young(&["a", "a", "b"]).await;
+    add_version(&mut deployment, &[0, 1, 2]).await;
+    deployment.store.refuse_appends(Some("streams"));
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+    for keeper in [1, 2] {
+        deployment.daemons[keeper].kill();
+        deployment.daemons[keeper].start();
+        deployment.wait_until_ready(keeper).await;
+    }
+    // A daemon that does not answer gets no copies for 1.5 s.
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    deployment.daemons[0].kill();
+
+    let count = take_up_all(&deployment, &[1, 2], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -36,6 +36,8 @@
     /// Settings in force; replaced on reload.
     pub settings: ArcSwap<settings::Settings>,
     pub clock: clock::SystemClock,
+    /// Number drawn at the start, by which other daemons notice that this one has lost its memory.
+    pub run: u64,
     /// Latest snapshot of the configuration and the upstreams.
     pub view: ArcSwap<view::View>,
     /// Idle keep-alive connections to the store.
@@ -46,6 +48,8 @@
     pub request_memory: sync::Arc<request_memory::RequestMemory>,
     /// Connections to other daemons.
     pub links: links::PeerLinks,
+    /// Connections to the daemons that keep copies of streams.
+    pub stream_links: links::PeerLinks,
     /// Connections that this daemon forwards for others.
     pub tunnels: TaskTracker,
     /// Upstreams that this daemon reaches through others only.
@@ -60,6 +64,8 @@
     streams: sync::Mutex<streams::Streams>,
     /// Notified when this daemon has streams or software versions to share.
     pub streams_changed: tokio::sync::Notify,
+    /// Number of streams that this daemon has begun or taken up.
+    streams_begun: tokio::sync::watch::Sender<u64>,
     /// Notified when this daemon has new evidence.
     pub evidence_changed: tokio::sync::Notify,
     draining: atomic::AtomicBool,
@@ -97,9 +103,11 @@
             answers: sync::Arc::new(answers),
             settings: ArcSwap::from_pointee(settings),
             clock: clock::SystemClock::new(),
+            run: rand::random(),
             view: ArcSwap::from_pointee(view),
             connections: pool::ConnectionPool::default(),
             links: links::PeerLinks::default(),
+            stream_links: links::PeerLinks::default(),
             tunnels: TaskTracker::new(),
             paths: sync::Mutex::default(),
             metrics,
@@ -107,6 +115,7 @@
             suspects: sync::Mutex::default(),
             streams: sync::Mutex::default(),
             streams_changed: tokio::sync::Notify::new(),
+            streams_begun: tokio::sync::watch::Sender::default(),
             evidence_changed: tokio::sync::Notify::new(),
             draining: atomic::AtomicBool::new(false),
             closing_at: atomic::AtomicU64::new(u64::MAX),
@@ -316,6 +325,12 @@
         if self.streams().record(self.now(), attempt, entry) {
             self.streams_changed.notify_one();
         }
+        self.streams_begun.send_modify(|count| *count += 1);
+    }
+
+    /// Receiver that is notified of each stream that this daemon begins or takes up.
+    pub fn subscribe_streams(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.streams_begun.subscribe()
     }
 
     /// Records that the upstream `entry` has registered itself.
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::listener;
 use crate::logger;
 use crate::peers::rpc_server;
+use crate::peers::stream_copies;
 use crate::peers::sync as peer_sync;
 use crate::readiness;
 use crate::serve;
@@ -160,6 +161,7 @@
     ));
     tokio::spawn(evidence_log::publish(sync::Arc::clone(&core)));
     tokio::spawn(stream_log::share(sync::Arc::clone(&core)));
+    tokio::spawn(stream_copies::send(sync::Arc::clone(&core)));
     let follower = peer_sync::Follower {
         core: sync::Arc::clone(&core),
         mirrors,
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -31,6 +31,7 @@
         address: settings.peers,
         domain: settings.domain.clone(),
         seen_at: core.now(),
+        keeps_streams: true,
     }
 }
 
@@ -53,6 +54,7 @@
         let is_current = |known: &daemon::Daemon| {
             known.name == own.name
                 && known.address == own.address
+                && known.keeps_streams
                 && known.seen_at.plus(RENEWAL_INTERVAL) > own.seen_at
         };
         if mirrors.daemons().iter().any(is_current) || !mirrors.is_store_reachable() {
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -14,6 +14,7 @@
 use crate::core;
 use crate::follow::reader;
 use crate::follow::registrations;
+use crate::peers::stream_copies;
 
 /// Delay before streams are shared, which collects those that begin at the same time.
 const BATCH_DELAY: clock::Millis = clock::Millis(10);
@@ -38,6 +39,7 @@
 pub struct StreamLog {
     core: sync::Arc<core::Core>,
     registrations: sync::Arc<registrations::Registrations>,
+    finder: stream_copies::StreamFinder,
     position: tokio::sync::Mutex<Position>,
 }
 
@@ -58,6 +60,7 @@
         registrations: sync::Arc<registrations::Registrations>,
     ) -> Self {
         Self {
+            finder: stream_copies::StreamFinder::new(sync::Arc::clone(&core)),
             core,
             registrations,
             position: tokio::sync::Mutex::default(),
@@ -78,6 +81,11 @@
         if let Some(origin) = self.core.streams().known_origin(attempt, pool) {
             return Ok(origin);
         }
+        self.finder.find(attempt).await;
+        if let Some(origin) = self.core.streams().known_origin(attempt, pool) {
+            self.core.metrics.found_copies.inc();
+            return Ok(origin);
+        }
         // A daemon that knows of one version may be behind the one that began the stream.
         let is_current = !self.core.streams().has_several_versions(pool);
         let now = self.core.now();
@@ -99,6 +107,7 @@
         // The daemon that began the stream may not have shared it yet.
         let wait = append_interval(&self.core).plus(SHARE_TIME);
         tokio::time::sleep(wait.duration()).await;
+        self.finder.find(attempt).await;
         self.read().await?;
         Ok(self.find(attempt, pool, is_current))
     }
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -81,6 +81,10 @@
     forwarded = "forwarded",
     /// Retries of requests at another upstream.
     repeats = "repeats",
+    /// Batches of copies of streams that a daemon did not take.
+    failed_copies = "copies_failed",
+    /// Streams taken up whose software version another daemon knew.
+    found_copies = "copies_found",
     /// Streams resumed at another upstream.
     resumed = "resumed",
     /// Streams whose caller disconnected before the end.
--- a/crates/basilgrade_edge/src/peers.rs
+++ b/crates/basilgrade_edge/src/peers.rs
@@ -3,4 +3,5 @@
 pub mod links;
 pub mod rpc_server;
 pub mod service;
+pub mod stream_copies;
 pub mod sync;
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -8,6 +8,7 @@
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
+use basilgrade_fleet::streams;
 use basilgrade_peer::postcard_format;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -155,6 +156,26 @@
         let (grant, report) = permits::decide(&self.core, &upstream, started_at, claim, report);
         service::PermitReply::Decided(grant, report)
     }
+
+    async fn keep_streams(
+        self,
+        _: context::Context,
+        copies: streams::Copies,
+    ) -> service::KeepReply {
+        if self.core.is_draining() {
+            return service::KeepReply::Leaving;
+        }
+        self.core.streams().keep(self.core.now(), copies);
+        service::KeepReply::Kept(self.core.run)
+    }
+
+    async fn find_streams(
+        self,
+        _: context::Context,
+        ids: Vec<streams::AttemptId>,
+    ) -> streams::Copies {
+        self.core.streams().copies(self.core.now(), &ids)
+    }
 }
 
 impl RpcServer {
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -9,6 +9,7 @@
 use basilgrade_fleet::batch::outcome;
 use basilgrade_fleet::limit;
 use basilgrade_fleet::model::handle;
+use basilgrade_fleet::streams;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use serde::Deserialize;
@@ -44,6 +45,16 @@
     Leaving,
 }
 
+/// Reply to [`Peer::keep_streams`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum KeepReply {
+    /// The daemon, which has drawn this number at its start, keeps the copies for as long as the
+    /// streams can last.
+    Kept(u64),
+    /// The daemon is shutting down; another daemon must keep the copies.
+    Leaving,
+}
+
 /// Reply to [`Peer::updates`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Updates {
@@ -93,4 +104,8 @@
     /// the store had when the call arrived. The reply tells that the store is unreachable if this
     /// failed.
     async fn refresh(positions: [Option<position::Position>; 3]) -> Updates;
+    /// Has the replying daemon keep copies of streams that the caller has begun.
+    async fn keep_streams(copies: streams::Copies) -> KeepReply;
+    /// Copies of those of the streams of the attempts `ids` that the replying daemon knows.
+    async fn find_streams(ids: Vec<streams::AttemptId>) -> streams::Copies;
 }
--- a/crates/basilgrade_fleet/src/daemon.rs
+++ b/crates/basilgrade_fleet/src/daemon.rs
@@ -19,6 +19,8 @@
     pub domain: id::DomainId,
     /// Unix time of the daemon's last registration.
     pub seen_at: clock::Millis,
+    /// Whether the daemon keeps copies of the streams that others begin.
+    pub keeps_streams: bool,
 }
 
 /// Orders `daemons` for a duty: those in `domain` first, and within each group as [`rank`] does.
--- a/crates/basilgrade_fleet/src/directory/upstream.rs
+++ b/crates/basilgrade_fleet/src/directory/upstream.rs
@@ -9,6 +9,8 @@
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::health;
 
@@ -54,7 +56,8 @@
 }
 
 /// Version of an upstream's software, for comparison only.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
 pub struct Version(pub CompactString);
 
 impl fmt::Display for Version {
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod directory;
 pub mod events;
 pub mod health;
+pub mod keepers;
 pub mod limit;
 pub mod model;
 pub mod notices;
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -1,10 +1,12 @@
 //! Software versions at which streams began, so that each goes on only at its own.
 //!
 //! What two versions write does not fit together, and engines do not check which one began a
-//! stream. A daemon remembers the streams that it began. While several versions serve in a pool, it
-//! also shares them through a log of the store, from which daemons that did not begin a stream, or
-//! have lost their memory, learn its version. While one version serves, nothing is shared.
+//! stream. A daemon remembers the streams that it began and has other daemons keep copies of them,
+//! from which daemons that did not begin a stream, or have lost their memory, learn its version.
+//! While several versions serve in a pool, it also shares them through a log of the store, which
+//! outlasts a loss of all daemons.
 
+use std::collections;
 use std::mem;
 use std::sync;
 
@@ -12,13 +14,16 @@
 use basilgrade_types::id;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3;
 
 use crate::directory;
 use crate::directory::upstream;
 
 /// Hash of the id of the attempt that began or took up a stream.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(transparent)]
 pub struct AttemptId(pub u64);
 
 impl AttemptId {
@@ -31,6 +36,10 @@
 /// Streams by the pool and the software version that began them.
 pub type Batch = IndexMap<id::PoolId, IndexMap<upstream::Version, Vec<AttemptId>>>;
 
+/// Streams by the pool and the software version that began them, with the time since each began.
+pub type Copies =
+    IndexMap<id::PoolId, IndexMap<upstream::Version, Vec<(AttemptId, clock::Millis)>>>;
+
 /// What is known about the version that began a stream.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Origin {
@@ -54,6 +63,10 @@
 #[derive(Debug)]
 pub struct Streams {
     known: IndexMap<AttemptId, Stream>,
+    /// Streams that this daemon began or took up, in order.
+    begun: collections::VecDeque<AttemptId>,
+    /// Number of streams that were removed from the front of `begun`.
+    dropped: u64,
     /// Time at which each version was last seen in the directory or in a stream.
     versions: IndexMap<id::PoolId, IndexMap<upstream::Version, clock::Millis>>,
     /// Pools that have come to have several versions, which is not shared yet.
@@ -68,6 +81,8 @@
     fn default() -> Self {
         Self {
             known: IndexMap::new(),
+            begun: collections::VecDeque::new(),
+            dropped: 0,
             versions: IndexMap::new(),
             unnamed: IndexSet::new(),
             observed_since: None,
@@ -113,6 +128,12 @@
         }
         self.known
             .retain(|_, stream| stream.begun_at.plus(lifetime) > now);
+        while let Some(first) = self.begun.front()
+            && !self.known.contains_key(first)
+        {
+            self.begun.pop_front();
+            self.dropped += 1;
+        }
         is_new
     }
 
@@ -183,6 +204,7 @@
             is_shared: false,
         };
         self.known.insert(id, stream);
+        self.begun.push_back(id);
         has_several(self.versions.get(&entry.pool))
     }
 
@@ -287,23 +309,91 @@
         }
     }
 
+    /// Copies of the streams that this daemon began, from the one with the number `from` on and at
+    /// most `limit`, and the number of the next one.
+    pub fn begun_since(&self, now: clock::Millis, from: u64, limit: usize) -> (Copies, u64) {
+        let skipped = from.saturating_sub(self.dropped) as usize;
+        let ids = self.begun.iter().skip(skipped).take(limit);
+        let next = self.dropped + self.begun.len().min(skipped + limit) as u64;
+        (self.copies(now, ids), next)
+    }
+
+    /// Whether this daemon remembers streams that it has begun or taken up.
+    pub fn has_begun(&self) -> bool {
+        !self.begun.is_empty()
+    }
+
+    /// Number of streams that this daemon has begun or taken up since its start.
+    pub fn begun_count(&self) -> u64 {
+        self.dropped + self.begun.len() as u64
+    }
+
+    /// Whether the version that began the stream of the attempt `id` is known.
+    pub fn contains(&self, id: AttemptId) -> bool {
+        self.known.contains_key(&id)
+    }
+
+    /// Copies of those of the streams of the attempts `ids` that this daemon knows.
+    pub fn copies<'a>(
+        &self,
+        now: clock::Millis,
+        ids: impl IntoIterator<Item = &'a AttemptId>,
+    ) -> Copies {
+        let mut copies = Copies::new();
+        for id in ids {
+            let Some(stream) = self.known.get(id) else {
+                continue;
+            };
+            let versions = copies.entry(stream.pool.clone()).or_default();
+            let ids = versions.entry(stream.version.clone()).or_default();
+            ids.push((*id, now - stream.begun_at));
+        }
+        copies
+    }
+
+    /// Adds copies of the streams of another daemon.
+    pub fn keep(&mut self, now: clock::Millis, copies: Copies) {
+        for (pool, versions) in copies {
+            for (version, ids) in versions {
+                for (id, age) in ids {
+                    if age < self.lifetime {
+                        self.insert_shared(now, now - age, id, (&pool, &version));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Adds a stream of another daemon.
+    fn insert_shared(
+        &mut self,
+        now: clock::Millis,
+        begun_at: clock::Millis,
+        id: AttemptId,
+        (pool, version): (&id::PoolId, &upstream::Version),
+    ) {
+        // The clock of the other daemon may be ahead.
+        let begun_at = begun_at.min(now);
+        self.mark_seen(begun_at, pool, version);
+        self.known.entry(id).or_insert_with(|| Stream {
+            pool: pool.clone(),
+            version: version.clone(),
+            begun_at,
+            is_shared: true,
+        });
+    }
+
     /// Adds streams that a daemon shared at the time `shared_at`.
     pub fn merge(&mut self, now: clock::Millis, shared_at: clock::Millis, batch: Batch) {
         if shared_at.plus(self.lifetime) <= now {
             return;
         }
-        // The clock of the other daemon may be ahead.
-        let shared_at = shared_at.min(now);
         for (pool, versions) in batch {
             for (version, ids) in versions {
-                self.mark_seen(shared_at, &pool, &version);
+                // A batch may name a version without streams.
+                self.mark_seen(shared_at.min(now), &pool, &version);
                 for id in ids {
-                    self.known.entry(id).or_insert_with(|| Stream {
-                        pool: pool.clone(),
-                        version: version.clone(),
-                        begun_at: shared_at,
-                        is_shared: true,
-                    });
+                    self.insert_shared(now, shared_at, id, (&pool, &version));
                 }
             }
         }
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -262,6 +262,7 @@
         address: ([10, 0, 0, 2], number).into(),
         domain: domain("a"),
         seen_at: NOW,
+        keeps_streams: true,
     };
     let mut chosen = std::collections::HashSet::new();
     for duty in 0..40 {
--- a/crates/basilgrade_fleet/tests/paths.rs
+++ b/crates/basilgrade_fleet/tests/paths.rs
@@ -26,6 +26,7 @@
         address: net::SocketAddr::from(([127, 0, 0, 1], 1)),
         domain: domain(home),
         seen_at: START,
+        keeps_streams: true,
     };
     names.iter().map(daemon).collect()
 }
--- a/crates/basilgrade_fleet/tests/streams.rs
+++ b/crates/basilgrade_fleet/tests/streams.rs
@@ -209,3 +209,78 @@
     streams.observe(START.plus(streams.lifetime()), &known, LONGEST);
     assert_eq!(find(&streams), None);
 }
+
+/// Guards against copies of streams that leave out one, or that are kept for longer than a stream
+/// can last.
+#[test]
+fn copies_of_streams_tell_their_version_and_age() {
+    let engines = [engine(1, "v1", START), engine(2, "v2", START)];
+    let known = directory(&engines);
+    let pool = engines[0].pool.clone();
+    let (mut one, mut keeper) = <(streams::Streams, streams::Streams)>::default();
+    one.observe(START, &known, LONGEST);
+    keeper.observe(START, &known, LONGEST);
+    one.record(START, attempt("first"), &engines[0]);
+    one.record(START.plus(LONGEST), attempt("second"), &engines[1]);
+    let sent_at = START.plus(LONGEST).plus(clock::Millis(1000));
+
+    let (first_batch, next) = one.begun_since(sent_at, 0, 1);
+    let (second_batch, end) = one.begun_since(sent_at, next, 1);
+    keeper.keep(sent_at, first_batch);
+    keeper.keep(sent_at, second_batch);
+
+    let find = |keeper: &streams::Streams, id| keeper.known_origin(attempt(id), &pool);
+    let origin = |text| Some(streams::Origin::Version(version(text)));
+    assert_eq!((next, end), (1, 2));
+    assert_eq!(find(&keeper, "first"), origin("v1"));
+    assert_eq!(find(&keeper, "second"), origin("v2"));
+    keeper.observe(sent_at.plus(clock::Millis(5000)), &known, LONGEST);
+    assert_eq!(find(&keeper, "first"), None, "the copy outlasts the stream");
+    assert_eq!(find(&keeper, "second"), origin("v2"));
+}
+
+/// Guards against streams that are counted wrongly, and so never copied, once old ones are
+/// forgotten.
+#[test]
+fn streams_are_copied_after_older_ones_are_forgotten() {
+    let engine = engine(1, "v1", START);
+    let known = directory(std::slice::from_ref(&engine));
+    let mut streams = streams::Streams::default();
+    streams.observe(START, &known, LONGEST);
+    streams.record(START, attempt("first"), &engine);
+    let (_, next) = streams.begun_since(START, 0, 10);
+    let later = START.plus(LONGEST).plus(clock::Millis(5001));
+    streams.observe(later, &known, LONGEST);
+    assert!(!streams.has_begun());
+
+    streams.record(later, attempt("second"), &engine);
+
+    let (copies, end) = streams.begun_since(later, next, 10);
+    let ids = copies
+        .values()
+        .flat_map(|versions| versions.values())
+        .flatten();
+    let ids: Vec<_> = ids.map(|(id, _)| *id).collect();
+    assert_eq!(ids, [attempt("second")]);
+    assert_eq!((end, streams.begun_count()), (2, 2));
+}
+
+/// Guards against a copy that replaces what the daemon itself knows of a stream, and against a
+/// stream of another pool that is taken for one of this pool.
+#[test]
+fn copies_do_not_replace_own_streams() {
+    let engines = [engine(1, "v1", START), engine(2, "v2", START)];
+    let pool = engines[0].pool.clone();
+    let (mut one, mut other) = <(streams::Streams, streams::Streams)>::default();
+    one.record(START, attempt("first"), &engines[0]);
+    other.record(START, attempt("first"), &engines[1]);
+
+    let copies = other.copies(START, &[attempt("first"), attempt("unknown")]);
+    one.keep(START, copies);
+
+    let origin = one.known_origin(attempt("first"), &pool);
+    assert_eq!(origin, Some(streams::Origin::Version(version("v1"))));
+    assert!(!one.contains(attempt("unknown")));
+    let elsewhere = one.known_origin(attempt("first"), &common::pool_id("elsewhere"));
+    assert_eq!(elsewhere, Some(streams::Origin::OtherPool));
+}
