Answer what has arrived before a stopping daemon closes connections

Callers of a daemon that is stopped on purpose got a reset instead of an answer if their request had arrived and was not read when the daemon stopped accepting: on connections in the queue of the listener, and on kept connections.

Cause: the listener was closed with its queue, and the HTTP library closes idle connections without reading them. On a VM that is busy or stands still as the timer ends, many requests wait at that moment.

The queue is now emptied before the listener is closed, and the stream of a connection ends by itself between two requests, only if nothing waits in its socket, as the idle time-out does already.

Tests: planned_stop, 0 of 16 requests answered on new and 0 of 16 on kept connections before, 16 and 16 now. The other tests of basilgrade_edge, edge, connection_limits and rejected_bodies pass.

--- a/crates/basilgrade_edge/src/http/head_timeout.rs
+++ b/crates/basilgrade_edge/src/http/head_timeout.rs
@@ -11,6 +11,7 @@
 use tokio::io as tokio_io;
 use tokio::net;
 use tokio::time;
+use tokio_util::sync as tokio_sync;
 
 /// Progress of the requests on a connection, shared between the stream and the request handler.
 #[derive(Clone, Debug, Default)]
@@ -87,7 +88,8 @@
     }
 }
 
-/// Stream whose reads fail if a request head takes too long to arrive, or if no request arrives.
+/// Stream whose reads fail if a request head takes too long to arrive, or if no request arrives, and
+/// that ends between two requests once the daemon closes idle connections.
 ///
 /// The header time-out of hyper also counts the idle time before a request, but callers may keep a
 /// connection idle for far longer than a request head may take. It is also fixed when the
@@ -101,14 +103,18 @@
     timer: Option<Timer>,
     /// Number of complete heads at the last read.
     heads: u64,
+    /// Ends when idle connections are to be closed.
+    stop: pin::Pin<Box<tokio_sync::WaitForCancellationFutureOwned>>,
 }
 
 impl HeadTimeoutStream {
-    /// Wraps `stream`, whose time-outs are those that `timeouts` returns when a head begins.
+    /// Wraps `stream`, whose time-outs are those that `timeouts` returns when a head begins, and
+    /// which ends once it is idle after `stop` is cancelled.
     pub fn new(
         stream: net::TcpStream,
         progress: RequestProgress,
         timeouts: Box<dyn Fn() -> Timeouts + Send>,
+        stop: tokio_sync::CancellationToken,
     ) -> Self {
         Self {
             stream,
@@ -116,9 +122,24 @@
             timeouts,
             timer: None,
             heads: 0,
+            stop: Box::pin(stop.cancelled_owned()),
         }
     }
 
+    /// Whether the connection is closed, as the daemon closes those on which no request has begun
+    /// since the last one.
+    ///
+    /// A request may have arrived that was not read yet, so a connection with input is not closed.
+    fn is_closed(&mut self, context: &mut task::Context<'_>) -> bool {
+        let is_idle = self.heads > 0
+            && !self.progress.is_serving()
+            && self
+                .timer
+                .as_ref()
+                .is_none_or(|timer| timer.wait == Wait::Request);
+        is_idle && self.stop.as_mut().poll(context).is_ready() && !has_input(&self.stream)
+    }
+
     /// Waits for the end of the time-out that applies now.
     fn poll_timer(&mut self, context: &mut task::Context<'_>) -> task::Poll<io::Error> {
         self.progress.reader.register(context.waker());
@@ -186,6 +207,9 @@
             }
             return task::Poll::Ready(read);
         }
+        if self.is_closed(context) {
+            return task::Poll::Ready(Ok(()));
+        }
         self.poll_timer(context).map(Err)
     }
 }
--- a/crates/basilgrade_edge/src/listener.rs
+++ b/crates/basilgrade_edge/src/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' connections and shuts them down gracefully.
 
 use std::convert;
+use std::io;
 use std::sync;
 use std::time;
 
@@ -9,9 +10,9 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt;
-use hyper_util::server::graceful;
 use tokio::net as tokio_net;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task;
 
 use crate::core;
 use crate::http::head_timeout;
@@ -33,14 +34,15 @@
     listener: tokio_net::TcpListener,
     stop: CancellationToken,
 ) {
-    let connections = graceful::GracefulShutdown::new();
+    let connections = task::TaskTracker::new();
+    let serve = |stream| serve_connection(&service, stream, &connections, &stop);
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(&service, stream, &connections),
+            Ok((stream, _)) => serve(stream),
             Err(error) => {
                 log::warn!(
                     "event=accept-failed listener=callers reason={:?}",
@@ -50,8 +52,31 @@
             }
         }
     }
-    drop(listener);
-    connections.shutdown().await;
+    accept_established(listener).into_iter().for_each(serve);
+    connections.close();
+    connections.wait().await;
+}
+
+/// Closes `listener`; returns the connections that were established before, which would be reset.
+fn accept_established(listener: tokio_net::TcpListener) -> Vec<tokio_net::TcpStream> {
+    let mut streams = Vec::new();
+    let accept_all = || -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            streams.push(tokio_net::TcpStream::from_std(stream)?);
+        }
+    };
+    if let Err(error) = accept_all()
+        && error.kind() != io::ErrorKind::WouldBlock
+    {
+        log::warn!(
+            "event=accept-failed listener=callers reason={:?}",
+            error.to_string()
+        );
+    }
+    streams
 }
 
 fn limits_in_force(core: &core::Core) -> limits::Limits {
@@ -63,7 +88,8 @@
 fn serve_connection(
     service: &sync::Arc<serve::Service>,
     stream: tokio_net::TcpStream,
-    connections: &graceful::GracefulShutdown,
+    connections: &task::TaskTracker,
+    stop: &CancellationToken,
 ) {
     if let Err(error) = socket::configure(&stream, socket::Patience::Caller) {
         log::debug!("event=caller-refused reason={:?}", error.to_string());
@@ -80,7 +106,8 @@
             idle: limits.idle_timeout.times(IDLE_TIMEOUT_FACTOR),
         }
     });
-    let timed = head_timeout::HeadTimeoutStream::new(stream, progress.clone(), timeouts);
+    let timed =
+        head_timeout::HeadTimeoutStream::new(stream, progress.clone(), timeouts, stop.clone());
     let serve = service::service_fn(move |message| {
         let service = sync::Arc::clone(&service);
         let serving_guard = progress.begin_request();
@@ -101,9 +128,8 @@
         .header_read_timeout(None)
         .max_buf_size((limits.max_head.0 as usize).max(MIN_BUFFER_BYTES))
         .serve_connection(rt::TokioIo::new(timed), serve);
-    let watched = connections.watch(connection);
-    tokio::spawn(async move {
-        if let Err(error) = watched.await {
+    connections.spawn(async move {
+        if let Err(error) = connection.await {
             log::debug!("event=connection-closed reason={:?}", error.to_string());
         }
     });
