Take streams up in the pool that began them

A stream that no daemon knows was still joined.

A take-up now goes on in the pool of its stream, if the route leads there. A stream that no daemon knows is taken for one of the only version only if its path leads to one pool and has led to no other for as long as a stream can last; a daemon remembers the pools that configurations have taken away from a path.

The fixture that splits routes named a service too, which wins, so that no test had a split route; it now names either.

--- a/crates/basilgrade/tests/edge_support/operator.rs
+++ b/crates/basilgrade/tests/edge_support/operator.rs
@@ -99,6 +99,9 @@
                 {"service": pool, "weight": 1.0},
                 {"service": other, "weight": 1.0},
             ]);
+            // A route leads to one service or is split, not both.
+            let route = route.as_object_mut().expect("a route is a JSON object");
+            route.remove("service");
         }
         if self.has(Change::Timeouts) {
             route["timeout-ms"] = 5000.into();
--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -9,6 +9,7 @@
 use edge_support::client;
 use edge_support::daemon;
 use edge_support::deployment;
+use edge_support::operator;
 use edge_support::port;
 use edge_support::upstream;
 
@@ -364,3 +365,96 @@
 
     assert_eq!(count, STREAMS, "streams whose version is known are lost");
 }
+
+/// Starts two daemons and the pools `engine`, at version `v1`, and `studio`, at `v2`, between which
+/// the route of streams is split.
+async fn start_split() -> deployment::Deployment {
+    let mut split = operator::Operator::default();
+    split.apply(operator::Change::Split);
+    let mut deployment = deployment::start_with(&["a", "a"], 2, &split.text(1)).await;
+    for number in 0..2 {
+        deployment.add_upstream_at("studio", number, "v2").await;
+    }
+    deployment.wait_until_registered(2).await;
+    deployment
+}
+
+/// Number of pools whose engines ran the request with one of these ids.
+fn count_pools(deployment: &deployment::Deployment, ids: [&str; 2]) -> usize {
+    let ran = |pool: &&str| {
+        let mut upstreams = deployment.upstreams.iter();
+        upstreams.any(|upstream| {
+            let mut runs = upstream.runs().into_iter();
+            upstream.id.starts_with(pool) && runs.any(|run| ids.contains(&run.request.as_str()))
+        })
+    };
+    ["engine", "studio"].iter().filter(|pool| ran(pool)).count()
+}
+
+/// Guards against streams on a split route that are joined from the versions of two pools, or lost,
+/// as the pool is drawn again when they are taken up.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_on_a_split_route_go_on_in_their_pool() {
+    let deployment = start_split().await;
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+
+    for (number, first) in ids.iter().enumerate() {
+        let id = format!("again-{first}");
+        let status = take_up(&deployment, number % 2, &id, Some(first)).await;
+
+        assert_eq!(status, 200, "`{first}` is lost");
+        let pools = count_pools(&deployment, [first, &id]);
+        assert_eq!(pools, 1, "`{first}` was joined from two pools");
+    }
+}
+
+/// Guards against streams of unknown origin that go on in any pool of a split route, each of which
+/// has one version.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_unknown_origin_on_a_split_route_are_refused() {
+    let deployment = start_split().await;
+
+    for number in 0..4 {
+        let id = format!("lost-{number}");
+        assert_eq!(take_up(&deployment, 0, &id, Some("unknown")).await, 503);
+        assert_eq!(deployment.count_runs(&id), 0);
+    }
+}
+
+/// Guards against streams that go on in the pool to which their route was moved after they began.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_on_a_moved_route_are_refused() {
+    let mut operator = operator::Operator::default();
+    let mut deployment = deployment::start_with(&["a", "a"], 2, &operator.text(1)).await;
+    deployment.add_upstream_at("studio", 0, "v2").await;
+    deployment.wait_until_registered(2).await;
+    let ids = begin_all(&deployment).await;
+    operator.apply(operator::Change::Pools);
+    deployment.publish(&operator.text(2));
+    for daemon in 0..2 {
+        deployment::wait_until("the route is moved", || async {
+            begin(&deployment, daemon, "probe").await;
+            let runs = deployment.upstream("studio-0").runs();
+            runs.iter().any(|run| run.request == "probe")
+        })
+        .await;
+    }
+
+    for (number, first) in ids.iter().enumerate() {
+        let id = format!("again-{first}");
+        assert_eq!(
+            take_up(&deployment, number % 2, &id, Some(first)).await,
+            503
+        );
+        let unknown = format!("unknown-{first}");
+        assert_eq!(
+            take_up(&deployment, number % 2, &unknown, Some(&unknown)).await,
+            503
+        );
+        assert_eq!(
+            deployment.count_runs(&id) + deployment.count_runs(&unknown),
+            0
+        );
+    }
+}
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -36,7 +36,7 @@
         let (configuration, record) = self.newest_configuration(changes)?;
         let known = self.core.view.load().configuration.clone();
         let version = configuration.version;
-        let previous = known.map_or(0, |known| known.version);
+        let previous = known.as_ref().map_or(0, |known| known.version);
         if version <= previous {
             return None;
         }
@@ -46,6 +46,12 @@
              origin={}",
             origin.as_str()
         );
+        if let Some(known) = &known {
+            let now = self.core.now();
+            self.core
+                .streams()
+                .record_configuration(now, known, &configuration);
+        }
         let configuration = sync::Arc::new(configuration);
         self.core.view.rcu(|view| view::View {
             configuration: Some(sync::Arc::clone(&configuration)),
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -7,6 +7,7 @@
 
 use basilgrade_adapter::store;
 use basilgrade_adapter::stream_record;
+use basilgrade_fleet::model::route;
 use basilgrade_fleet::streams;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -15,6 +16,7 @@
 use crate::follow::reader;
 use crate::follow::registrations;
 use crate::peers::stream_copies;
+use crate::serve::request;
 
 /// Delay before streams are shared, which collects those that begin at the same time.
 const BATCH_DELAY: clock::Millis = clock::Millis(10);
@@ -67,7 +69,7 @@
         }
     }
 
-    /// Version that began the stream of the attempt `attempt`, which is to go on in `pool`.
+    /// Pool and version that began the stream of the attempt `attempt`, which `request` takes up.
     ///
     /// # Errors
     ///
@@ -75,17 +77,51 @@
     pub async fn origin(
         &self,
         attempt: streams::AttemptId,
-        pool: &id::PoolId,
-    ) -> Result<streams::Origin, String> {
+        request: &request::Request,
+    ) -> Result<(id::PoolId, streams::Origin), String> {
         self.core.observe_versions();
-        if let Some(origin) = self.core.streams().known_origin(attempt, pool) {
-            return Ok(origin);
+        if let Some(known) = self.known(attempt, &request.route) {
+            return Ok(known);
         }
         self.finder.find(attempt).await;
-        if let Some(origin) = self.core.streams().known_origin(attempt, pool) {
+        if let Some(known) = self.known(attempt, &request.route) {
             self.core.metrics.found_copies.inc();
-            return Ok(origin);
+            return Ok(known);
         }
+        let path = request.target.path();
+        let only = self.core.streams().only_pool(&request.route, path);
+        let Some(pool) = only else {
+            self.read().await?;
+            let known = self.known(attempt, &request.route);
+            return Ok(known.unwrap_or((request.pool.clone(), streams::Origin::Unknown)));
+        };
+        let origin = self.origin_in(attempt, &pool).await?;
+        Ok((pool, origin))
+    }
+
+    /// Pool and version of a stream that this daemon knows.
+    fn known(
+        &self,
+        attempt: streams::AttemptId,
+        route: &route::Route,
+    ) -> Option<(id::PoolId, streams::Origin)> {
+        let streams = self.core.streams();
+        let pool = streams.pool(attempt)?;
+        let origin = if route.pools().any(|target| target == pool) {
+            streams.known_origin(attempt, pool)?
+        } else {
+            streams::Origin::OtherPool
+        };
+        Some((pool.clone(), origin))
+    }
+
+    /// Version that began the stream of the attempt `attempt`, of which other daemons keep no copy
+    /// and which began in `pool`.
+    async fn origin_in(
+        &self,
+        attempt: streams::AttemptId,
+        pool: &id::PoolId,
+    ) -> Result<streams::Origin, String> {
         // A daemon that knows of one version may be behind the one that began the stream.
         let is_current = !self.core.streams().has_several_versions(pool);
         let now = self.core.now();
--- a/crates/basilgrade_edge/src/serve.rs
+++ b/crates/basilgrade_edge/src/serve.rs
@@ -127,7 +127,10 @@
             ));
         }
         self.check_closing(&request)?;
-        let version = stream::find_version(&self, &request).await?;
+        let (request, version) = match stream::find_origin(&self, &request).await? {
+            Some((pool, version)) => (request.in_pool(pool), Some(version)),
+            None => (request, None),
+        };
         let terms = request.stage_terms();
         self.admit(&request, terms)?;
         let results = stages::run(&self, &request, terms).await?;
--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -42,7 +42,7 @@
 }
 
 /// Validated request with its route, pool, customer and deadline.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Request {
     pub method: Method,
     /// Path and query, as sent by the caller.
@@ -71,10 +71,22 @@
     pub deadline: clock::Millis,
     pub deadline_origin: DeadlineOrigin,
     /// Number of sends after which an upstream may have run the request.
-    pub uncertain_sends: atomic::AtomicU32,
+    pub uncertain_sends: sync::Arc<atomic::AtomicU32>,
 }
 
 impl Request {
+    /// This request, which goes on in `pool`; its sends are counted together with those before.
+    #[must_use]
+    pub fn in_pool(self: sync::Arc<Self>, pool: id::PoolId) -> sync::Arc<Self> {
+        if self.pool == pool {
+            return self;
+        }
+        sync::Arc::new(Self {
+            pool,
+            ..Self::clone(&self)
+        })
+    }
+
     /// Time left until the deadline.
     pub fn time_left(&self, now: clock::Millis) -> clock::Millis {
         self.deadline - now
--- a/crates/basilgrade_edge/src/serve/request_reader.rs
+++ b/crates/basilgrade_edge/src/serve/request_reader.rs
@@ -113,7 +113,7 @@
         arrived,
         deadline,
         deadline_origin,
-        uncertain_sends: atomic::AtomicU32::new(0),
+        uncertain_sends: sync::Arc::new(atomic::AtomicU32::new(0)),
     })
 }
 
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -7,6 +7,7 @@
 use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::streams;
 use basilgrade_types::clock;
+use basilgrade_types::id;
 use hyper::Response;
 use hyper::header;
 
@@ -36,16 +37,16 @@
 /// Part of the time left after which a caller may find an upstream of a version again.
 const VERSION_WAIT_DIVISOR: u64 = 4;
 
-/// Software version at which the stream that `request` takes up has to go on; `None` if it takes up
-/// none.
+/// Pool and software version at which the stream that `request` takes up has to go on; `None` if it
+/// takes up none.
 ///
 /// # Errors
 ///
-/// [`request_failure::RequestFailure`] if the version is not known or no upstream has it.
-pub async fn find_version(
+/// [`request_failure::RequestFailure`] if they are not known or no upstream has the version.
+pub async fn find_origin(
     service: &serve::Service,
     request: &request::Request,
-) -> Result<Option<upstream::Version>, request_failure::RequestFailure> {
+) -> Result<Option<(id::PoolId, upstream::Version)>, request_failure::RequestFailure> {
     if !request.route.kind.is_stream() || request.head.last_event.is_none() {
         return Ok(None);
     }
@@ -56,10 +57,10 @@
         let left = request.time_left(service.core.now());
         clock::Millis(left.0 / divisor)
     };
-    let found = service.stream_log.origin(attempt, &request.pool).await;
-    let version = match found {
-        Ok(streams::Origin::Version(version)) => version,
-        Ok(streams::Origin::Unknown | streams::Origin::OtherPool) => {
+    let found = service.stream_log.origin(attempt, request).await;
+    let (pool, version) = match found {
+        Ok((pool, streams::Origin::Version(version))) => (pool, version),
+        Ok((_, streams::Origin::Unknown | streams::Origin::OtherPool)) => {
             let wait = left(1);
             return Err(request_failure::RequestFailure::refused(
                 UNKNOWN_VERSION,
@@ -78,13 +79,16 @@
         }
     };
     let view = service.core.view.load();
-    let mut ready = view.directory.ready(&request.pool);
-    if !ready.any(|entry| entry.version == version) {
+    let is_ready = view
+        .directory
+        .ready(&pool)
+        .any(|entry| entry.version == version);
+    if !is_ready {
         let reason = format!("no upstream of the software version `{version}` is ready");
         let wait = left(VERSION_WAIT_DIVISOR);
         return Err(request_failure::RequestFailure::refused(reason, wait));
     }
-    Ok(Some(version))
+    Ok(Some((pool, version)))
 }
 
 /// Opens the stream and returns the response, whose body relays the events.
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod paths;
 pub mod placement;
 pub mod ranking;
+pub mod route_history;
 pub mod streams;
 pub mod suspects;
--- a/crates/basilgrade_fleet/src/model/route.rs
+++ b/crates/basilgrade_fleet/src/model/route.rs
@@ -55,6 +55,12 @@
         self.targets.last().map(|target| &target.pool)
     }
 
+    /// Pools that get requests.
+    pub fn pools(&self) -> impl Iterator<Item = &id::PoolId> {
+        let used = self.targets.iter().filter(|target| target.share > 0.0);
+        used.map(|target| &target.pool)
+    }
+
     /// Indices of the stages whose results go to the engine, as no other stage needs them.
     pub fn last_stages(&self) -> impl Iterator<Item = usize> {
         (0..self.stages.len()).filter(|index| {
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -20,6 +20,9 @@
 
 use crate::directory;
 use crate::directory::upstream;
+use crate::model::configuration;
+use crate::model::route;
+use crate::route_history;
 
 /// Hash of the id of the attempt that began or took up a stream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -71,6 +74,7 @@
     versions: IndexMap<id::PoolId, IndexMap<upstream::Version, clock::Millis>>,
     /// Pools that have come to have several versions, which is not shared yet.
     unnamed: IndexSet<id::PoolId>,
+    routes: route_history::RouteHistory,
     /// Time since which this daemon has read all registrations of upstreams without a gap.
     observed_since: Option<clock::Millis>,
     /// Longest time from the first event of a stream until a caller takes it up.
@@ -85,6 +89,7 @@
             dropped: 0,
             versions: IndexMap::new(),
             unnamed: IndexSet::new(),
+            routes: route_history::RouteHistory::default(),
             observed_since: None,
             lifetime: MIN_LIFETIME,
         }
@@ -128,6 +133,7 @@
         }
         self.known
             .retain(|_, stream| stream.begun_at.plus(lifetime) > now);
+        self.routes.forget(now - lifetime);
         while let Some(first) = self.begun.front()
             && !self.known.contains_key(first)
         {
@@ -149,6 +155,16 @@
         is_new
     }
 
+    /// Records that the configuration `new` replaces `old`.
+    pub fn record_configuration(
+        &mut self,
+        now: clock::Millis,
+        old: &configuration::Configuration,
+        new: &configuration::Configuration,
+    ) {
+        self.routes.record_change(now, old, new);
+    }
+
     /// Records that registrations may have come and gone unread until `now`.
     pub fn record_gap(&mut self, now: clock::Millis) {
         self.observed_since = self.observed_since.map(|_| now);
@@ -208,6 +224,17 @@
         has_several(self.versions.get(&entry.pool))
     }
 
+    /// Pool in which the stream of the attempt `id` began.
+    pub fn pool(&self, id: AttemptId) -> Option<&id::PoolId> {
+        self.known.get(&id).map(|stream| &stream.pool)
+    }
+
+    /// Pool in which all streams on `path` have begun, which belongs to `route`, as far as this
+    /// daemon knows; `None` if there may be several.
+    pub fn only_pool(&self, route: &route::Route, path: &str) -> Option<id::PoolId> {
+        self.routes.only_pool(route, path).cloned()
+    }
+
     /// Version that began the stream of the attempt `id`, which is to go on in `pool`, from the
     /// streams that this daemon knows.
     pub fn known_origin(&self, id: AttemptId, pool: &id::PoolId) -> Option<Origin> {
