Take over configurations with any names of customers

Names with letters outside of ASCII were read, but left out of the header for upstreams.

Requests of a customer whose name no header can carry are refused with 503; the version is in force for the others.

Names of services, unknown kinds of routes and numbers out of range still cost the whole version.

--- a/crates/basilgrade_edge/src/serve/request.rs
+++ b/crates/basilgrade_edge/src/serve/request.rs
@@ -181,9 +181,8 @@
     }
 
     /// Name of the customer for logs, or `-` if there is none.
-    pub fn customer_name(&self) -> &str {
-        self.customer
-            .as_ref()
-            .map_or("-", |customer| customer.name.as_str())
+    pub fn customer_name(&self) -> String {
+        let customer = self.customer.as_ref();
+        customer.map_or_else(|| "-".to_owned(), |customer| customer.name.to_string())
     }
 }
--- a/crates/basilgrade_edge/src/serve/request_reader.rs
+++ b/crates/basilgrade_edge/src/serve/request_reader.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::sync::atomic;
 
+use basilgrade_adapter::forwarded_head;
 use basilgrade_adapter::incoming_head;
 use basilgrade_fleet::model::configuration;
 use basilgrade_fleet::model::customer;
@@ -178,6 +179,15 @@
         let reason = "the API key is missing or unknown; send a valid key";
         return Err(rejected(StatusCode::UNAUTHORIZED, reason));
     }
+    if let Some(customer) = holder
+        && forwarded_head::customer_value(&customer.name).is_none()
+    {
+        let reason = format!(
+            "the name {:?} of the customer cannot be sent in a header; rename the customer",
+            customer.name.as_str()
+        );
+        return Err(rejected(StatusCode::SERVICE_UNAVAILABLE, reason));
+    }
     Ok(holder.cloned())
 }
 
