Learn all versions that have served from the history of registrations

When all daemons were lost soon after the deployment had started, streams of the only version were refused when they were taken up: no daemon kept a copy, and a version counts as the only one if it is known to have served for as long as a stream can last.

Soon after the start, the store still has the first registration of upstreams. A daemon that has not known them for so long reads them all, once, at its first take-up of an unknown stream; it then knows every version that has ever served. If the first record has expired, or the store has come back from a copy, nothing is inferred.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -458,3 +458,41 @@
         );
     }
 }
+
+/// Guards against streams that are lost with all daemons soon after the deployment has started,
+/// when the only version has not served for as long as a stream can last.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_a_loss_of_all_daemons_soon_after_the_start_of_all() {
+    let mut deployment = start_young(&["a", "a"]).await;
+    let ids = begin_all(&deployment).await;
+    for daemon in &mut deployment.daemons {
+        daemon.kill();
+    }
+    for daemon in &mut deployment.daemons {
+        daemon.start();
+    }
+    for daemon in [0, 1] {
+        deployment.wait_until_ready(daemon).await;
+    }
+
+    let count = take_up_all(&deployment, &[0, 1], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
+/// Guards against a daemon without memory that takes a version for the only one soon after the
+/// deployment has started, although another has served and left.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_unknown_origin_are_refused_after_a_version_has_left() {
+    let mut deployment = start_young(&[]).await;
+    let version = deployment.store.newest("keyed.servers")["engine-0"].clone();
+    let version = String::from_utf8(version).expect("the registration is text");
+    let former = version.replace("v1", "v0");
+    deployment.store.put("keyed.servers", "engine-9", &former);
+    deployment.store.put("keyed.servers", "engine-9", "");
+    deployment.add_daemon("vm-0", "a");
+    deployment.wait_until_ready(0).await;
+
+    assert_eq!(take_up(&deployment, 0, "again", Some("unknown")).await, 503);
+    assert_eq!(deployment.count_runs("again"), 0);
+}
--- a/crates/basilgrade_edge/src/follow/registrations.rs
+++ b/crates/basilgrade_edge/src/follow/registrations.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 
 use basilgrade_adapter::store;
+use basilgrade_adapter::upstream_registration;
 use basilgrade_types::clock;
 
 use crate::core;
@@ -18,6 +19,9 @@
 /// to the store one after the other.
 const REPLY_TIMEOUT: clock::Millis = clock::Millis(2500);
 
+/// Maximum number of calls for all registrations that there have been.
+const MAX_HISTORY_CALLS: usize = 16;
+
 /// Brings the registrations that this daemon knows up to date.
 pub struct Registrations {
     core: sync::Arc<core::Core>,
@@ -26,6 +30,8 @@
     /// Number of reads that have begun.
     begun: atomic::AtomicU64,
     last: tokio::sync::Mutex<LastRead>,
+    /// Whether the read of all registrations that there have been has ended.
+    has_history: tokio::sync::Mutex<bool>,
 }
 
 #[derive(Debug)]
@@ -53,7 +59,66 @@
                 began_at: clock::Millis::ZERO,
                 outcome: Ok(()),
             }),
+            has_history: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Learns which software versions have ever served, if the store still has the first
+    /// registration, as it does soon after the start of a deployment. A daemon that has just started
+    /// then knows what it would otherwise have to observe for as long as a stream can last.
+    ///
+    /// # Errors
+    ///
+    /// A message if the store could not be read.
+    pub async fn read_history(&self) -> Result<(), String> {
+        let mut has_history = self.has_history.lock().await;
+        if *has_history {
+            return Ok(());
+        }
+        let is_complete = self.record_history().await?;
+        *has_history = true;
+        if is_complete {
+            self.core.streams().record_history();
+        }
+        log::info!("event=registrations-reviewed complete={is_complete}");
+        Ok(())
+    }
+
+    /// Records all registrations from the first one on; `false` if the store no longer has it, has
+    /// come back from a copy, or has too many.
+    async fn record_history(&self) -> Result<bool, String> {
+        let address = self.core.settings.load().store;
+        let mut from = 0;
+        for _ in 0..MAX_HISTORY_CALLS {
+            let wait = clock::Millis::ZERO;
+            let message = store::read_request(address, store::Topic::Upstreams, from, wait)
+                .map_err(|reason| reason.to_string())?;
+            let answer = reader::call(&self.core, message, wait).await?;
+            let is_original = store::era(&answer.headers) == 0;
+            let (end, first) = store::log_bounds(answer.status, &answer.body)
+                .ok_or_else(|| format!("status `{}` of the read", answer.status))?;
+            let read = store::decode_read_answer(answer.status, answer.body, from)
+                .map_err(|reason| reason.to_string())?;
+            let store::ReadOutcome::Records { records, next } = read else {
+                return Ok(false);
+            };
+            if first > 0 || !is_original {
+                return Ok(false);
+            }
+            for record in records.into_iter().flatten() {
+                // A registration that is unreadable names no upstream to use.
+                if let Some(value) = record.value
+                    && let Ok(entry) = upstream_registration::decode(&record.key, &value)
+                {
+                    self.core.record_registration(&entry);
+                }
+            }
+            if next >= end {
+                return Ok(true);
+            }
+            from = next;
         }
+        Ok(false)
     }
 
     /// Learns all registrations that the store had when the call began, through the daemon that
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -122,9 +122,14 @@
         attempt: streams::AttemptId,
         pool: &id::PoolId,
     ) -> Result<streams::Origin, String> {
+        let now = self.core.now();
+        if !self.core.streams().has_observed(now)
+            && let Err(reason) = self.registrations.read_history().await
+        {
+            log::info!("event=registrations-unread reason={reason:?}");
+        }
         // A daemon that knows of one version may be behind the one that began the stream.
         let is_current = !self.core.streams().has_several_versions(pool);
-        let now = self.core.now();
         if is_current && self.core.streams().has_observed(now) {
             self.registrations.refresh().await?;
             if let Some(origin) = self.find_observed(attempt, pool) {
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -170,6 +170,11 @@
         self.observed_since = self.observed_since.map(|_| now);
     }
 
+    /// Records that this daemon has read all registrations that there have ever been.
+    pub fn record_history(&mut self) {
+        self.observed_since = Some(clock::Millis::ZERO);
+    }
+
     /// Whether several versions have lately served in `pool`, as far as this daemon knows.
     pub fn has_several_versions(&self, pool: &id::PoolId) -> bool {
         has_several(self.versions.get(pool))
