Forget old streams while no upstream comes or goes

A daemon forgot the streams that can no longer be taken up only when its directory of upstreams changed, or a caller took a stream up that it did not know.

Found by reading, while copies were added. Streams are now forgotten when others are added, once a second.

Test: streams_are_forgotten_although_the_directory_does_not_change; it fails without the calls of `make_room`, as the first stream is still there.

--- a/crates/basilgrade_edge/src/peers/stream_copies.rs
+++ b/crates/basilgrade_edge/src/peers/stream_copies.rs
@@ -65,6 +65,7 @@
     let mut begun = core.subscribe_streams();
     let mut progress: Option<Progress> = None;
     loop {
+        core.streams().forget(core.now());
         if !core.streams().has_begun() {
             // The sender lives as long as the core, so there is no error.
             let _ = begun.changed().await;
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -70,6 +70,8 @@
     begun: collections::VecDeque<AttemptId>,
     /// Number of streams that were removed from the front of `begun`.
     dropped: u64,
+    /// Time at which old streams were forgotten last.
+    forgotten_at: clock::Millis,
     /// Time at which each version was last seen in the directory or in a stream.
     versions: IndexMap<id::PoolId, IndexMap<upstream::Version, clock::Millis>>,
     /// Pools that have come to have several versions, which is not shared yet.
@@ -87,6 +89,7 @@
             known: IndexMap::new(),
             begun: collections::VecDeque::new(),
             dropped: 0,
+            forgotten_at: clock::Millis::ZERO,
             versions: IndexMap::new(),
             unnamed: IndexSet::new(),
             routes: route_history::RouteHistory::default(),
@@ -106,6 +109,9 @@
 /// Time for which a stream is remembered beyond the longest time-out of a route.
 const LIFETIME_MARGIN: clock::Millis = clock::Millis(5000);
 
+/// Interval at which old streams are forgotten while new ones come.
+const FORGET_INTERVAL: clock::Millis = clock::Millis(1000);
+
 impl Streams {
     /// Updates the versions in service from `directory`, and drops what no stream can need:
     /// `longest` is the longest time-out of a route.
@@ -131,6 +137,14 @@
         for versions in self.versions.values_mut() {
             versions.retain(|_, seen_at| seen_at.plus(lifetime) > now);
         }
+        self.forget(now);
+        is_new
+    }
+
+    /// Forgets the streams that can no longer be taken up.
+    pub fn forget(&mut self, now: clock::Millis) {
+        let lifetime = self.lifetime;
+        self.forgotten_at = now;
         self.known
             .retain(|_, stream| stream.begun_at.plus(lifetime) > now);
         self.routes.forget(now - lifetime);
@@ -140,7 +154,13 @@
             self.begun.pop_front();
             self.dropped += 1;
         }
-        is_new
+    }
+
+    /// Forgets old streams before new ones are added, at intervals.
+    fn make_room(&mut self, now: clock::Millis) {
+        if now >= self.forgotten_at.plus(FORGET_INTERVAL) {
+            self.forget(now);
+        }
     }
 
     /// Records that an upstream has registered itself; returns whether its version is new beside
@@ -217,6 +237,7 @@
         id: AttemptId,
         entry: &upstream::Upstream,
     ) -> bool {
+        self.make_room(now);
         self.mark_seen(now, &entry.pool, &entry.version);
         let stream = Stream {
             pool: entry.pool.clone(),
@@ -385,6 +406,7 @@
 
     /// Adds copies of the streams of another daemon.
     pub fn keep(&mut self, now: clock::Millis, copies: Copies) {
+        self.make_room(now);
         for (pool, versions) in copies {
             for (version, ids) in versions {
                 for (id, age) in ids {
--- a/crates/basilgrade_fleet/tests/streams.rs
+++ b/crates/basilgrade_fleet/tests/streams.rs
@@ -284,3 +284,25 @@
     let elsewhere = one.known_origin(attempt("first"), &common::pool_id("elsewhere"));
     assert_eq!(elsewhere, Some(streams::Origin::OtherPool));
 }
+
+/// Guards against memory that grows for as long as no upstream comes or goes, both of a daemon that
+/// begins streams and of one that keeps copies.
+#[test]
+fn streams_are_forgotten_although_the_directory_does_not_change() {
+    let engine = engine(1, "v1", START);
+    let (mut one, mut keeper) = <(streams::Streams, streams::Streams)>::default();
+    one.observe(START, &directory(std::slice::from_ref(&engine)), LONGEST);
+    keeper.observe(START, &directory(std::slice::from_ref(&engine)), LONGEST);
+    one.record(START, attempt("first"), &engine);
+    keeper.keep(START, one.begun_since(START, 0, 10).0);
+    let later = START.plus(one.lifetime());
+
+    one.record(later, attempt("second"), &engine);
+    keeper.keep(later, one.begun_since(later, 1, 10).0);
+
+    for known in [&one, &keeper] {
+        assert!(!known.contains(attempt("first")));
+        assert!(known.contains(attempt("second")));
+    }
+    assert_eq!(one.begun_count(), 2);
+}
