Ignore registrations that the store does after newer ones

Registrations of an id are now ordered by `born` and `sequence`. An older one is ignored for 7 s after a newer one or its removal; the store does a write up to 6 s late. After that it counts, so that an upstream whose clock went back before its restart, or whose id another writer used once, is not out of use for good.

Tests: late_registration_does_not_bring_a_leaving_upstream_back failed without the check, and passes; latest is new.

--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -166,7 +166,18 @@
             directory.remove(&id);
             return was_known;
         };
-        self.lock_latest().record(&entry);
+        let now = self.core.now();
+        if self.lock_latest().is_late(now, &entry) {
+            log::info!(
+                "event=registration-late upstream={id} state={:?} started_at={} sequence={} origin={}",
+                entry.state,
+                entry.started_at.unwrap_or_default(),
+                entry.sequence.unwrap_or_default(),
+                origin.as_str()
+            );
+            return false;
+        }
+        self.lock_latest().record(now, &entry);
         self.core.record_registration(&entry);
         let is_same =
             known.is_some_and(|known| known.is_same_run(&entry) && known.state == entry.state);
--- a/crates/basilgrade_edge/tests/certainty.rs
+++ b/crates/basilgrade_edge/tests/certainty.rs
@@ -101,3 +101,51 @@
     assert!(core.streams().has_several_versions(&pool));
     assert_eq!(core.view.load().directory.ids().count(), 1);
 }
+
+/// Registration of the run of `i-1` that started at `born`, with this number.
+fn numbered(state: &str, born: u64, sequence: u64) -> mirror::Changes {
+    let entry = format!(
+        r#"{{"service": "pool", "address": "127.0.0.1:5", "zone": "a", "slots": 1,
+        "state": "{state}", "born": {born}, "sequence": {sequence}}}"#
+    );
+    mirror::Changes::Some(vec![("i-1".into(), Some(entry.into()))])
+}
+
+/// Guards against a leaving or removed upstream that gets requests again as the store does one of its
+/// earlier registrations late.
+#[test]
+fn late_registration_does_not_bring_a_leaving_upstream_back() {
+    let is_leaving = [numbered("draining", 1000, 13), removal()];
+    for (case, leaving) in is_leaving.into_iter().enumerate() {
+        let (mirrors, core) = new_mirrors_and_core();
+        mirrors.record_store_answer();
+        mirrors.apply_reply(new_reply(1, false, numbered("ready", 1000, 12)), true);
+        mirrors.apply_reply(new_reply(2, false, leaving), true);
+
+        mirrors.apply_reply(new_reply(3, false, numbered("ready", 1000, 9)), true);
+        mirrors.apply_reply(new_reply(4, false, numbered("ready", 900, 40)), true);
+
+        let view = core.view.load();
+        let mut known = view.directory.iter();
+        let now = core.now();
+        assert!(!known.any(|entry| entry.is_accepting(now)), "case {case}");
+    }
+}
+
+/// Guards against upstreams that stay out of use, as their registrations look older than others.
+#[test]
+fn registrations_of_a_new_start_or_without_numbers_are_used() {
+    let later = [numbered("ready", 2000, 1), registration()];
+    for (case, later) in later.into_iter().enumerate() {
+        let (mirrors, core) = new_mirrors_and_core();
+        mirrors.record_store_answer();
+        mirrors.apply_reply(new_reply(1, false, numbered("draining", 1000, 13)), true);
+
+        mirrors.apply_reply(new_reply(2, false, later), true);
+
+        let view = core.view.load();
+        let mut known = view.directory.iter();
+        let now = core.now();
+        assert!(known.any(|entry| entry.is_accepting(now)), "case {case}");
+    }
+}
