Let streams go on at their version after their route has moved

A known stream now goes on in a pool to which its route leads, if that has its version; on a split route it stays in its own pool. A search for streams whose caller leaves no longer ends that of others, which wait for it (found by reading).

--- a/crates/basilgrade/tests/soak.rs
+++ b/crates/basilgrade/tests/soak.rs
@@ -51,7 +51,7 @@
 }
 
 /// Runs to execute without arguments. A run that finds a violation is added here with the cause.
-const DEFAULT_RUNS: [Options; 4] = [
+const DEFAULT_RUNS: [Options; 5] = [
     Options {
         seed: 3,
         length: time::Duration::from_secs(20),
@@ -81,6 +81,14 @@
         selection: plan::Selection::Mixed,
         other: None,
     },
+    // Streams were refused while their route led to another pool of their version.
+    Options {
+        seed: 603,
+        length: time::Duration::from_secs(24),
+        processes: 6,
+        selection: plan::Selection::Planned,
+        other: None,
+    },
 ];
 
 /// Names of the options.
--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -422,24 +422,32 @@
     }
 }
 
-/// Guards against streams that go on in the pool to which their route was moved after they began.
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_on_a_moved_route_are_refused() {
+/// Begins streams in the pool `engine` at version `v1`, and moves their route to the pool `studio` at
+/// `version`; returns the ids of the attempts.
+async fn move_route(version: &str) -> (deployment::Deployment, Vec<String>) {
     let mut operator = operator::Operator::default();
     let mut deployment = deployment::start_with(&["a", "a"], 2, &operator.text(1)).await;
-    deployment.add_upstream_at("studio", 0, "v2").await;
+    deployment.add_upstream_at("studio", 0, version).await;
     deployment.wait_until_registered(2).await;
     let ids = begin_all(&deployment).await;
     operator.apply(operator::Change::Pools);
     deployment.publish(&operator.text(2));
     for daemon in 0..2 {
         deployment::wait_until("the route is moved", || async {
+            let before = deployment.upstream("studio-0").runs().len();
             begin(&deployment, daemon, "probe").await;
-            let runs = deployment.upstream("studio-0").runs();
-            runs.iter().any(|run| run.request == "probe")
+            deployment.upstream("studio-0").runs().len() > before
         })
         .await;
     }
+    (deployment, ids)
+}
+
+/// Guards against streams that go on at another version in the pool to which their route was moved
+/// after they began.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_on_a_route_moved_to_another_version_are_refused() {
+    let (deployment, ids) = move_route("v2").await;
 
     for (number, first) in ids.iter().enumerate() {
         let id = format!("again-{first}");
@@ -448,10 +456,8 @@
             503
         );
         let unknown = format!("unknown-{first}");
-        assert_eq!(
-            take_up(&deployment, number % 2, &unknown, Some(&unknown)).await,
-            503
-        );
+        let status = take_up(&deployment, number % 2, &unknown, Some(&unknown)).await;
+        assert_eq!(status, 503);
         assert_eq!(
             deployment.count_runs(&id) + deployment.count_runs(&unknown),
             0
@@ -459,6 +465,24 @@
     }
 }
 
+/// Guards against streams that are lost as their route was moved to a pool of the same version, or
+/// that go on in the former pool.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_on_a_moved_route_go_on_at_their_version() {
+    let (deployment, ids) = move_route("v1").await;
+
+    for (number, first) in ids.iter().enumerate() {
+        let id = format!("again-{first}");
+        assert_eq!(
+            take_up(&deployment, number % 2, &id, Some(first)).await,
+            200
+        );
+        let runs = deployment.upstream("studio-0").runs();
+        assert!(runs.iter().any(|run| run.request == id), "`{id}`");
+        assert_eq!(deployment.count_runs(&id), 1);
+    }
+}
+
 /// Guards against streams that are lost with all daemons soon after the deployment has started,
 /// when the only version has not served for as long as a stream can last.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -3,11 +3,11 @@
 //! Daemons write to it only while several versions serve in a pool, and read it only when a caller
 //! takes up a stream that they did not begin and that may have begun at several versions.
 
+use std::iter;
 use std::sync;
 
 use basilgrade_adapter::store;
 use basilgrade_adapter::stream_record;
-use basilgrade_fleet::model::route;
 use basilgrade_fleet::streams;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -80,11 +80,11 @@
         request: &request::Request,
     ) -> Result<(id::PoolId, streams::Origin), String> {
         self.core.observe_versions();
-        if let Some(known) = self.known(attempt, &request.route) {
+        if let Some(known) = self.known(attempt, request) {
             return Ok(known);
         }
         self.finder.find(attempt).await;
-        if let Some(known) = self.known(attempt, &request.route) {
+        if let Some(known) = self.known(attempt, request) {
             self.core.metrics.found_copies.inc();
             return Ok(known);
         }
@@ -92,27 +92,41 @@
         let only = self.core.streams().only_pool(&request.route, path);
         let Some(pool) = only else {
             self.read().await?;
-            let known = self.known(attempt, &request.route);
+            let known = self.known(attempt, request);
             return Ok(known.unwrap_or((request.pool.clone(), streams::Origin::Unknown)));
         };
         let origin = self.origin_in(attempt, &pool).await?;
         Ok((pool, origin))
     }
 
-    /// Pool and version of a stream that this daemon knows.
+    /// Pool and version at which a stream that this daemon knows may go on.
+    ///
+    /// If its route has been moved, it goes on in another pool that has the version, as the former
+    /// pool gets no requests any more.
     fn known(
         &self,
         attempt: streams::AttemptId,
-        route: &route::Route,
+        request: &request::Request,
     ) -> Option<(id::PoolId, streams::Origin)> {
+        let view = self.core.view.load();
         let streams = self.core.streams();
-        let pool = streams.pool(attempt)?;
-        let origin = if route.pools().any(|target| target == pool) {
-            streams.known_origin(attempt, pool)?
-        } else {
-            streams::Origin::OtherPool
+        let begun_in = streams.pool(attempt)?;
+        let origin = streams.known_origin(attempt, begun_in)?;
+        let route = &request.route;
+        if route.pools().any(|target| target == begun_in) {
+            return Some((begun_in.clone(), origin));
+        }
+        let has_version = |pool: &&id::PoolId| {
+            let mut ready = view.directory.ready(pool);
+            ready.any(|entry| streams::Origin::Version(entry.version.clone()) == origin)
         };
-        Some((pool.clone(), origin))
+        let found = iter::once(&request.pool)
+            .chain(route.pools())
+            .find(has_version);
+        Some(match found {
+            Some(pool) => (pool.clone(), origin),
+            None => (begun_in.clone(), streams::Origin::OtherPool),
+        })
     }
 
     /// Version that began the stream of the attempt `attempt`, of which other daemons keep no copy
--- a/crates/basilgrade_edge/src/peers/stream_copies.rs
+++ b/crates/basilgrade_edge/src/peers/stream_copies.rs
@@ -185,8 +185,10 @@
         let due = searched_at.plus(SEARCH_INTERVAL_PER_DAEMON.times(daemons));
         tokio::time::sleep((due - self.core.now()).duration()).await;
         *searched_at = self.core.now();
-        let ids = std::mem::take(&mut *self.wanted());
-        self.search(ids.into_iter().collect()).await;
+        let ids = self.wanted().clone();
+        self.search(ids.iter().copied().collect()).await;
+        // Others may wait for this search, which ends early if the caller of this one leaves.
+        self.wanted().retain(|id| !ids.contains(id));
     }
 
     /// Asks the keepers of this failure domain, where most streams are taken up that began there,
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -34,6 +34,9 @@
 const UNKNOWN_VERSION: &str =
     "the software version that began the stream is not known; send the request anew";
 
+/// Reason of a refusal of a stream whose route was moved to pools without its software version.
+const OTHER_POOL: &str = "the route no longer leads to the software version that began the stream; send the request anew";
+
 /// Part of the time left after which a caller may find an upstream of a version again.
 const VERSION_WAIT_DIVISOR: u64 = 4;
 
@@ -60,13 +63,17 @@
     let found = service.stream_log.origin(attempt, request).await;
     let (pool, version) = match found {
         Ok((pool, streams::Origin::Version(version))) => (pool, version),
-        Ok((_, streams::Origin::Unknown | streams::Origin::OtherPool)) => {
+        Ok((_, streams::Origin::Unknown)) => {
             let wait = left(1);
             return Err(request_failure::RequestFailure::refused(
                 UNKNOWN_VERSION,
                 wait,
             ));
         }
+        Ok((_, streams::Origin::OtherPool)) => {
+            let wait = left(1);
+            return Err(request_failure::RequestFailure::refused(OTHER_POOL, wait));
+        }
         // Another daemon may reach the store.
         Err(reason) => {
             log::warn!(
