--- a/crates/basilgrade_fleet/src/directory/latest.rs
+++ b/crates/basilgrade_fleet/src/directory/latest.rs
@@ -56,7 +56,7 @@
     /// Whether `entry`, read at `now`, is a registration that the store has done after a newer one.
     ///
     /// Registrations are ordered by the start of the upstream and their number. An older one that
-    /// still comes after [`LATE_WRITE_TTL`] is that of an upstream whose clock went back, or follows
+    /// still comes after `LATE_WRITE_TTL` is that of an upstream whose clock went back, or follows
     /// a newer one that was wrong.
     pub fn is_late(&self, now: clock::Millis, entry: &upstream::Upstream) -> bool {
         let Some(known) = self.registrations.get(&entry.id) else {
