End jobs at their deadline while all their pieces are running

Cause: Queue::next_wakeup named the deadlines of jobs only while a piece was unsent. With all pieces in running calls, the job ended when a call timed out, after four times its expected time and 500 ms.

Change: the earliest deadline of all jobs is a wake-up, and a job ends at its deadline, not after it.

--- a/crates/basilgrade/tests/caller_patience.rs
+++ b/crates/basilgrade/tests/caller_patience.rs
@@ -26,9 +26,29 @@
     document.to_string()
 }
 
+/// Returns `configuration` whose pools need `call_ms` for a call of one piece.
+fn with_calls_of(call_ms: u64, configuration: &str) -> String {
+    let mut document: serde_json::Value =
+        serde_json::from_str(configuration).expect("the configuration is JSON");
+    let services = document["services"].as_array_mut();
+    let services = services.expect("`services` is a list").iter_mut();
+    for pieces in services.filter_map(|service| service.get_mut("pieces")) {
+        pieces["call-ms"] = call_ms.into();
+    }
+    document.to_string()
+}
+
 /// Starts a daemon in front of upstreams of `pool` that send nothing for `pause_ms`.
 async fn start_with_pause(pool: &str, pause_ms: u64) -> deployment::Deployment {
-    let deployment = deployment::start_with(&["a"], 2, &configuration(300)).await;
+    start_configured(pool, pause_ms, &configuration(300)).await
+}
+
+async fn start_configured(
+    pool: &str,
+    pause_ms: u64,
+    configuration: &str,
+) -> deployment::Deployment {
+    let deployment = deployment::start_with(&["a"], 2, configuration).await;
     for number in 0..2 {
         let upstream = deployment.upstream(&format!("{pool}-{number}"));
         upstream.set_behaviour(upstream::Behaviour::Pauses(1, pause_ms));
@@ -41,21 +61,40 @@
 async fn request_whose_stages_outlast_its_callers_patience_is_refused_before_the_caller_leaves() {
     for path in ["/stream/x", "/stream-resumable/x"] {
         let deployment = start_with_pause("rank", 4000).await;
-        let request = client::staged_request("impatient", path);
-
-        let sending = client::send(deployment.daemons[0].caller_address, request, "");
-        let answer = tokio::time::timeout(PATIENCE, sending).await;
-
-        let answer = answer.expect("the daemon answers before its caller leaves");
-        let answer = answer.expect("the daemon answers");
-        assert_eq!(answer.status, 503, "{path}: {answer:?}");
-        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
-        let engines = deployment.upstreams.iter();
-        let mut engines = engines.filter(|known| known.id.starts_with("engine"));
-        assert!(engines.all(|engine| engine.runs().is_empty()), "{path}");
+
+        assert_refused_in_time(&deployment, path).await;
     }
 }
 
+/// Guards against requests that are held past the patience of their callers because all pieces of
+/// a stage are in a running call, whose time-out ends later.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_pieces_are_all_running_is_refused_before_the_caller_leaves() {
+    for path in ["/stream/x", "/stream-resumable/x"] {
+        let configuration = with_calls_of(400, &configuration(300));
+        let deployment = start_configured("rank", 8000, &configuration).await;
+
+        assert_refused_in_time(&deployment, path).await;
+    }
+}
+
+/// Sends a request for `path` and checks that it is refused before its caller leaves and that no
+/// engine has run it.
+async fn assert_refused_in_time(deployment: &deployment::Deployment, path: &str) {
+    let request = client::staged_request("impatient", path);
+
+    let sending = client::send(deployment.daemons[0].caller_address, request, "");
+    let answer = tokio::time::timeout(PATIENCE, sending).await;
+
+    let answer = answer.expect("the daemon answers before its caller leaves");
+    let answer = answer.expect("the daemon answers");
+    assert_eq!(answer.status, 503, "{path}: {answer:?}");
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+    let engines = deployment.upstreams.iter();
+    let mut engines = engines.filter(|known| known.id.starts_with("engine"));
+    assert!(engines.all(|engine| engine.runs().is_empty()), "{path}");
+}
+
 /// Guards against a stream that is given up, although an engine runs it, at the time at which most
 /// callers would have left.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/basilgrade_fleet/src/batch/queue.rs
+++ b/crates/basilgrade_fleet/src/batch/queue.rs
@@ -228,22 +228,21 @@
             .values()
             .filter_map(running::RunningCall::fetched_at);
         let fetched = pending.map(|at| at.max(now)).min();
+        let ends = self.jobs.values().map(|entry| entry.deadline.max(now));
+        let next = fetched.into_iter().chain(ends).min()?;
         let has_unsent = self.jobs.values().any(|entry| !entry.unsent.is_empty());
         if !has_unsent {
-            return fetched;
+            return Some(next);
         }
         let free = self.workers.values().map(|worker| {
             let lead = worker.free_at(now) - SEND_AHEAD;
             let pause = worker.pause(now).unwrap_or_default();
             lead.max(worker.backoff_until()).max(now.plus(pause))
         });
-        let ends = self.jobs.values().map(|entry| entry.deadline);
         let remote = self.jobs.values().map(waiting::QueuedJob::remote_from);
-        let next = free.chain(ends).chain(remote).filter(|at| *at > now).min();
         // An upstream that is overdue needs no timer: its answer or its timeout causes a dispatch.
-        let next = next
-            .unwrap_or(clock::Millis::MAX)
-            .min(now.plus(MAX_CHECK_INTERVAL));
-        Some(fetched.map_or(next, |at| at.min(next)))
+        let usable = free.chain(remote).filter(|at| *at > now).min();
+        let check = now.plus(MAX_CHECK_INTERVAL);
+        Some(next.min(usable.unwrap_or(check)).min(check))
     }
 }
--- a/crates/basilgrade_fleet/src/batch/queue/sending.rs
+++ b/crates/basilgrade_fleet/src/batch/queue/sending.rs
@@ -96,7 +96,7 @@
         let ended_outcome = |(id, entry): (&call::JobId, &waiting::QueuedJob)| {
             let is_unservable =
                 !entry.unsent.is_empty() && now.plus(shortest_call) > entry.deadline;
-            if is_unservable || now > entry.deadline {
+            if is_unservable || now >= entry.deadline {
                 return Some((*id, outcome::JobOutcome::TimedOut));
             }
             let has_lost_inputs = entry.needs_inputs()
--- a/crates/basilgrade_fleet/tests/queue.rs
+++ b/crates/basilgrade_fleet/tests/queue.rs
@@ -466,6 +466,32 @@
     assert!(wakeup > START);
 }
 
+/// Guards against jobs that are held past their deadline until a running call ends.
+#[test]
+fn job_whose_pieces_are_all_running_ends_at_its_deadline() {
+    let mut queue = queue(1);
+    let job = job("running", 8);
+    let deadline = START.plus(job.time_left);
+    let id = queue.submit(START, job);
+    let call = queue.dispatch(START).remove(0);
+    assert_eq!(call.items.len(), 8);
+
+    let mut now = START;
+    let mut steps = 0;
+    while queue.next_wakeup(now).is_some_and(|at| at <= deadline) && now < deadline {
+        now = queue
+            .next_wakeup(now)
+            .expect("a step is due")
+            .max(now.plus(clock::Millis(1)));
+        queue.dispatch(now);
+        steps += 1;
+    }
+
+    assert_eq!(queue.take_finished(), [(id, outcome::JobOutcome::TimedOut)]);
+    assert_eq!((now, queue.next_wakeup(now)), (deadline, None));
+    assert!(steps < 10, "{steps} steps until the deadline");
+}
+
 /// Guards against jobs that wait for the only upstream of a failure domain while it is backed off.
 #[test]
 fn jobs_are_handed_back_when_no_upstream_is_usable() {
