Take over configurations of which an entry is unreadable

Callers saw: a version with one route of an unknown kind, or one service whose name has a space, was never in force. Withdrawn keys stayed in use, and after a restart of all processes nothing was served.

Cause: the document was decoded as a whole, and names of services had the alphabet of this project's settings.

Change: entries are decoded one by one. Service names are any text of up to 1,024 bytes without NUL. What is unreadable is named in the log, a metric and readiness answers.

--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use basilgrade_adapter::answer;
 use basilgrade_fleet::brittleness;
 use basilgrade_fleet::budget;
@@ -55,6 +56,8 @@
     /// Upstreams that this daemon reaches through others only.
     paths: sync::Mutex<paths::Paths>,
     pub metrics: metrics::Metrics,
+    /// Why the newest configuration is not in force; `None` if it is readable.
+    pub configuration_fault: ArcSwapOption<String>,
     budget: sync::Mutex<budget::Budget>,
     /// Paces at which the engines of the pools generate tokens.
     paces: sync::Mutex<IndexMap<id::PoolId, pace::TokenPace>>,
@@ -103,6 +106,7 @@
             answers: sync::Arc::new(answers),
             settings: ArcSwap::from_pointee(settings),
             clock: clock::SystemClock::new(),
+            configuration_fault: ArcSwapOption::default(),
             run: rand::random(),
             view: ArcSwap::from_pointee(view),
             connections: pool::ConnectionPool::default(),
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -20,6 +20,7 @@
 use crate::follow::mirror;
 use crate::follow::mirrors;
 use crate::follow::origin;
+use crate::readiness;
 use crate::view;
 
 /// Age at which a daemon's registration expires; running daemons renew theirs earlier.
@@ -46,6 +47,7 @@
              origin={}",
             origin.as_str()
         );
+        self.report_unreadable_entries(&configuration);
         if let Some(known) = &known {
             let now = self.core.now();
             self.core
@@ -61,6 +63,26 @@
         Some(record)
     }
 
+    /// Names the unreadable entries of a configuration that is taken over.
+    fn report_unreadable_entries(&self, configuration: &model::Configuration) {
+        let entries = &configuration.unreadable;
+        if entries.is_empty() {
+            return;
+        }
+        self.core
+            .metrics
+            .unreadable_entries
+            .add(entries.len() as u64);
+        let names = entries.iter().take(readiness::MAX_NAMED_ENTRIES);
+        let names: Vec<_> = names.map(ToString::to_string).collect();
+        log::warn!(
+            "event=configuration-partial version={} unreadable={} entries={:?}",
+            configuration.version,
+            entries.len(),
+            names.join("; ")
+        );
+    }
+
     /// The newest readable configuration in `changes`, with its record.
     fn newest_configuration(
         &self,
@@ -70,11 +92,13 @@
         let records = changes.records();
         let mut newest: Option<(model::Configuration, _)> = None;
         let mut is_last_readable = false;
+        let mut fault = None;
         for (key, value) in records.filter(|(key, _)| store::is_configuration_key(key)) {
             let decoded = configuration::decode(value);
             is_last_readable = decoded.is_ok();
             match decoded {
                 Ok(found) => {
+                    fault = None;
                     let is_older =
                         |(known, _): &(model::Configuration, _)| known.version <= found.version;
                     if newest.as_ref().is_none_or(is_older) {
@@ -83,6 +107,7 @@
                 }
                 Err(reason) => {
                     let reason = reason.to_string();
+                    fault = Some(format!("configuration {key:?} is not in force: {reason}"));
                     self.report_unreadable(topic, "configuration", (key, value), &reason);
                 }
             }
@@ -90,6 +115,10 @@
         if is_last_readable {
             self.lock_unreadable().retain(topic, |_| false);
         }
+        if is_last_readable || fault.is_some() {
+            let fault = fault.map(sync::Arc::new);
+            self.core.configuration_fault.store(fault);
+        }
         newest
     }
 
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -103,6 +103,8 @@
     store_failures = "store_failures",
     /// Store records that cannot be decoded.
     unreadable_records = "unreadable_records",
+    /// Entries of configurations taken over that were left out, as they are unreadable.
+    unreadable_entries = "configuration_entries_unreadable",
 }
 
 /// Monotonic counter.
--- a/crates/basilgrade_edge/src/readiness.rs
+++ b/crates/basilgrade_edge/src/readiness.rs
@@ -18,7 +18,11 @@
 use crate::core;
 use crate::listener;
 
-/// Answers readiness probes; never returns.
+/// Maximum number of unreadable entries of a configuration that are named.
+pub(crate) const MAX_NAMED_ENTRIES: usize = 8;
+
+/// Answers readiness probes; the body lists what is unreadable in the newest configuration. Never
+/// returns.
 pub async fn run(core: sync::Arc<core::Core>, socket: net::TcpListener) {
     serve(socket, move |message| {
         let status = match (process::is_readiness(message.uri().path()), core.is_ready()) {
@@ -26,11 +30,26 @@
             (true, true) => StatusCode::OK,
             (true, false) => StatusCode::SERVICE_UNAVAILABLE,
         };
-        (status, String::new())
+        (status, describe_faults(&core))
     })
     .await;
 }
 
+/// Lines about what is unreadable in the newest configuration.
+fn describe_faults(core: &core::Core) -> String {
+    let view = core.view.load();
+    let record = core.configuration_fault.load_full();
+    let record = record.map(|fault| fault.to_string());
+    let entries = view.configuration.iter().flat_map(|known| {
+        let entries = known.unreadable.iter().take(MAX_NAMED_ENTRIES);
+        entries.map(|entry| format!("configuration {}: {entry}", known.version))
+    });
+    let faults = record.into_iter().chain(entries);
+    // Faults quote texts of the configuration, which may have line breaks.
+    let lines = faults.map(|fault| format!("{}\n", fault.escape_debug()));
+    lines.collect()
+}
+
 /// Serves `/metrics` in the Prometheus text format; never returns.
 pub async fn run_metrics(core: sync::Arc<core::Core>, socket: net::TcpListener) {
     serve(socket, move |message| match message.uri().path() {
--- a/crates/basilgrade_fleet/src/model/configuration.rs
+++ b/crates/basilgrade_fleet/src/model/configuration.rs
@@ -1,5 +1,7 @@
 //! One version of the deployment's configuration.
 
+use std::fmt;
+
 use basilgrade_types::id;
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -21,6 +23,22 @@
     pub limits: limits::Limits,
     /// Customers by API key; `None` if the deployment does not authenticate callers.
     pub customers: Option<IndexMap<CompactString, customer::Customer>>,
+    /// Entries that were left out.
+    pub unreadable: Vec<UnreadableEntry>,
+}
+
+/// Entry of a configuration that cannot be read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UnreadableEntry {
+    /// List and index of the entry.
+    pub entry: CompactString,
+    pub reason: String,
+}
+
+impl fmt::Display for UnreadableEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.entry, self.reason)
+    }
 }
 
 impl Configuration {
--- a/crates/basilgrade_types/src/id.rs
+++ b/crates/basilgrade_types/src/id.rs
@@ -97,3 +97,49 @@
     /// The id of a VM of the deployment.
     VmId
 );
+
+/// Bytes that are percent-encoded in ids of names that no id allows.
+const ENCODED: &percent_encoding::AsciiSet = &percent_encoding::NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.');
+
+/// The maximum length of a name that [`PoolId::encode`] accepts, in bytes.
+pub const POOL_NAME_LIMIT: usize = 1024;
+
+impl PoolId {
+    /// Id of the pool that is named `name`, text of 1 to [`POOL_NAME_LIMIT`] bytes without a NUL
+    /// character.
+    ///
+    /// A valid id is its own; any other name is percent-encoded, so that names and ids correspond.
+    ///
+    /// # Errors
+    ///
+    /// [`parse::ParseError`] if the name is empty, too long or contains a NUL character.
+    pub fn encode(name: &str) -> Result<Self, parse::ParseError> {
+        if name.is_empty() || name.len() > POOL_NAME_LIMIT || name.contains('\0') {
+            return Err(parse::ParseError::new(
+                name,
+                "a name of 1 to 1024 bytes without a NUL character",
+            ));
+        }
+        Ok(name.parse().unwrap_or_else(|_| {
+            let encoded = percent_encoding::utf8_percent_encode(name, ENCODED);
+            Self(encoded.collect())
+        }))
+    }
+
+    /// Reads an id that [`PoolId::encode`] returned.
+    ///
+    /// # Errors
+    ///
+    /// [`parse::ParseError`] if `text` is no such id.
+    pub fn decode(text: &str) -> Result<Self, parse::ParseError> {
+        let name = percent_encoding::percent_decode_str(text).decode_utf8_lossy();
+        let id = Self::encode(&name)?;
+        if id.as_str() != text {
+            return Err(parse::ParseError::new(text, "the id of a pool"));
+        }
+        Ok(id)
+    }
+}
--- a/crates/basilgrade_types/tests/text.rs
+++ b/crates/basilgrade_types/tests/text.rs
@@ -41,6 +41,25 @@
         prop_assert_eq!(key.slot(), slot);
     }
 
+    /// Guards against names of services that share an id, or whose id is read back as another one.
+    #[test]
+    fn names_of_any_text_are_told_apart_by_their_ids(name in "[^\0]{1,80}", other in "[a%20-]{1,5}") {
+        let encode = |text: &str| id::PoolId::encode(text).expect("the name is valid");
+        let ids = [encode(&name), encode(&other), encode(encode(&name).as_str())];
+        for id in &ids {
+            prop_assert_eq!(id::PoolId::decode(id.as_str()), Ok(id.clone()));
+            let is_word = |c: char| c.is_alphanumeric() || "-_.%".contains(c);
+            prop_assert!(id.as_str().chars().all(is_word));
+        }
+        prop_assert_eq!(name == other, ids[0] == ids[1]);
+        prop_assert_eq!(encode(&name).as_str() == name, ids[0] == ids[2]);
+        let long = "%".repeat(id::POOL_NAME_LIMIT);
+        prop_assert!(id::PoolId::encode(&long).is_ok());
+        for invalid in ["", "a\0b", &format!("{long}%")] {
+            prop_assert!(id::PoolId::encode(invalid).is_err());
+        }
+    }
+
     /// Guards against panics and error messages of unbounded length when arbitrary text is parsed.
     #[test]
     fn parsing_arbitrary_text_gives_short_errors(text in "\\PC{0,120}") {
