Test that numbers at their limits are served

Guards against a version of the configuration whose extreme numbers end a daemon or keep a route from being served; passes without a change.

--- a/crates/basilgrade/tests/partial_configurations.rs
+++ b/crates/basilgrade/tests/partial_configurations.rs
@@ -113,6 +113,44 @@
     assert_served_in_part(&deployment, "after-a-restart").await;
 }
 
+/// Guards against numbers at their limits that end the daemon or keep their route from being served.
+#[tokio::test(flavor = "multi_thread")]
+async fn numbers_at_their_limits_are_served() {
+    let deployment = deployment::start_with(&["a"], 2, &deployment::without_stages()).await;
+    let text = deployment::without_stages();
+    let mut document: serde_json::Value = serde_json::from_str(&text).expect("valid JSON");
+    document["version"] = u64::MAX.into();
+    let routes = document["routes"].as_array_mut();
+    for (number, route) in routes.expect("`routes` is a list").iter_mut().enumerate() {
+        let extreme = if number % 2 == 0 { u64::MAX } else { 0 };
+        for field in ["target-latency-ms", "gap-target-ms"] {
+            route[field] = extreme.into();
+        }
+        route["timeout-ms"] = u64::MAX.into();
+        route["priority"] = 255.into();
+        route["max-attempts"] = u32::MAX.into();
+    }
+    document["services"][0]["max-connections"] = u32::MAX.into();
+    document["services"][1]["engine"] = json!({"slots": u32::MAX, "kv-capacity": u64::MAX});
+    for field in ["max-body-bytes", "header-timeout-ms", "idle-timeout-ms"] {
+        document["limits"][field] = u64::MAX.into();
+    }
+    let keys = json!(["key-one", "key-new"]);
+    document["tenants"] = json!([{"name": "customer-one", "api-keys": keys, "priority": 255}]);
+
+    deployment.publish(&document.to_string());
+
+    deployment::wait_until("the version is in force", || async {
+        send(&deployment, "probe", "/once/x", "key-new").await == 200
+    })
+    .await;
+    for path in ["/once/x", "/safe/x", "/stream/x", "/stream-resumable/x"] {
+        let id = format!("extreme-{path}");
+        assert_eq!(send(&deployment, &id, path, "key-one").await, 200, "{path}");
+    }
+    assert_eq!(readiness_text(&deployment).await, "");
+}
+
 /// Guards against an unreadable version that no one learns of but from the log.
 #[tokio::test(flavor = "multi_thread")]
 async fn unreadable_version_is_named_while_the_earlier_one_serves() {
