Derive the waits for news from the bounds, and end calls of unanswered readers

Callers saw: requests reached an upstream up to 2.58 s after the store had acknowledged that it leaves, where the bound is 2.5 s.

Cause: a follower's call to a reader that the store no longer answers was held until its end, up to 0.7 s. With a reader that falls silent itself and a slow store, the waits add up to 2.65 s.

Change: losing the store ends the calls that a reader holds. The hold time and the operators' long poll follow from the bounds in the settings, so that each chain ends 100 ms before; news_pace tests them for all bounds from 2.5 s on. Deployments with 3 s or more keep their times.

--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -148,7 +148,8 @@
         self.lock().each_ref().map(mirror::Mirror::position)
     }
 
-    /// Receiver that is notified of each applied update of a topic.
+    /// Receiver that is notified of each applied update of a topic, and when the store no longer
+    /// answers this daemon, so that others need not wait for it.
     pub fn subscribe_changes(&self) -> tokio::sync::watch::Receiver<u64> {
         self.changed.subscribe()
     }
@@ -238,6 +239,7 @@
             .swap(false, atomic::Ordering::Relaxed)
         {
             log::warn!("event=dependency-lost dependency=store reason={reason:?}");
+            self.changed.send_modify(|count| *count += 1);
         }
     }
 
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -5,6 +5,7 @@
 
 use basilgrade_adapter::record;
 use basilgrade_adapter::store;
+use basilgrade_fleet::news_pace;
 use basilgrade_types::clock;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,19 +17,6 @@
 use crate::follow::position;
 use crate::http::pool;
 
-/// Interval between reads of the topic of upstreams, to which each heartbeat of an upstream is
-/// appended.
-///
-/// Each read is billed. Two intervals plus the answer time of the store stay within the strictest
-/// limit on noticing that an upstream has left, 2.5 s.
-const UPSTREAM_READ_INTERVAL: clock::Millis = clock::Millis(1000);
-
-/// Long-poll time of a read of the topic of operators, which carries the configuration.
-///
-/// A waiting read can miss a record that is appended while the read arrives at the store, so the
-/// wait ends well within the strictest limit on applying a configuration, 2.5 s.
-const CONFIGURATION_WAIT: clock::Millis = clock::Millis(1200);
-
 /// Long-poll time of a read of the topic of daemons; no limit applies to noticing its changes.
 const DAEMON_WAIT: clock::Millis = clock::Millis(10_000);
 
@@ -36,14 +24,6 @@
 /// the registrations of daemons that start at the same time.
 const DAEMON_READ_INTERVAL: clock::Millis = clock::Millis(800);
 
-/// Time from the start of this daemon in which it does not read again what it has loaded. Daemons
-/// that start together find their reader in this time, so most of them need no further read. It is
-/// well within the strictest limit on learning news, 2.5 s.
-const SETTLE_TIME: clock::Millis = clock::Millis(1500);
-
-/// Time-out of a store call beyond its long-poll time; a slow store takes up to 500 ms to answer.
-const ANSWER_TIMEOUT: clock::Millis = clock::Millis(900);
-
 /// Time-out for connecting to the store.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(600);
 
@@ -88,7 +68,7 @@
         topic: store::Topic,
     ) -> Self {
         Self {
-            settled_at: core.now().plus(SETTLE_TIME),
+            settled_at: core.now().plus(news_pace::SETTLE_TIME),
             core,
             mirrors,
             topic,
@@ -225,7 +205,7 @@
     /// Reads appended records repeatedly; reloads the newest records if the store has expired some.
     async fn follow(&self) {
         let wait = match self.topic {
-            store::Topic::Operators => CONFIGURATION_WAIT,
+            store::Topic::Operators => self.core.settings.load().news_pace().operator_wait,
             store::Topic::Upstreams => clock::Millis::ZERO,
             store::Topic::Daemons => DAEMON_WAIT,
         };
@@ -255,7 +235,7 @@
                 if !self.mirrors.is_uncertain() {
                     self.mirrors.expire_missing();
                 }
-                let pause = self.mirrors.read_pause(UPSTREAM_READ_INTERVAL);
+                let pause = self.mirrors.read_pause(news_pace::READ_INTERVAL);
                 tokio::time::sleep(pause.duration()).await;
             } else if self.topic == store::Topic::Daemons {
                 tokio::time::sleep(DAEMON_READ_INTERVAL.duration()).await;
@@ -340,7 +320,7 @@
     }
 }
 
-/// Makes one call to the store with the time-out [`ANSWER_TIMEOUT`], extended by the long-poll time
+/// Makes one call to the store with the time-out [`news_pace::STORE_TIMEOUT`], extended by the long-poll time
 /// `wait`.
 pub(super) async fn call(
     core: &core::Core,
@@ -350,7 +330,7 @@
     core.metrics.store_calls.inc();
     let address = core.settings.load().store;
     let call = core.connections.call(address, message, "", CONNECT_TIMEOUT);
-    tokio::time::timeout(wait.plus(ANSWER_TIMEOUT).duration(), call)
+    tokio::time::timeout(wait.plus(news_pace::STORE_TIMEOUT).duration(), call)
         .await
         .map_err(|_| "no answer from the store within the time-out".to_owned())?
         .map_err(|failure| failure.to_string())
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -10,6 +10,7 @@
 
 use basilgrade_adapter::store;
 use basilgrade_fleet::daemon;
+use basilgrade_fleet::news_pace;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use indexmap::IndexMap;
@@ -20,15 +21,6 @@
 use crate::follow::position;
 use crate::peers::service;
 
-/// Long-poll time: how long the reader waits for a change before it answers without updates.
-const HOLD_TIME: clock::Millis = clock::Millis(700);
-
-/// Time-out for the reader's answer beyond the long-poll time.
-///
-/// If the reader fails, updates are delayed by the long-poll time, this time-out and the time to
-/// connect to the store, in total less than the strictest limit on applying a configuration, 2.5 s.
-const ANSWER_TIMEOUT: clock::Millis = clock::Millis(450);
-
 /// Interval at which a daemon that reads the store itself determines the reader again.
 const READER_CHECK_INTERVAL: clock::Millis = clock::Millis(400);
 
@@ -68,6 +60,7 @@
         let mut source: Option<id::VmId> = None;
         let mut has_followed = false;
         loop {
+            let hold_time = self.core.settings.load().news_pace().hold_time;
             let now = self.core.now();
             unable.retain(|_, until| *until > now);
             let is_able = |daemon: &daemon::Daemon| !unable.contains_key(&daemon.name);
@@ -82,12 +75,16 @@
             // A daemon that starts asks for an answer at once, to stop reading. Later, the wait leaves
             // time for a read of the store after the reader was lost: the next one may be behind.
             let wait = if has_followed {
-                HOLD_TIME
+                hold_time
             } else {
                 clock::Millis::ZERO
             };
             match self
-                .fetch_updates(reader.address, wait, HOLD_TIME.plus(ANSWER_TIMEOUT))
+                .fetch_updates(
+                    reader.address,
+                    wait,
+                    hold_time.plus(news_pace::READER_TIMEOUT),
+                )
                 .await
             {
                 Ok(updates) if updates.is_store_reachable => {
--- a/crates/basilgrade_edge/src/settings.rs
+++ b/crates/basilgrade_edge/src/settings.rs
@@ -4,6 +4,7 @@
 use std::str;
 
 use basilgrade_fleet::budget;
+use basilgrade_fleet::news_pace;
 use basilgrade_types::clock;
 use basilgrade_types::id;
 use basilgrade_types::size;
@@ -13,6 +14,9 @@
 /// Interval at which upstreams renew their registrations if the settings do not state it.
 const DEFAULT_HEARTBEAT: clock::Millis = clock::Millis(1200);
 
+/// Bound on learning a change if the settings do not state it.
+const DEFAULT_NEWS_BOUND: clock::Millis = clock::Millis(2500);
+
 /// Memory of the VM if the settings do not state it: that of the smallest VM.
 const DEFAULT_MEMORY: size::ByteCount = size::ByteCount(160_000_000);
 
@@ -59,6 +63,8 @@
     pub store: net::SocketAddr,
     /// Interval at which upstreams renew their registrations.
     pub heartbeat: clock::Millis,
+    /// Longest time from the acknowledgement of a change by the store until the daemon acts on it.
+    pub news_bound: clock::Millis,
     /// Time from the termination signal until the platform kills the process.
     pub grace: clock::Millis,
     /// Retry budget, shared by all daemons.
@@ -69,6 +75,13 @@
     pub level: log::LevelFilter,
 }
 
+impl Settings {
+    /// Times at which changes in the store are read and passed on.
+    pub fn news_pace(&self) -> news_pace::NewsPace {
+        news_pace::NewsPace::within(self.news_bound)
+    }
+}
+
 struct SectionReader {
     file: ini::Ini,
 }
@@ -112,6 +125,14 @@
             .ok_or_else(|| SettingsError::Invalid(section, key.into(), text.into()))
     }
 
+    /// Parses the duration of `key` in the section `[bounds]`.
+    fn bound(&self, key: &'static str) -> Result<clock::Millis, SettingsError> {
+        match self.file.get_from(Some("bounds"), key) {
+            None | Some("") => Ok(DEFAULT_NEWS_BOUND),
+            Some(_) => self.duration("bounds", key),
+        }
+    }
+
     /// Parses the memory of the VM, a size with a unit.
     fn memory(&self) -> Result<size::ByteCount, SettingsError> {
         let (section, key) = ("limits", "memory");
@@ -195,6 +216,7 @@
         seeds: reader.seeds()?,
         store: reader.value("platform", "address")?,
         heartbeat,
+        news_bound: reader.bound("leaving")?.min(reader.bound("configuration")?),
         grace: reader.duration("shutdown", "grace")?,
         retries: budget::Config {
             ratio: reader.value("retries", "ratio")?,
--- a/crates/basilgrade_fleet/src/lib.rs
+++ b/crates/basilgrade_fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod keepers;
 pub mod limit;
 pub mod model;
+pub mod news_pace;
 pub mod notices;
 pub mod outage;
 pub mod pace;
