Answer 502 for requests whose upstream refuses them after it may have run them

Callers saw: an upstream ran a request that may run at most once and answered 503, 429 or 408 without stating that it had not; the status was passed on, and callers repeat any request after it.

Cause: the promise of these statuses was kept for the daemon's own refusals only.

Evidence: request_that_may_have_run_is_not_refused fails on the commit before (408 instead of 502).

Change: such an answer is a failure if the request must not run twice.

--- a/crates/basilgrade/tests/edge_support/upstream.rs
+++ b/crates/basilgrade/tests/edge_support/upstream.rs
@@ -46,6 +46,8 @@
     PausesAndBreaks(u64, u64, u64),
     /// Runs requests and never answers.
     Silent,
+    /// Runs requests and answers with this status and `Retry-After`, as if it had not run them.
+    RunsAndRefuses(u16),
     /// Runs requests; closes the connection without an answer if the prompt has the part named
     /// here.
     CrashesOn(&'static str),
@@ -289,6 +291,13 @@
                 return Some(answer);
             }
             Behaviour::Silent => std::future::pending().await,
+            Behaviour::RunsAndRefuses(status) => {
+                let mut answer = Response::new(server::full_body("no room"));
+                *answer.status_mut() = StatusCode::from_u16(status).ok()?;
+                let wait = hyper::header::HeaderValue::from_static("1");
+                answer.headers_mut().insert("retry-after", wait);
+                answer
+            }
             _ if request.uri().path().starts_with("/stream") => self.events(&request, behaviour),
             Behaviour::Pauses(1, pause) => {
                 tokio::time::sleep(time::Duration::from_millis(pause)).await;
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -286,6 +286,15 @@
         entry.stats.record(core.now(), health::Outcome::Failed);
         return Outcome::Failed(reason.to_owned(), None);
     }
+    // Its caller would repeat the request.
+    if answer.is_false_refusal() && !request.route.kind.is_repeatable() {
+        entry.stats.record(core.now(), health::Outcome::Failed);
+        let reason = format!(
+            "the upstream sent status `{}` without stating that the request has not run",
+            answer.status.as_u16()
+        );
+        return Outcome::Failed(reason, None);
+    }
     let buffered = BufferedAnswer {
         upstream: entry.id.clone(),
         status: answer.status,
