--- a/crates/basilgrade/tests/edge_support/mod.rs
+++ b/crates/basilgrade/tests/edge_support/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod path;
 #[path = "../support/port.rs"]
 pub(crate) mod port;
+pub(crate) mod raw_upstream;
 pub(crate) mod server;
 pub(crate) mod store;
 pub(crate) mod upstream;
