Reject messages with a transfer coding beside chunked

Callers saw: an answer in "gzip, chunked" as a whole one without the coding; upstreams got the encoded body of such a request as plain.

Cause: the HTTP library decodes chunks only, and the header ends with its connection.

--- a/crates/basilgrade/tests/odd_framing.rs
+++ b/crates/basilgrade/tests/odd_framing.rs
@@ -7,6 +7,8 @@
 use edge_support::client;
 use edge_support::deployment;
 use edge_support::raw_upstream;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
 
 /// Answers with one event, which break right after it: within a chunk, by a chunk that is none, or
 /// before the length that they state.
@@ -65,3 +67,43 @@
     assert_eq!(answer.status, 200, "{answer:?}");
     assert_eq!(answer.headers["x-engine-signature"], "raw");
 }
+
+/// Guards against an answer that the caller takes for whole although its body is still encoded.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_with_a_second_transfer_coding_is_not_forwarded() {
+    let bytes = "HTTP/1.1 200 OK\r\nx-attempt-id: one\r\nx-engine-signature: raw\r\n\
+                 transfer-encoding: gzip, chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+
+    let answer = answer_to(bytes, "desk", "/once/x").await;
+
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
+/// Guards against a request that runs with an encoded body, whose coding its upstream is not told.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_a_second_transfer_coding_is_rejected() {
+    let deployment = deployment::start_with(&["a"], 1, &deployment::without_stages()).await;
+    for (coding, status) in [("chunked", "200"), ("Gzip, Chunked", "501")] {
+        let address = deployment.daemons[0].caller_address;
+        let mut stream = tokio::net::TcpStream::connect(address)
+            .await
+            .expect("the daemon listens");
+        let request = format!(
+            "POST /once/x HTTP/1.1\r\nhost: users.example\r\nx-attempt-id: {coding}\r\n\
+             authorization: Bearer key-one\r\ntransfer-encoding: {coding}\r\nconnection: close\r\n\
+             \r\n4\r\ndone\r\n0\r\n\r\n"
+        );
+        let sent = stream.write_all(request.as_bytes()).await;
+        sent.expect("the daemon reads");
+        let mut answer = String::new();
+
+        let read = stream.read_to_string(&mut answer).await;
+
+        read.expect("the daemon answers");
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")),
+            "{answer}"
+        );
+        assert_eq!(deployment.count_runs(coding), usize::from(status == "200"));
+    }
+}
--- a/crates/basilgrade_edge/src/serve/request_reader.rs
+++ b/crates/basilgrade_edge/src/serve/request_reader.rs
@@ -5,6 +5,7 @@
 
 use basilgrade_adapter::forwarded_head;
 use basilgrade_adapter::incoming_head;
+use basilgrade_adapter::transfer_coding;
 use basilgrade_fleet::model::configuration;
 use basilgrade_fleet::model::customer;
 use basilgrade_fleet::model::fingerprint;
@@ -123,6 +124,12 @@
     known: Option<&configuration::Configuration>,
     parts: &hyper::http::request::Parts,
 ) -> Result<CheckedHead, request_failure::RequestFailure> {
+    if transfer_coding::has_other_than_chunked(&parts.headers) {
+        return Err(rejected(
+            StatusCode::NOT_IMPLEMENTED,
+            "the body has a transfer coding beside `chunked`; send it without",
+        ));
+    }
     let configuration = known.ok_or_else(|| {
         request_failure::RequestFailure::unavailable(
             "the daemon has not received a configuration yet; retry later",
