Leave out evidence that the store does after newer evidence

Cause: evidence of other daemons was replaced in the order of the log.

Evidence: late_record_does_not_hide_newer_evidence fails on the commit before and passes.

Change: of a daemon's records about a suspect, the one with the latest change counts. docs/platform.md lists what orders each record.

--- a/crates/basilgrade_fleet/src/suspects.rs
+++ b/crates/basilgrade_fleet/src/suspects.rs
@@ -304,7 +304,21 @@
     }
 
     /// Replaces the evidence of other daemons, and of earlier processes of this one.
-    pub fn replace_others(&mut self, others: IndexMap<Suspect, IndexMap<id::VmId, Evidence>>) {
+    ///
+    /// A record that is older than the one known of its daemon is left out, as the store may do a write
+    /// late.
+    pub fn replace_others(&mut self, mut others: IndexMap<Suspect, IndexMap<id::VmId, Evidence>>) {
+        for (suspect, known) in &mut self.others {
+            let Some(found) = others.get_mut(suspect) else {
+                continue;
+            };
+            for (daemon, evidence) in found {
+                let newer = known.swap_remove(daemon);
+                if let Some(newer) = newer.filter(|newer| newer.seen_at > evidence.seen_at) {
+                    *evidence = newer;
+                }
+            }
+        }
         self.others = others;
         let own = self.own.keys().chain(self.blocked.keys());
         let known: IndexSet<_> = own.chain(self.others.keys()).copied().collect();
--- a/crates/basilgrade_fleet/tests/suspects.rs
+++ b/crates/basilgrade_fleet/tests/suspects.rs
@@ -85,6 +85,29 @@
     assert!(one.is_blocked(&[DEADLY]) && !one.is_blocked(&[SOUND]));
 }
 
+/// Guards against a deadly part that is let through again, as the store does an older write of a daemon
+/// after a newer one.
+#[test]
+fn late_record_does_not_hide_newer_evidence() {
+    let (mut writer, mut reader) = <(suspects::Suspects, suspects::Suspects)>::default();
+    let records = |from: &mut suspects::Suspects| -> IndexMap<_, IndexMap<_, _>> {
+        let changed = from.take_changed(&name("writer")).into_iter();
+        let by_daemon = changed.map(|(part, known)| (part, [(name("writer"), known)].into()));
+        by_daemon.collect()
+    };
+    record_breaks(&mut writer, 0, 2, STEP, &[DEADLY]);
+    let older = records(&mut writer);
+    record_breaks(&mut writer, 2, 1, STEP, &[DEADLY]);
+    reader.replace_others(records(&mut writer));
+    assert!(reader.is_blocked(&[DEADLY]));
+
+    reader.replace_others(older);
+
+    assert!(reader.is_blocked(&[DEADLY]));
+    reader.replace_others(IndexMap::new());
+    assert!(!reader.is_blocked(&[DEADLY]));
+}
+
 /// Guards against sound parts that are blocked because several engines, or the daemon's own
 /// network, fail together.
 #[test]
