Copy streams as soon as a keeper is known

Cause: a daemon without a keeper looked for one again after 1 s only.

Change: it looks every 50 ms while it knows none.

--- a/crates/basilgrade_edge/src/peers/stream_copies.rs
+++ b/crates/basilgrade_edge/src/peers/stream_copies.rs
@@ -28,6 +28,9 @@
 /// takes another one's place is noticed.
 const KEEPER_CHECK_INTERVAL: clock::Millis = clock::Millis(1000);
 
+/// Interval between searches for a keeper while none is known.
+const KEEPER_SEARCH_INTERVAL: clock::Millis = clock::Millis(50);
+
 /// Delay before the next daemon gets the copies of one that does not take them.
 const RETRY_DELAY: clock::Millis = clock::Millis(20);
 
@@ -79,7 +82,7 @@
         }
         let Some(keeper) = target(core, copy) else {
             progress = None;
-            tokio::time::sleep(KEEPER_CHECK_INTERVAL.duration()).await;
+            tokio::time::sleep(KEEPER_SEARCH_INTERVAL.duration()).await;
             continue;
         };
         progress = send_batch(core, keeper, progress).await;
