Let the daemons of a new deployment learn of each other sooner

Cause: registrations were written 0.5 s and read 0.8 s after the start of a daemon; until then no other daemon keeps copies of its streams.

Change: the registration is looked for 20 ms after the first load, and the topic is read again after 0.2 s if no other daemon is known.

--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -24,6 +24,10 @@
 /// the registrations of daemons that start at the same time.
 const DAEMON_READ_INTERVAL: clock::Millis = clock::Millis(800);
 
+/// The same after the first load if that names no other daemon, as in the first start of a deployment:
+/// until this daemon knows others, none keeps copies of its streams.
+const FIRST_DAEMON_READ_INTERVAL: clock::Millis = clock::Millis(200);
+
 /// Time-out for connecting to the store.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(600);
 
@@ -94,7 +98,13 @@
                     continue;
                 }
                 if self.topic == store::Topic::Daemons {
-                    tokio::time::sleep(DAEMON_READ_INTERVAL.duration()).await;
+                    let is_first = self.core.view.load().daemons <= 1;
+                    let interval = if is_first {
+                        FIRST_DAEMON_READ_INTERVAL
+                    } else {
+                        DAEMON_READ_INTERVAL
+                    };
+                    tokio::time::sleep(interval.duration()).await;
                 }
             }
             failures = 0;
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -20,6 +20,9 @@
 /// Interval between checks of whether the registration is missing or due for renewal.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(500);
 
+/// The same until the registration has been looked for once after the start.
+const FIRST_CHECK_INTERVAL: clock::Millis = clock::Millis(20);
+
 /// Time in which a registration that the store has acknowledged is not written again, although it is
 /// not in the mirror yet.
 const ACKNOWLEDGED_TTL: clock::Millis = clock::Millis(3000);
@@ -39,8 +42,14 @@
 pub async fn keep_registered(core: sync::Arc<core::Core>, mirrors: sync::Arc<mirrors::Mirrors>) {
     let mut backoff = backoff::Backoff::default();
     let mut acknowledged_at: Option<clock::Millis> = None;
+    let mut has_looked = false;
     loop {
-        tokio::time::sleep(CHECK_INTERVAL.duration()).await;
+        let interval = if has_looked {
+            CHECK_INTERVAL
+        } else {
+            FIRST_CHECK_INTERVAL
+        };
+        tokio::time::sleep(interval.duration()).await;
         let is_acknowledged =
             acknowledged_at.is_some_and(|at| at.plus(ACKNOWLEDGED_TTL) > core.now());
         // Until the topic of daemons has been read, it is unknown whether a registration exists.
@@ -50,6 +59,7 @@
         {
             continue;
         }
+        has_looked = true;
         let own = own_registration(&core);
         let is_current = |known: &daemon::Daemon| {
             known.name == own.name
