Teach the soak releases, losses of power, late writes and odd configurations

Plan "releases": pools and later releases of two software versions, routes split between them, two daemons lost at once from the first half second on, take-ups after up to 1.5 s, a silent store and registrations that the store does late. New checks: a stream has events of one version; the newest API key is served at the start and the end of a run. All runs have unusual names of customers and services and a route of an unknown kind, unless daemons of an earlier build run. Registrations have rising numbers and starts, as repeated ones count as late.

--- a/crates/basilgrade/tests/edge_support/operator.rs
+++ b/crates/basilgrade/tests/edge_support/operator.rs
@@ -31,8 +31,20 @@
 pub(crate) struct Operator {
     /// Changes that are in force.
     changes: Vec<Change>,
+    /// Whether the configurations have unusual names, and a route of a kind that no build knows.
+    has_odd_entries: bool,
 }
 
+/// Names of customers that hold the API key of a version.
+const ODD_NAMES: [&str; 6] = [
+    "Salon Sur",
+    "50%/d\u{ed}a; a, b",
+    "\"quoted\"",
+    "\u{30b5}\u{30ed}\u{30f3} \u{5357}",
+    "tab\there",
+    "x",
+];
+
 /// Pool that routes of `pool` move to.
 fn other_pool(pool: &str) -> &'static str {
     if pool == "desk" { "till" } else { "studio" }
@@ -46,7 +58,33 @@
     service
 }
 
+/// Gives the API key of `version` to a customer with an unusual name, and adds a service with such a
+/// name and a route of an unknown kind.
+fn add_odd_entries(document: &mut serde_json::Value, version: u64) {
+    let name = ODD_NAMES[version as usize % ODD_NAMES.len()];
+    document["tenants"] = json!([
+        {"name": "customer-one", "api-keys": ["key-one"], "priority": 1},
+        {"name": name, "api-keys": [api_key(version)], "priority": 1},
+    ]);
+    let routes = document["routes"].as_array_mut();
+    let routes = routes.expect("`routes` is a list");
+    let mut unknown = routes[0].clone();
+    unknown["kind"] = "of-a-later-release".into();
+    unknown["path-prefix"] = "/unknown/".into();
+    routes.push(unknown);
+    let services = document["services"].as_array_mut();
+    services.expect("`services` is a list").push(service(name));
+}
+
 impl Operator {
+    /// Creates an operator, whose configurations may have unusual names and a route of an unknown kind.
+    pub(crate) fn new(has_odd_entries: bool) -> Self {
+        Self {
+            has_odd_entries,
+            ..Self::default()
+        }
+    }
+
     /// Makes `change`, or takes it back if it is in force.
     pub(crate) fn apply(&mut self, change: Change) {
         if self.has(change) {
@@ -85,6 +123,9 @@
             document["limits"] = json!({"max-header-bytes": 8192, "max-body-bytes": 2048,
                 "header-timeout-ms": 2000, "idle-timeout-ms": 10000});
         }
+        if self.has_odd_entries {
+            add_odd_entries(&mut document, version);
+        }
         document.to_string()
     }
 
--- a/crates/basilgrade/tests/soak.rs
+++ b/crates/basilgrade/tests/soak.rs
@@ -3,8 +3,8 @@
 //! Faults are injected from outside the daemons: with signals, and with proxies between daemons,
 //! upstreams and the store. After a run, invariants are checked against what callers and upstreams
 //! observed. Without arguments, the runs in `DEFAULT_RUNS` are executed; `--seed`, `--minutes`,
-//! `--processes` and `--plan` (`faults`, `planned` or `mixed`) select another run. With `--other-build PATH`, daemons of the current build run
-//! beside daemons of the program at that path, and each restart changes the build of a daemon.
+//! `--processes` and `--plan` (`faults`, `planned`, `mixed` or `releases`) select another run. With
+//! `--other-build PATH`, daemons of the current build run beside daemons of the program at that path, and each restart changes the build of a daemon.
 
 #[path = "soak/caller.rs"]
 mod caller;
@@ -23,6 +23,7 @@
 use std::env;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::time;
 
 use edge_support::client;
@@ -51,7 +52,7 @@
 }
 
 /// Runs to execute without arguments. A run that finds a violation is added here with the cause.
-const DEFAULT_RUNS: [Options; 5] = [
+const DEFAULT_RUNS: [Options; 6] = [
     Options {
         seed: 3,
         length: time::Duration::from_secs(20),
@@ -81,6 +82,13 @@
         selection: plan::Selection::Mixed,
         other: None,
     },
+    Options {
+        seed: 1,
+        length: time::Duration::from_secs(14),
+        processes: 6,
+        selection: plan::Selection::Releases,
+        other: None,
+    },
     // Streams were refused while their route led to another pool of their version.
     Options {
         seed: 603,
@@ -135,9 +143,10 @@
                     "faults" => plan::Selection::Faults,
                     "planned" => plan::Selection::Planned,
                     "mixed" => plan::Selection::Mixed,
+                    "releases" => plan::Selection::Releases,
                     _ => {
                         return Err(format!(
-                            "`{value}` is no plan; give `faults`, `planned` or `mixed` for `--plan`"
+                            "`{value}` is no plan; give `faults`, `planned`, `mixed` or `releases`"
                         ));
                     }
                 }
@@ -159,7 +168,7 @@
     Ok(has_options.then_some(options))
 }
 
-/// Waits until each daemon serves a request; fails after [`RECOVERY_TIMEOUT`] per daemon.
+/// Waits until each daemon serves a request with the newest API key; fails after [`RECOVERY_TIMEOUT`] per daemon.
 async fn wait_until_serving(harness: &harness::Harness) -> Result<(), String> {
     for (number, process) in harness.processes.iter().enumerate() {
         let serves = async {
@@ -167,7 +176,9 @@
             loop {
                 count += 1;
                 let id = format!("after-{number}-{count}");
-                let request = client::request(&id, "GET", "/safe/after");
+                let version = harness.version.load(atomic::Ordering::SeqCst);
+                let key = operator::api_key(version);
+                let request = client::request_with_key(&id, "GET", "/safe/after", &key);
                 let answer = client::send(process.caller_address, request, "").await;
                 if answer.is_some_and(|answer| answer.status == 200) {
                     return;
@@ -189,7 +200,9 @@
 async fn run_soak(options: Options) -> Vec<String> {
     let mut random = rand::rngs::SmallRng::seed_from_u64(options.seed);
     let faults = plan::draw(&mut random, options.selection, options.length);
-    let harness = harness::Harness::start(options.processes, options.other.as_deref()).await;
+    let has_releases = options.selection == plan::Selection::Releases;
+    let other = options.other.as_deref();
+    let harness = harness::Harness::start(options.processes, other, has_releases).await;
     if let Err(finding) = wait_until_serving(&harness).await {
         let findings = vec![format!("before any fault: {finding}")];
         report(&harness, &options, &findings);
--- a/crates/basilgrade/tests/soak/caller.rs
+++ b/crates/basilgrade/tests/soak/caller.rs
@@ -20,8 +20,11 @@
 /// Deadline that callers send with each request; take-ups get what is left of it.
 const REQUEST_DEADLINE: time::Duration = time::Duration::from_secs(3);
 
-/// Time after which a caller stops waiting for an answer.
-const CALLER_TIMEOUT: time::Duration = time::Duration::from_secs(6);
+/// Deadline of requests in runs whose streams are slow and broken off by losses of power only.
+const LONG_DEADLINE: time::Duration = time::Duration::from_secs(7);
+
+/// Time after its deadline after which a caller stops waiting for an answer.
+const CALLER_PATIENCE: time::Duration = time::Duration::from_secs(3);
 
 /// Least time left with which a caller takes a stream up again.
 const TAKE_UP_TIME: time::Duration = time::Duration::from_secs(1);
@@ -69,6 +72,7 @@
     id: &str,
     kind: history::Kind,
     begun: Option<&Begun>,
+    deadline: time::Instant,
 ) -> hyper::Request<Full<Bytes>> {
     let mut builder = match kind {
         history::Kind::Once => client::request(id, "POST", "/once/pay"),
@@ -88,11 +92,7 @@
     let mut request = builder
         .body(Full::new(Bytes::from_static(b"body")))
         .expect("the request is valid");
-    let left = begun.map_or(REQUEST_DEADLINE, |begun| {
-        begun
-            .deadline
-            .saturating_duration_since(time::Instant::now())
-    });
+    let left = deadline.saturating_duration_since(time::Instant::now());
     let deadline = left.as_millis().to_string();
     let deadline = deadline.parse().expect("a number is a valid header value");
     request.headers_mut().insert("x-deadline-ms", deadline);
@@ -143,12 +143,20 @@
     let process = &harness.processes[daemon];
     let incarnation = process.incarnation.load(atomic::Ordering::SeqCst);
     let id = format!("r{}", NEXT_REQUEST.fetch_add(1, atomic::Ordering::SeqCst));
-    let leaves = kind == history::Kind::Resumable && begun.is_none() && rand::rng().random();
+    let allowed = if harness.has_releases {
+        LONG_DEADLINE
+    } else {
+        REQUEST_DEADLINE
+    };
+    let may_leave = kind == history::Kind::Resumable && begun.is_none() && !harness.has_releases;
+    let leaves = may_leave && rand::rng().random();
     let most = leaves.then(|| rand::rng().random_range(1..upstream::EVENTS as usize));
     let sent = time::Instant::now();
+    let deadline = begun.map_or(sent + allowed, |begun| begun.deadline);
     let mut body = String::new();
-    let exchange = exchange(sender, build_request(&id, kind, begun), most, &mut body);
-    let outcome = tokio::time::timeout(CALLER_TIMEOUT, exchange).await;
+    let request = build_request(&id, kind, begun, deadline);
+    let exchange = exchange(sender, request, most, &mut body);
+    let outcome = tokio::time::timeout_at((deadline + CALLER_PATIENCE).into(), exchange).await;
     let gave_up = outcome.is_err();
     let outcome = outcome.unwrap_or(None);
     let ending = outcome.map(|(_, ending)| ending);
@@ -158,7 +166,7 @@
         daemon,
         incarnation,
         sent,
-        deadline: begun.map_or(sent + REQUEST_DEADLINE, |begun| begun.deadline),
+        deadline,
         ended: time::Instant::now(),
         status: outcome.map(|(status, _)| status),
         gave_up,
@@ -186,7 +194,8 @@
         if is_complete || begun.held == 0 || begun.held >= upstream::EVENTS || request.gave_up {
             return;
         }
-        let pause = rand::rng().random_range(20..300);
+        let longest = if harness.has_releases { 1500 } else { 300 };
+        let pause = rand::rng().random_range(20..longest);
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
         if time::Instant::now() + TAKE_UP_TIME > begun.deadline {
             return;
--- a/crates/basilgrade/tests/soak/check.rs
+++ b/crates/basilgrade/tests/soak/check.rs
@@ -1,5 +1,6 @@
 //! Invariants of the soak test, checked against what callers and upstreams observed.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time;
 
@@ -52,6 +53,7 @@
             .extend(found.map(|problem| format!("{problem}: {request:?}; runs: {request_runs:?}")));
     }
     findings.extend(configuration_rollbacks(&requests));
+    findings.extend(joined_versions(harness, &requests));
     findings.extend(lost_take_ups(&judged_streams(harness)));
     findings.extend(runs_after_drain(harness, &requests, &runs, &fault_spans));
     findings
@@ -217,9 +219,12 @@
     };
     let is_held_up = |request: &history::Request| {
         let daemon = history::Subject::Daemon(request.daemon);
+        // A silent store excuses nothing, but beside a daemon that has just lost its memory.
+        let is_store = |span: &history::FaultSpan| {
+            span.subject == history::Subject::Store && !harness.has_releases
+        };
         let mut spans = fault_spans.iter().filter(|span| {
-            span.excuse != history::Excuse::None
-                && (span.subject == history::Subject::Store || span.subject == daemon)
+            span.excuse != history::Excuse::None && (is_store(span) || span.subject == daemon)
         });
         spans.any(|span| is_beside(span, request.sent, request.ended))
     };
@@ -239,6 +244,37 @@
     requests
 }
 
+/// All events of a stream, those of its take-ups included, must come from one software version.
+fn joined_versions(harness: &harness::Harness, requests: &[history::Request]) -> Vec<String> {
+    let mut streams: HashMap<&str, Vec<&history::Request>> = HashMap::new();
+    for request in requests {
+        let first = request.resumes.as_ref().unwrap_or(&request.id);
+        streams.entry(first).or_default().push(request);
+    }
+    let versions = |request: &history::Request| {
+        let events = request.body.split("\n\n");
+        let names = events.filter_map(|event| event.split_once("data: ")?.1.split_once('.'));
+        let members = names.filter_map(|(_, producer)| {
+            let is_producer = |member: &&harness::Member| {
+                let start = format!("{}-", member.upstream.id);
+                producer.starts_with(&start)
+            };
+            harness.members.iter().find(is_producer)
+        });
+        members
+            .map(|member| member.version)
+            .collect::<BTreeSet<_>>()
+    };
+    let joined = streams.values().filter(|stream| {
+        let served = stream.iter().filter(|request| request.status == Some(200));
+        let found: BTreeSet<_> = served.flat_map(|request| versions(request)).collect();
+        found.len() > 1
+    });
+    joined
+        .map(|stream| format!("joined from two software versions: {stream:?}"))
+        .collect()
+}
+
 /// The streams that callers take up must go on at least half as often as new ones begin.
 fn lost_take_ups(judged: &[history::Request]) -> Option<String> {
     judged.iter().find_map(|first| {
--- a/crates/basilgrade/tests/soak/harness.rs
+++ b/crates/basilgrade/tests/soak/harness.rs
@@ -25,9 +25,23 @@
 /// Number of upstreams of each pool.
 const UPSTREAMS_PER_POOL: usize = 3;
 
+/// Pause of engines before each event in runs with releases, so that losses of power break streams.
+const EVENT_PAUSE_MS: u64 = 120;
+
+/// Time after a drain at which the store does the registration of before, and time at which the
+/// upstream repeats that it leaves.
+const LATE_WRITE: time::Duration = time::Duration::from_secs(3);
+const RENEWAL: time::Duration = time::Duration::from_millis(6500);
+
 /// A member of a pool: an upstream behind its proxy.
 pub(crate) struct Member {
     pub(crate) pool: &'static str,
+    /// Software version.
+    pub(crate) version: &'static str,
+    /// Unix time in milliseconds at which it started; 0 before its release.
+    born: atomic::AtomicU64,
+    /// Number of its next registration.
+    sequence: atomic::AtomicU64,
     pub(crate) upstream: sync::Arc<upstream::Upstream>,
     proxy: fault_proxy::Proxy,
     is_draining: atomic::AtomicBool,
@@ -59,6 +73,8 @@
     pub(crate) processes: Vec<Process>,
     /// Version of the newest published configuration.
     pub(crate) version: atomic::AtomicU64,
+    /// Whether engines of two software versions may serve.
+    pub(crate) has_releases: bool,
     operator: sync::Mutex<operator::Operator>,
     store: sync::Arc<store::Store>,
     store_proxy: fault_proxy::Proxy,
@@ -67,18 +83,35 @@
 
 impl Harness {
     /// Starts the stand-ins and `processes` daemons, registers all upstreams and publishes the
-    /// first configuration.
+    /// first configuration. With `has_releases`, one pool of engines has another software version, and
+    /// more engines of that are released later.
     ///
     /// If there is an `other` build, half of the daemons of each failure domain begin with it, and
     /// each restart changes the build of a daemon.
-    pub(crate) async fn start(processes: usize, other: Option<&path::Path>) -> Self {
+    pub(crate) async fn start(
+        processes: usize,
+        other: Option<&path::Path>,
+        has_releases: bool,
+    ) -> Self {
         let store = sync::Arc::<store::Store>::default();
         let store_server = server::start(sync::Arc::clone(&store)).await;
         let store_proxy = fault_proxy::Proxy::start(store_server.address).await;
         let mut members = Vec::new();
         for pool in ["desk", "engine", "encode", "rank", "till", "studio"] {
             for number in 0..UPSTREAMS_PER_POOL {
-                members.push(start_member(pool, number).await);
+                members.push(start_member(pool, number, "v1").await);
+            }
+        }
+        if has_releases {
+            for number in UPSTREAMS_PER_POOL..2 * UPSTREAMS_PER_POOL {
+                members.push(start_member("engine", number, "v2").await);
+            }
+            for member in members.iter_mut().filter(|member| member.is_engine()) {
+                let pause = upstream::Behaviour::Slow(EVENT_PAUSE_MS);
+                member.upstream.set_behaviour(pause);
+                if member.pool == "studio" {
+                    member.version = "v2";
+                }
             }
         }
         let mut started = Vec::new();
@@ -103,25 +136,48 @@
             members,
             processes: started,
             version: atomic::AtomicU64::new(0),
-            operator: sync::Mutex::default(),
+            has_releases,
+            // Builds of before leave out versions with such entries.
+            operator: sync::Mutex::new(operator::Operator::new(other.is_none())),
             store,
             store_proxy,
             _store_server: store_server,
         };
         for member in &harness.members {
-            harness.register(member, "ready", 1);
+            if member.pool != "engine" || member.version == "v1" {
+                member.born.store(1, atomic::Ordering::SeqCst);
+                harness.register(member, "ready");
+            }
         }
         harness.publish(operator::Change::Keys);
         harness
     }
 
-    /// Writes the registration of an upstream to the store.
-    fn register(&self, member: &Member, state: &str, sequence: u64) {
+    /// Registers the engines of the next software version.
+    fn release(&self) {
+        let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        let now = now.expect("the clock is set").as_millis() as u64;
+        for member in &self.members {
+            if member.born.load(atomic::Ordering::SeqCst) == 0 {
+                member.born.store(now, atomic::Ordering::SeqCst);
+                self.register(member, "ready");
+            }
+        }
+    }
+
+    /// Writes the next registration of an upstream to the store.
+    fn register(&self, member: &Member, state: &str) {
+        let sequence = member.sequence.fetch_add(1, atomic::Ordering::SeqCst);
+        self.register_as(member, state, sequence);
+    }
+
+    /// Writes the registration of an upstream with the number `sequence` to the store.
+    fn register_as(&self, member: &Member, state: &str, sequence: u64) {
         let number = member.upstream.id.bytes().last().unwrap_or_default();
         let domain = ["a", "b"][usize::from(number % 2)];
         let entry = serde_json::json!({"service": member.pool, "address": member.proxy.address,
-            "zone": domain, "version": "v1", "slots": 8,
-            "state": state, "sequence": sequence});
+            "zone": domain, "version": member.version, "slots": 8, "state": state,
+            "sequence": sequence, "born": member.born.load(atomic::Ordering::SeqCst)});
         let id = &member.upstream.id;
         self.store.put("keyed.servers", id, &entry.to_string());
     }
@@ -207,7 +263,19 @@
                 };
                 self.record_fault(member.subject(), excuse, from);
             }
-            plan::Kind::Drain => self.drain(member).await,
+            plan::Kind::Drain => self.drain(member, false).await,
+            plan::Kind::LateDrain => self.drain(member, true).await,
+            plan::Kind::Release => self.release(),
+            plan::Kind::PowerLoss(count) => {
+                let losses = (number..number + count).map(|number| async move {
+                    let number = number % self.processes.len();
+                    self.signal_daemon(number, &plan::Kind::PowerLoss(1), fault.span)
+                        .await;
+                    let daemon = history::Subject::Daemon(number);
+                    self.record_fault(daemon, history::Excuse::All, from);
+                });
+                futures::future::join_all(losses).await;
+            }
             kind => {
                 self.signal_daemon(number, &kind, fault.span).await;
                 let excuse = match kind {
@@ -220,14 +288,23 @@
         }
     }
 
-    /// Registers an upstream as draining for [`DRAIN_TIME`], unless it already is draining.
-    async fn drain(&self, member: &Member) {
-        if member.is_draining.swap(true, atomic::Ordering::SeqCst) {
+    /// Registers an upstream as draining for [`DRAIN_TIME`], unless it already is draining or is not
+    /// released. With `is_late`, the store does the registration of before after that.
+    async fn drain(&self, member: &Member, is_late: bool) {
+        let is_released = member.born.load(atomic::Ordering::SeqCst) > 0;
+        if !is_released || member.is_draining.swap(true, atomic::Ordering::SeqCst) {
             return;
         }
-        self.register(member, "draining", 2);
+        self.register(member, "draining");
         let from = time::Instant::now();
-        tokio::time::sleep(DRAIN_TIME).await;
+        if is_late {
+            tokio::time::sleep(LATE_WRITE).await;
+            let sequence = member.sequence.load(atomic::Ordering::SeqCst);
+            self.register_as(member, "ready", sequence.saturating_sub(2));
+            tokio::time::sleep_until((from + RENEWAL).into()).await;
+            self.register(member, "draining");
+        }
+        tokio::time::sleep_until((from + DRAIN_TIME).into()).await;
         history::add(
             &self.history.drain_spans,
             history::DrainSpan {
@@ -236,7 +313,7 @@
                 until: time::Instant::now(),
             },
         );
-        self.register(member, "ready", 3);
+        self.register(member, "ready");
         member.is_draining.store(false, atomic::Ordering::SeqCst);
     }
 
@@ -258,6 +335,10 @@
                 return;
             }
             plan::Kind::Kill => daemon.kill(),
+            plan::Kind::PowerLoss(_) => {
+                daemon.kill();
+                tokio::time::sleep(span).await;
+            }
             plan::Kind::StopKill => {
                 daemon.signal("TERM");
                 tokio::time::sleep(span).await;
@@ -306,7 +387,7 @@
     }
 }
 
-async fn start_member(pool: &'static str, number: usize) -> Member {
+async fn start_member(pool: &'static str, number: usize, version: &'static str) -> Member {
     let upstream = sync::Arc::new(upstream::Upstream {
         id: format!("{pool}-{number}"),
         names_runs: true,
@@ -320,6 +401,9 @@
         .expect("the address is set only once");
     Member {
         pool,
+        version,
+        born: atomic::AtomicU64::new(0),
+        sequence: atomic::AtomicU64::new(1),
         upstream,
         proxy,
         is_draining: atomic::AtomicBool::new(false),
--- a/crates/basilgrade/tests/soak/plan.rs
+++ b/crates/basilgrade/tests/soak/plan.rs
@@ -33,6 +33,12 @@
     Mood(upstream::Behaviour),
     /// Registers an upstream as draining, and later as ready again.
     Drain,
+    /// Drains an upstream; the store does an older registration after that.
+    LateDrain,
+    /// Kills this many daemons at once and starts them again.
+    PowerLoss(usize),
+    /// Registers engines of the next software version.
+    Release,
     /// Publishes this many configurations, each of which replaces an API key.
     Publish(u32),
     /// Publishes one configuration with this change.
@@ -48,6 +54,9 @@
     Planned,
     /// Both of them beside each other.
     Mixed,
+    /// Losses of power, a release of a software version, routes that are split between versions, and a
+    /// store that is silent or does a write late, from the start of the daemons on.
+    Releases,
 }
 
 /// Silence of an upstream that is sound, in milliseconds.
@@ -184,6 +193,7 @@
     match selection {
         Selection::Faults => draw_faults(random, length),
         Selection::Planned => draw_planned(random, length),
+        Selection::Releases => draw_releases(random, length),
         Selection::Mixed => {
             let mut faults = draw_faults(random, length);
             faults.extend(draw_planned(random, length));
@@ -192,6 +202,57 @@
     }
 }
 
+/// Draws losses of power, each with disruptions beside it, and one release.
+fn draw_releases(random: &mut rngs::SmallRng, length: time::Duration) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut at = time::Duration::from_millis(random.random_range(500..2500));
+    let release = random.random_range(0..3);
+    // A route that moves away from a version ends the streams of that, so it is split from the start.
+    if random.random() {
+        faults.push(Fault {
+            at: time::Duration::ZERO,
+            span: time::Duration::ZERO,
+            target: 0,
+            kind: Kind::Change(operator::Change::Split),
+        });
+    }
+    for number in 0.. {
+        if at >= length {
+            break;
+        }
+        let mut add = |lead_ms: u64, span_ms: u64, target: usize, kind: Kind| {
+            let lead = time::Duration::from_millis(lead_ms);
+            faults.push(Fault {
+                at: at.saturating_sub(lead),
+                span: time::Duration::from_millis(span_ms),
+                target,
+                kind,
+            });
+        };
+        if random.random_bool(0.4) {
+            let silence = fault_proxy::Impairment::Silence;
+            add(400, random.random_range(800..2000), 0, Kind::Store(silence));
+        }
+        if random.random_bool(0.3) {
+            add(300, 0, random.random_range(0..1000), Kind::LateDrain);
+        }
+        let target = random.random_range(0..1000);
+        let span = random.random_range(500..2000);
+        add(0, span, target, Kind::PowerLoss(2));
+        at += time::Duration::from_millis(random.random_range(50..900));
+        if number == release {
+            faults.push(Fault {
+                at,
+                span: time::Duration::ZERO,
+                target: 0,
+                kind: Kind::Release,
+            });
+        }
+        at += time::Duration::from_millis(random.random_range(4000..6000));
+    }
+    faults
+}
+
 /// Draws the faults of a run of `length`.
 ///
 /// Each run has only a random subset of the kinds, at a random rate. If every kind of fault were
