--- a/crates/basilgrade_edge/tests/settings.rs
+++ b/crates/basilgrade_edge/tests/settings.rs
@@ -45,6 +45,27 @@
     );
 }
 
+/// Guards against waits that follow from the looser of two bounds, or from no bound at all.
+#[test]
+fn parses_bounds() {
+    let with = |lines: &str| settings::parse(&format!("{TEXT}[bounds]\n{lines}\n"));
+
+    let bound = |lines: &str| with(lines).map(|settings| settings.news_bound.0).ok();
+
+    assert_eq!(bound("leaving = 4000ms\nconfiguration = 4s"), Some(4000));
+    assert_eq!(bound("leaving = 4s\nconfiguration = 3s"), Some(3000));
+    assert_eq!(bound("leaving = 4s"), Some(2500));
+    assert_eq!(bound("leaving =\nother = 1"), Some(2500));
+    let error = with("leaving = soon").expect_err("`soon` is no duration");
+    assert!(
+        error
+            .to_string()
+            .contains("`leaving` in section `[bounds]`")
+    );
+    let pace = |lines: &str| with(lines).expect("the settings are valid").news_pace();
+    assert!(pace("").hold_time < pace("leaving = 4s\nconfiguration = 4s").hold_time);
+}
+
 /// Guards against a bound on held answers that does not follow the memory of the VM.
 #[test]
 fn parses_memory() {
