--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -24,7 +24,7 @@
 /// the registrations of daemons that start at the same time.
 const DAEMON_READ_INTERVAL: clock::Millis = clock::Millis(800);
 
-/// The same after the first load if that names no other daemon, as in the first start of a deployment:
+/// Pause after the first load if that names no other daemon, as in the first start of a deployment:
 /// until this daemon knows others, none keeps copies of its streams.
 const FIRST_DAEMON_READ_INTERVAL: clock::Millis = clock::Millis(200);
 
@@ -330,8 +330,8 @@
     }
 }
 
-/// Makes one call to the store with the time-out [`news_pace::STORE_TIMEOUT`], extended by the long-poll time
-/// `wait`.
+/// Makes one call to the store with the time-out [`news_pace::STORE_TIMEOUT`], extended by the
+/// long-poll time `wait`.
 pub(super) async fn call(
     core: &core::Core,
     message: Request<Full<Bytes>>,
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -20,7 +20,7 @@
 /// Interval between checks of whether the registration is missing or due for renewal.
 const CHECK_INTERVAL: clock::Millis = clock::Millis(500);
 
-/// The same until the registration has been looked for once after the start.
+/// Interval between checks until the topic of daemons has been read after the start.
 const FIRST_CHECK_INTERVAL: clock::Millis = clock::Millis(20);
 
 /// Time in which a registration that the store has acknowledged is not written again, although it is
--- a/crates/basilgrade_edge/src/serve/buffered.rs
+++ b/crates/basilgrade_edge/src/serve/buffered.rs
@@ -286,7 +286,7 @@
         entry.stats.record(core.now(), health::Outcome::Failed);
         return Outcome::Failed(reason.to_owned(), None);
     }
-    // Its caller would repeat the request.
+    // Callers repeat any request after such a status.
     if answer.is_false_refusal() && !request.route.kind.is_repeatable() {
         entry.stats.record(core.now(), health::Outcome::Failed);
         let reason = format!(
