--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -376,19 +376,30 @@
         deployment.add_upstream_at("studio", number, "v2").await;
     }
     deployment.wait_until_registered(2).await;
+    for daemon in 0..2 {
+        let probe = format!("probe-{daemon}");
+        deployment::wait_until("the daemon knows both pools", || async {
+            begin(&deployment, daemon, &probe).await;
+            ["engine", "studio"]
+                .iter()
+                .all(|pool| has_run(&deployment, pool, &probe))
+        })
+        .await;
+    }
     deployment
 }
 
+/// Whether an engine of `pool` has run the request with the id `id`.
+fn has_run(deployment: &deployment::Deployment, pool: &str, id: &str) -> bool {
+    let members = deployment.upstreams.iter();
+    let mut members = members.filter(|upstream| upstream.id.starts_with(pool));
+    members.any(|upstream| upstream.runs().iter().any(|run| run.request == id))
+}
+
 /// Number of pools whose engines ran the request with one of these ids.
 fn count_pools(deployment: &deployment::Deployment, ids: [&str; 2]) -> usize {
-    let ran = |pool: &&str| {
-        let mut upstreams = deployment.upstreams.iter();
-        upstreams.any(|upstream| {
-            let mut runs = upstream.runs().into_iter();
-            upstream.id.starts_with(pool) && runs.any(|run| ids.contains(&run.request.as_str()))
-        })
-    };
-    ["engine", "studio"].iter().filter(|pool| ran(pool)).count()
+    let ran = |pool: &&str| ids.iter().any(|id| has_run(deployment, pool, id));
+    ["engine", "studio"].into_iter().filter(ran).count()
 }
 
 /// Guards against streams on a split route that are joined from the versions of two pools, or lost,
