--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -273,6 +273,7 @@
         self.sequence = 0
         self.born = 0
         self.is_leaving = False
+        self.state = "ready"
         self.registers = True
         self.events, self.gap_s, self.work_s = 40, 0.1, 0.05
         self.runs = []
@@ -280,7 +281,7 @@
 
     def entry(self, **fields):
         entry = {"service": self.service, "address": self.address, "zone": self.zone,
-                 "version": self.version, "slots": 64, "state": "ready", "cold-remaining-ms": 0,
+                 "version": self.version, "slots": 64, "state": self.state, "cold-remaining-ms": 0,
                  "sequence": self.sequence, "born": self.born}
         entry.update(fields)
         return json.dumps(entry)
@@ -312,6 +313,17 @@
         born = self.born
         asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self._lapse, born)
 
+    async def leave(self, drain_s):
+        """Reports `draining`, serves for `drain_s` and a little longer, and exits."""
+        self.record.line(f"engine {self.name} ({self.version}) reports draining")
+        self.state, self.is_leaving = "draining", True
+        self.register()
+        await asyncio.sleep(drain_s + 0.5)
+        self.record.line(f"engine {self.name} ({self.version}) exits")
+        self.beats.cancel()
+        self.crash()
+        self.store.put("keyed.servers", self.name, b"")
+
     def _lapse(self, born):
         if self.server is None and self.born == born:
             self.store.put("keyed.servers", self.name, b"")
@@ -366,6 +378,79 @@
         await writer.drain()
 
 
+# --- the platform's path to a VM --------------------------------------------------------------
+
+
+class Gate:
+    """The path from clients to one VM, as a TCP proxy that falls silent when the VM loses power."""
+
+    def __init__(self, target):
+        self.target = target
+        self.port = free_port()
+        self.server = None
+        self.has_power = True
+        self.outages = 0
+        self.tasks = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._accept, HOST, self.port)
+
+    def lose_power(self):
+        """Open connections fall silent for good; new ones aren't served until `return_power`."""
+        self.has_power = False
+        self.outages += 1
+
+    def return_power(self):
+        self.has_power = True
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        outage = self.outages
+        try:
+            if not self.has_power:
+                await reader.read()
+                return
+            inner_reader, inner_writer = await asyncio.open_connection(HOST, self.target)
+            try:
+                await asyncio.wait([
+                    asyncio.ensure_future(self._copy(reader, inner_writer, outage)),
+                    asyncio.ensure_future(self._copy(inner_reader, writer, outage))],
+                    return_when=asyncio.FIRST_COMPLETED)
+                if self.outages != outage:
+                    # Nobody tells the client of the loss of power; it leaves on its own.
+                    while not writer.is_closing():
+                        await asyncio.sleep(0.2)
+                        if reader.at_eof():
+                            break
+            finally:
+                inner_writer.close()
+        except (ConnectionError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self.tasks.discard(task)
+            writer.close()
+
+    async def _copy(self, reader, writer, outage):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if self.outages != outage:
+                    return
+                if not data:
+                    return
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+
+    def close(self):
+        if self.server:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+
+
 # --- daemons ----------------------------------------------------------------------------------
 
 
@@ -476,7 +561,7 @@
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="basilgrade-review-")
         self.store = Store()
-        self.engines, self.daemons = [], []
+        self.engines, self.daemons, self.gates = [], [], []
         self.zones = {"cba-a": "cordoba", "ros-a": "rosario", "mdz-a": "mendoza"}
 
     async def add_engine(self, name, service, zone, version="v1"):
@@ -500,6 +585,13 @@
             daemon.start()
         await self.wait_ready(20)
 
+    async def add_gates(self):
+        """Puts a gate before each daemon, in the order of the daemons."""
+        for daemon in self.daemons:
+            gate = Gate(daemon.ingress)
+            await gate.start()
+            self.gates.append(gate)
+
     async def wait_ready(self, limit_s):
         until = time.monotonic() + limit_s
         for daemon in self.daemons:
@@ -518,6 +610,8 @@
             if engine.beats:
                 engine.beats.cancel()
             engine.crash()
+        for gate in self.gates:
+            gate.close()
         self.store.crash()
         keep = os.environ.get("KEEP_LOGS")
         for daemon in self.daemons:
@@ -536,9 +630,16 @@
 # --- clients ----------------------------------------------------------------------------------
 
 
-async def request(port, method, path, headers, body=b"", limit_s=10.0):
+async def anext_or_none(chunks):
+    try:
+        return await chunks.__anext__()
+    except StopAsyncIteration:
+        return None
+
+
+async def request(port, method, path, headers, body=b"", limit_s=10.0, patience_s=None):
     """Sends a request on a new connection; returns status, headers, body, events and whether the
-    answer is whole."""
+    answer is whole. The client leaves after `limit_s`, or after `patience_s` without a byte."""
     answer = {"status": 0, "headers": {}, "body": b"", "events": [], "is_whole": False}
 
     async def exchange():
@@ -551,13 +652,17 @@
             head += "".join(f"{name}: {value}\r\n" for name, value in fields.items())
             writer.write(head.encode() + b"\r\n" + body)
             await writer.drain()
-            got = await read_head(reader)
+            got = await asyncio.wait_for(read_head(reader), patience_s)
             if got is None:
                 return
             answer["status"] = int(got[0].split(" ")[1])
             answer["headers"] = got[1]
             if got[1].get("transfer-encoding", "").lower() == "chunked":
-                async for chunk in read_chunks(reader):
+                chunks = read_chunks(reader)
+                while True:
+                    chunk = await asyncio.wait_for(anext_or_none(chunks), patience_s)
+                    if chunk is None:
+                        break
                     answer["body"] += chunk
             else:
                 answer["body"] = await reader.readexactly(int(got[1].get("content-length", 0)))
