--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -346,7 +346,8 @@
             head["Server-Leaving"] = "1"
         try:
             if "/stream" in target:
-                await self._stream(run, head, reader, writer)
+                usage = headers.get("x-token-usage", "0,1000")
+                await self._stream(run, head, int(usage.split(",")[1]), reader, writer)
             else:
                 await asyncio.sleep(self.work_s)
                 answer = f"{self.name} {attempt}".encode()
@@ -357,14 +358,15 @@
             self.record.line(f"engine {self.name} ({self.version}) ends {attempt}: {run['end']}")
         return True
 
-    async def _stream(self, run, head, reader, writer):
+    async def _stream(self, run, head, most, reader, writer):
+        """Sends events up to the one with the number `most`, at most `events`."""
         text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         text += "".join(f"{name}: {value}\r\n" for name, value in head.items())
         text += "Transfer-Encoding: chunked\r\n\r\n"
         writer.write(text.encode())
         left = asyncio.ensure_future(reader.read(1))
         try:
-            for number in range(int(run["after"] or 0) + 1, self.events + 1):
+            for number in range(int(run["after"] or 0) + 1, min(self.events, most) + 1):
                 await asyncio.sleep(self.gap_s)
                 if left.done():
                     raise ConnectionError("the caller has left")
@@ -691,6 +693,8 @@
         finally:
             fleet.close()
 
+    # The processes of the case are ended too if the case is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         held = asyncio.run(run())
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
