Remember streams for as long as the time-out under which they began allows

Cause: the time for which streams, and versions that have left, are remembered followed from the configuration in force alone, also for streams that began under the former one.

Change: a lifetime that is replaced counts until the last stream that began under it has ended. The lifetime is brought up to date when a configuration is taken over.

Why it works: no daemon, keeper or reader of the log drops a stream, or counts a version as gone, earlier than the daemon that began the stream would have.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -308,6 +308,39 @@
     assert_eq!(count, STREAMS, "streams whose version is known are lost");
 }
 
+/// Publishes a configuration that has the time-out `timeout_ms` for all routes.
+fn publish_timeout(deployment: &deployment::Deployment, timeout_ms: u64) {
+    let mut document: serde_json::Value =
+        serde_json::from_str(&deployment::without_stages()).expect("the configuration is JSON");
+    document["version"] = 2.into();
+    let routes = document["routes"].as_array_mut();
+    for route in routes.expect("`routes` is a list") {
+        route["timeout-ms"] = timeout_ms.into();
+    }
+    deployment.publish(&document.to_string());
+}
+
+/// Age of streams that can be taken up under a time-out of 8 s, but not under one of 1 s.
+const LONG_AGE: time::Duration = time::Duration::from_millis(10_500);
+
+/// Guards against streams that are forgotten, at sound daemons and at one that starts afterwards,
+/// when a time-out is lowered after they have begun.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_killed_daemon_go_on_after_a_time_out_was_lowered() {
+    let mut deployment = start_young(&["a", "a", "b"]).await;
+    add_version(&mut deployment, &[0, 1, 2]).await;
+    let ids = begin_all(&deployment).await;
+    publish_timeout(&deployment, 1000);
+    tokio::time::sleep(LONG_AGE).await;
+    deployment.daemons[0].kill();
+    deployment.daemons[0].start();
+    deployment.wait_until_ready(0).await;
+
+    let count = take_up_all(&deployment, &[0, 1, 2], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
 /// Guards against streams that are lost with their daemon if the store took no records while they
 /// began, also at a daemon that has lost its memory.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -65,6 +65,8 @@
             configuration: Some(sync::Arc::clone(&configuration)),
             ..view::View::clone(view)
         });
+        // Streams that begin from now on have other time-outs.
+        self.core.observe_versions();
         *self.lock_in_force() = Some(record.clone());
         if previous == 0 {
             self.record_cold_starts();
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -248,9 +248,7 @@
         for record in records {
             let value = record.and_then(|record| record.value);
             match value.map(|value| stream_record::decode(&value)) {
-                Some(Ok((shared_at, batch))) => {
-                    self.core.streams().merge(now, shared_at, batch);
-                }
+                Some(Ok(shared)) => self.core.streams().merge(now, shared),
                 Some(Err(reason)) => unreadable.push(reason.to_string()),
                 None => unreadable.push("the record is malformed".to_owned()),
             }
@@ -290,9 +288,14 @@
         if batch.is_empty() {
             continue;
         }
-        if let Err(reason) = append(&core, now, &batch).await {
+        let shared = streams::Shared {
+            at: now,
+            lifetime: core.streams().lifetime(),
+            batch,
+        };
+        if let Err(reason) = append(&core, &shared).await {
             log::warn!("event=streams-failed reason={reason:?}");
-            core.streams().restore(&batch);
+            core.streams().restore(&shared.batch);
             core.streams_changed.notify_one();
             tokio::time::sleep(RETRY_DELAY.duration()).await;
         }
@@ -300,13 +303,9 @@
     }
 }
 
-async fn append(
-    core: &core::Core,
-    now: clock::Millis,
-    batch: &streams::Batch,
-) -> Result<(), String> {
+async fn append(core: &core::Core, shared: &streams::Shared) -> Result<(), String> {
     let settings = core.settings.load();
-    let record = stream_record::encode(settings.name.as_str(), now, batch)
+    let record = stream_record::encode(settings.name.as_str(), shared)
         .map_err(|reason| reason.to_string())?;
     let message = store::append_streams_request(settings.store, record)
         .map_err(|reason| reason.to_string())?;
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -6,6 +6,8 @@
 //! While several versions serve in a pool, it also shares them through a log of the store, which
 //! outlasts a loss of all daemons.
 
+mod lifetime;
+
 use std::collections;
 use std::mem;
 use std::sync;
@@ -39,6 +41,16 @@
 /// Streams by the pool and the software version that began them.
 pub type Batch = IndexMap<id::PoolId, IndexMap<upstream::Version, Vec<AttemptId>>>;
 
+/// Streams that a daemon shares in the log of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shared {
+    /// Time at which the streams are shared.
+    pub at: clock::Millis,
+    /// Longest time from the first event of one of the streams until a caller takes it up.
+    pub lifetime: clock::Millis,
+    pub batch: Batch,
+}
+
 /// Streams by the pool and the software version that began them, with the time since each began.
 pub type Copies =
     IndexMap<id::PoolId, IndexMap<upstream::Version, Vec<(AttemptId, clock::Millis)>>>;
@@ -79,6 +91,7 @@
     routes: route_history::RouteHistory,
     /// Time since which this daemon has read all registrations of upstreams without a gap.
     observed_since: Option<clock::Millis>,
+    lifetimes: lifetime::Lifetime,
     /// Longest time from the first event of a stream until a caller takes it up.
     lifetime: clock::Millis,
 }
@@ -94,7 +107,8 @@
             unnamed: IndexSet::new(),
             routes: route_history::RouteHistory::default(),
             observed_since: None,
-            lifetime: MIN_LIFETIME,
+            lifetimes: lifetime::Lifetime::default(),
+            lifetime: lifetime::MIN,
         }
     }
 }
@@ -103,18 +117,12 @@
     versions.is_some_and(|versions| versions.len() > 1)
 }
 
-/// Minimum time for which a stream is remembered.
-const MIN_LIFETIME: clock::Millis = clock::Millis(10_000);
-
-/// Time for which a stream is remembered beyond the longest time-out of a route.
-const LIFETIME_MARGIN: clock::Millis = clock::Millis(5000);
-
 /// Interval at which old streams are forgotten while new ones come.
 const FORGET_INTERVAL: clock::Millis = clock::Millis(1000);
 
 impl Streams {
     /// Updates the versions in service from `directory`, and drops what no stream can need:
-    /// `longest` is the longest time-out of a route.
+    /// `longest` is the longest time-out of a route in the configuration in force.
     ///
     /// Returns whether there is something to share, as a pool has come to have several versions.
     pub fn observe(
@@ -123,7 +131,8 @@
         directory: &directory::Directory,
         longest: clock::Millis,
     ) -> bool {
-        self.lifetime = longest.plus(LIFETIME_MARGIN).max(MIN_LIFETIME);
+        self.lifetimes.record_timeout(now, longest);
+        self.lifetime = self.lifetimes.longest(now);
         let mut has_entries = false;
         let mut is_new = false;
         for entry in directory.iter() {
@@ -143,6 +152,7 @@
 
     /// Forgets the streams that can no longer be taken up.
     pub fn forget(&mut self, now: clock::Millis) {
+        self.lifetime = self.lifetimes.longest(now);
         let lifetime = self.lifetime;
         self.forgotten_at = now;
         self.known
@@ -386,17 +396,22 @@
         self.known.contains_key(&id)
     }
 
-    /// Copies of those of the streams of the attempts `ids` that this daemon knows.
+    /// Copies of those of the streams of the attempts `ids` that this daemon knows and that can still
+    /// be taken up.
     pub fn copies<'a>(
         &self,
         now: clock::Millis,
         ids: impl IntoIterator<Item = &'a AttemptId>,
     ) -> Copies {
+        let lifetime = self.lifetimes.longest(now);
         let mut copies = Copies::new();
         for id in ids {
             let Some(stream) = self.known.get(id) else {
                 continue;
             };
+            if stream.begun_at.plus(lifetime) <= now {
+                continue;
+            }
             let versions = copies.entry(stream.pool.clone()).or_default();
             let ids = versions.entry(stream.version.clone()).or_default();
             ids.push((*id, now - stream.begun_at));
@@ -404,30 +419,27 @@
         copies
     }
 
-    /// Adds copies of the streams of another daemon.
+    /// Adds copies of the streams of another daemon, which still remembers them.
     pub fn keep(&mut self, now: clock::Millis, copies: Copies) {
         self.make_room(now);
         for (pool, versions) in copies {
             for (version, ids) in versions {
                 for (id, age) in ids {
-                    if age < self.lifetime {
-                        self.insert_shared(now, now - age, id, (&pool, &version));
-                    }
+                    self.lifetimes.record_age(now, age);
+                    self.insert_shared(now - age, id, (&pool, &version));
                 }
             }
         }
+        self.lifetime = self.lifetimes.longest(now);
     }
 
     /// Adds a stream of another daemon.
     fn insert_shared(
         &mut self,
-        now: clock::Millis,
         begun_at: clock::Millis,
         id: AttemptId,
         (pool, version): (&id::PoolId, &upstream::Version),
     ) {
-        // The clock of the other daemon may be ahead.
-        let begun_at = begun_at.min(now);
         self.mark_seen(begun_at, pool, version);
         self.known.entry(id).or_insert_with(|| Stream {
             pool: pool.clone(),
@@ -437,17 +449,21 @@
         });
     }
 
-    /// Adds streams that a daemon shared at the time `shared_at`.
-    pub fn merge(&mut self, now: clock::Millis, shared_at: clock::Millis, batch: Batch) {
+    /// Adds streams that a daemon shared.
+    pub fn merge(&mut self, now: clock::Millis, shared: Shared) {
+        // The clock of the other daemon may be ahead.
+        let shared_at = shared.at.min(now);
+        self.lifetimes.record_former(shared_at, shared.lifetime);
+        self.lifetime = self.lifetimes.longest(now);
         if shared_at.plus(self.lifetime) <= now {
             return;
         }
-        for (pool, versions) in batch {
+        for (pool, versions) in shared.batch {
             for (version, ids) in versions {
                 // A batch may name a version without streams.
-                self.mark_seen(shared_at.min(now), &pool, &version);
+                self.mark_seen(shared_at, &pool, &version);
                 for id in ids {
-                    self.insert_shared(now, shared_at, id, (&pool, &version));
+                    self.insert_shared(shared_at, id, (&pool, &version));
                 }
             }
         }
--- a/crates/basilgrade_fleet/tests/streams.rs
+++ b/crates/basilgrade_fleet/tests/streams.rs
@@ -37,10 +37,19 @@
     streams::AttemptId::new(id)
 }
 
+/// What a daemon shares at the time `at`.
+fn shared(at: clock::Millis, lifetime: clock::Millis, batch: streams::Batch) -> streams::Shared {
+    streams::Shared {
+        at,
+        lifetime,
+        batch,
+    }
+}
+
 /// Passes all that one daemon has to share to another.
 fn share(now: clock::Millis, from: &mut streams::Streams, to: &mut streams::Streams) {
     let batch = from.take_unshared(now, 1000);
-    to.merge(now, now, batch);
+    to.merge(now, shared(now, from.lifetime(), batch));
 }
 
 /// Guards against a daemon that joins a stream it did not begin to another version.
@@ -199,7 +208,8 @@
     let versions = [(version("v1"), vec![attempt("first")])];
     let batch = [(engine.pool.clone(), versions.into_iter().collect())];
 
-    streams.merge(START, clock::Millis::MAX, batch.into_iter().collect());
+    let batch = batch.into_iter().collect();
+    streams.merge(START, shared(clock::Millis::MAX, streams.lifetime(), batch));
 
     let find = |streams: &streams::Streams| streams.known_origin(attempt("first"), &engine.pool);
     assert_eq!(
@@ -306,3 +316,71 @@
     }
     assert_eq!(one.begun_count(), 2);
 }
+
+/// Guards against streams that are forgotten, by their daemon, its keepers and the log, when a
+/// time-out is lowered after they have begun.
+#[test]
+fn streams_outlast_a_time_out_that_is_lowered() {
+    let engines = [engine(1, "v1", START), engine(2, "v2", START)];
+    let known = directory(&engines);
+    let pool = engines[0].pool.clone();
+    let lowered = clock::Millis(8000);
+    let [mut one, mut keeper, mut reader] = <[streams::Streams; 3]>::default();
+    for streams in [&mut one, &mut keeper, &mut reader] {
+        streams.observe(START, &known, LONGEST);
+    }
+    one.record(START, attempt("first"), &engines[0]);
+    keeper.keep(START, one.begun_since(START, 0, 10).0);
+    let batch = one.take_unshared(START, 10);
+    let record = shared(START, one.lifetime(), batch);
+    let changed_at = START.plus(clock::Millis(4000));
+    let (soon, late) = (START.plus(LONGEST), changed_at.plus(one.lifetime()));
+
+    for streams in [&mut one, &mut keeper, &mut reader] {
+        streams.observe(changed_at, &known, lowered);
+        streams.observe(soon, &known, lowered);
+    }
+    reader.merge(soon, record);
+
+    let origin = Some(streams::Origin::Version(version("v1")));
+    let (copies, _) = one.begun_since(soon, 0, 10);
+    assert_eq!(copies.len(), 1, "the copies of a lost keeper are not sent");
+    for streams in [&mut one, &mut keeper, &mut reader] {
+        assert_eq!(streams.known_origin(attempt("first"), &pool), origin);
+        streams.observe(late, &known, lowered);
+        assert_eq!(streams.known_origin(attempt("first"), &pool), None);
+        assert!(streams.lifetime() < LONGEST);
+    }
+}
+
+/// Guards against streams that are lost at a daemon which has started after a time-out was lowered,
+/// and against one that takes a version for the only one as it forgets others too early.
+#[test]
+fn daemon_that_starts_after_a_time_out_was_lowered_learns_it_from_others() {
+    let engines = [engine(1, "v1", START), engine(2, "v2", START)];
+    let known = directory(&engines);
+    let pool = engines[0].pool.clone();
+    let lowered = clock::Millis(1000);
+    let mut one = streams::Streams::default();
+    one.observe(START, &known, LONGEST);
+    one.record(START, attempt("first"), &engines[0]);
+    let batch = one.take_unshared(START, 10);
+    let record = shared(START, one.lifetime(), batch);
+    let soon = START.plus(LONGEST);
+    one.observe(START, &known, lowered);
+    one.observe(soon, &known, lowered);
+    let [mut asking, mut reading] = <[streams::Streams; 2]>::default();
+    let left = directory(&engines[1..]);
+    for streams in [&mut asking, &mut reading] {
+        streams.observe(soon, &left, lowered);
+    }
+
+    asking.keep(soon, one.copies(soon, &[attempt("first")]));
+    reading.merge(soon, record);
+
+    let origin = Some(streams::Origin::Version(version("v1")));
+    assert_eq!(asking.known_origin(attempt("first"), &pool), origin);
+    assert_eq!(reading.known_origin(attempt("first"), &pool), origin);
+    let lost = reading.origin(soon, attempt("lost"), &pool, &left);
+    assert_eq!(lost, streams::Origin::Unknown);
+}
