Record the streams of each failure domain in the log while one version serves

Streams of the version that all engines had had were refused as of unknown version: 0 of 36 taken up went on, 72 of 72 new ones began.

Cause: streams were written to the log of the store only while several versions served. Of a stream of the only version, its daemon and two keepers knew; all were lost, and the release ended the certainty that there is one version.

Change: one daemon of each failure domain gets the streams of the others by the call that keepers get, and appends them once a second. A daemon without memory begins to read at the records that these leave, and goes back if they are recent. The first read is logged (streams-loaded).

Why it works: the log outlasts the daemons and tells the version of each stream that is older than about 1.5 s. No version is inferred that was not before.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -564,3 +564,88 @@
     assert_eq!(take_up(&deployment, 0, "again", Some("unknown")).await, 503);
     assert_eq!(deployment.count_runs("again"), 0);
 }
+
+/// Time in which the streams of a failure domain are in the log while one version serves.
+const RECORD_TIME: time::Duration = time::Duration::from_millis(2500);
+
+/// Guards against streams of the only version that are lost with all daemons if a release begins
+/// before their callers take them up.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_after_a_loss_of_all_daemons_beside_a_release() {
+    let mut deployment = start_young(&["a", "a", "b"]).await;
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(RECORD_TIME).await;
+    for daemon in &mut deployment.daemons {
+        daemon.kill();
+    }
+    for number in [2, 3] {
+        deployment.add_upstream_at("engine", number, "v2").await;
+    }
+    for daemon in &mut deployment.daemons {
+        daemon.start();
+    }
+    for daemon in 0..3 {
+        deployment.wait_until_ready(daemon).await;
+    }
+
+    let count = take_up_all(&deployment, &[0, 1, 2], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
+
+/// Guards against streams that are not in the log, as the daemon that records those of their failure
+/// domain was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_recorded_after_a_daemon_of_their_domain_was_killed() {
+    for (begins, killed) in [(0, 1), (1, 0)] {
+        let mut deployment = start_young(&["a", "a", "b"]).await;
+        deployment.daemons[killed].kill();
+        begin(&deployment, begins, "begun").await;
+
+        deployment::wait_until("the stream is in the log", || async {
+            deployment.store.record_count("streams") > 0
+        })
+        .await;
+    }
+}
+
+/// Guards against appends that grow with the number of streams or daemons while one version serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_domain_are_recorded_by_one_daemon() {
+    let deployment = start_young(&["a", "a", "a"]).await;
+    let start = time::Instant::now();
+    while start.elapsed() < RECORD_TIME {
+        for daemon in 0..3 {
+            begin(&deployment, daemon, &format!("begun-{daemon}")).await;
+        }
+    }
+
+    let count = deployment.store.record_count("streams");
+    let most = start.elapsed().as_secs() as usize + 2;
+    assert_eq!(deployment.store.newest("streams").len(), 1);
+    assert!(count <= most, "{count} appends in {most} s");
+}
+
+/// Guards against a read of the log that begins after records which are needed, as daemons have
+/// written more of them lately than usual.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_found_before_many_recent_records() {
+    let mut deployment = start_young(&["a"]).await;
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(RECORD_TIME).await;
+    deployment.daemons[0].kill();
+    let record = deployment.store.newest("streams")["vm-0"].clone();
+    let mut record: serde_json::Value =
+        serde_json::from_slice(&record).expect("the record is JSON");
+    record["pools"] = serde_json::json!({});
+    for _ in 0..500 {
+        deployment.store.put("streams", "vm-1", &record.to_string());
+    }
+    deployment.add_upstream_at("engine", 2, "v2").await;
+    deployment.daemons[0].start();
+    deployment.wait_until_ready(0).await;
+
+    let count = take_up_all(&deployment, &[0], &ids).await;
+
+    assert_eq!(count, STREAMS, "streams whose version is known are lost");
+}
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -162,6 +162,7 @@
     ));
     tokio::spawn(evidence_log::publish(sync::Arc::clone(&core)));
     tokio::spawn(stream_log::share(sync::Arc::clone(&core)));
+    tokio::spawn(stream_log::record(sync::Arc::clone(&core)));
     tokio::spawn(stream_copies::send(sync::Arc::clone(&core)));
     tokio::spawn(balance::run(sync::Arc::clone(&core)));
     let follower = peer_sync::Follower {
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -1,6 +1,7 @@
 //! Log of the software versions at which streams began, in a topic of the store.
 //!
-//! Daemons write to it only while several versions serve in a pool, and read it only when a caller
+//! While several versions serve in a pool, each daemon writes the streams that it begins to it; while
+//! one serves, one daemon of each failure domain does so for all. Daemons read it only when a caller
 //! takes up a stream that they did not begin and that may have begun at several versions.
 
 use std::iter;
@@ -13,6 +14,7 @@
 use basilgrade_types::id;
 
 use crate::core;
+use crate::follow::backoff;
 use crate::follow::reader;
 use crate::follow::registrations;
 use crate::peers::stream_copies;
@@ -25,6 +27,9 @@
 /// the appends of all daemons together to 200 a second.
 const APPEND_INTERVAL_PER_DAEMON: clock::Millis = clock::Millis(5);
 
+/// Interval between two appends of the daemon that records the streams of a failure domain.
+const RECORD_INTERVAL: clock::Millis = clock::Millis(1000);
+
 /// Wait after a failed append.
 const RETRY_DELAY: clock::Millis = clock::Millis(400);
 
@@ -50,6 +55,8 @@
 struct Position {
     /// Offset of the next record; `None` before the first read.
     next: Option<u64>,
+    /// Offset from which the log is read after all if the first record read is recent.
+    earlier: Option<u64>,
     era: u64,
     /// Start of the last complete read.
     read_at: clock::Millis,
@@ -209,9 +216,15 @@
             .plus(clock::Millis(READ_INTERVAL_PER_DAEMON.0 * daemons));
         tokio::time::sleep((due - self.core.now()).duration()).await;
         let started = self.core.now();
+        let is_first = position.next.is_none();
         for _ in 0..MAX_READ_CALLS {
             if self.read_once(&mut position).await? {
                 position.read_at = started;
+                if is_first {
+                    let known = self.core.streams().len();
+                    let next = position.next.unwrap_or_default();
+                    log::info!("event=streams-loaded next={next} known={known}");
+                }
                 return Ok(());
             }
         }
@@ -229,9 +242,10 @@
         let (end, first) = store::log_bounds(answer.status, &answer.body)
             .ok_or_else(|| format!("status `{}` of the read of streams", answer.status))?;
         if position.next.is_none() || position.era != era {
-            let recent = self.start_offset(end, first);
+            let [earlier, next] = self.start_offsets(end, first);
             *position = Position {
-                next: Some(recent),
+                next: Some(next),
+                earlier: (earlier < next).then_some(earlier),
                 era,
                 ..Position::default()
             };
@@ -245,10 +259,14 @@
         };
         let now = self.core.now();
         let mut unreadable = Vec::new();
+        let mut first_at = None;
         for record in records {
             let value = record.and_then(|record| record.value);
             match value.map(|value| stream_record::decode(&value)) {
-                Some(Ok(shared)) => self.core.streams().merge(now, shared),
+                Some(Ok(shared)) => {
+                    first_at.get_or_insert(shared.at);
+                    self.core.streams().merge(now, shared);
+                }
                 Some(Err(reason)) => unreadable.push(reason.to_string()),
                 None => unreadable.push("the record is malformed".to_owned()),
             }
@@ -258,16 +276,27 @@
             self.core.metrics.unreadable_records.add(count as u64);
             log::warn!("event=streams-unreadable records={count} reason={reason:?}");
         }
+        let lifetime = self.core.streams().lifetime();
+        let is_recent = |at: clock::Millis| at.plus(lifetime) > now;
+        if let Some(earlier) = position.earlier.take()
+            && first_at.is_none_or(is_recent)
+        {
+            position.next = Some(earlier);
+            return Ok(false);
+        }
         position.next = Some(next);
         Ok(next >= end)
     }
 
-    /// Offset from which on the records are recent enough to be needed.
-    fn start_offset(&self, end: u64, first: u64) -> u64 {
+    /// Offsets from which on the records are recent enough to be needed, if daemons append at once
+    /// and if only the recorders of the failure domains append.
+    fn start_offsets(&self, end: u64, first: u64) -> [u64; 2] {
         let lifetime = self.core.streams().lifetime();
         // A daemon that has just started does not know how many others append.
-        let appends = lifetime.0 / APPEND_INTERVAL_PER_DAEMON.0;
-        first.max(end.saturating_sub(appends))
+        let most = lifetime.0 / APPEND_INTERVAL_PER_DAEMON.0;
+        let domains = self.core.view.load().topology.regions.len() as u64;
+        let records = domains * (lifetime.0 / RECORD_INTERVAL.0 + 1);
+        [most, records].map(|count| first.max(end.saturating_sub(count)))
     }
 }
 
@@ -288,14 +317,7 @@
         if batch.is_empty() {
             continue;
         }
-        let shared = streams::Shared {
-            at: now,
-            lifetime: core.streams().lifetime(),
-            batch,
-        };
-        if let Err(reason) = append(&core, &shared).await {
-            log::warn!("event=streams-failed reason={reason:?}");
-            core.streams().restore(&shared.batch);
+        if !append(&core, now, batch).await {
             core.streams_changed.notify_one();
             tokio::time::sleep(RETRY_DELAY.duration()).await;
         }
@@ -303,7 +325,52 @@
     }
 }
 
-async fn append(core: &core::Core, shared: &streams::Shared) -> Result<(), String> {
+/// Records the streams of this failure domain in pools with one version, if this daemon is the one
+/// that does so; never returns.
+pub async fn record(core: sync::Arc<core::Core>) {
+    let mut backoff = backoff::Backoff::default();
+    let mut is_recorder = false;
+    loop {
+        tokio::time::sleep(RECORD_INTERVAL.duration()).await;
+        let other = stream_copies::recorder(&core);
+        if is_recorder != other.is_none() {
+            is_recorder = other.is_none();
+            log::info!("event=stream-recorder-changed records={is_recorder}");
+        }
+        if !is_recorder || core.is_draining() {
+            continue;
+        }
+        let now = core.now();
+        let batch = core
+            .streams()
+            .take_unrecorded(now, stream_record::MAX_STREAMS);
+        if batch.is_empty() {
+            continue;
+        }
+        if append(&core, now, batch).await {
+            backoff.reset();
+        } else {
+            backoff.wait().await;
+        }
+    }
+}
+
+/// Appends `batch` to the log, and takes it back if this fails; returns whether it was appended.
+async fn append(core: &core::Core, now: clock::Millis, batch: streams::Batch) -> bool {
+    let shared = streams::Shared {
+        at: now,
+        lifetime: core.streams().lifetime(),
+        batch,
+    };
+    let outcome = append_record(core, &shared).await;
+    if let Err(reason) = &outcome {
+        log::warn!("event=streams-failed reason={reason:?}");
+        core.streams().restore(&shared.batch);
+    }
+    outcome.is_ok()
+}
+
+async fn append_record(core: &core::Core, shared: &streams::Shared) -> Result<(), String> {
     let settings = core.settings.load();
     let record = stream_record::encode(settings.name.as_str(), shared)
         .map_err(|reason| reason.to_string())?;
--- a/crates/basilgrade_edge/src/peers/stream_copies.rs
+++ b/crates/basilgrade_edge/src/peers/stream_copies.rs
@@ -31,6 +31,9 @@
 /// Interval between searches for a keeper while none is known.
 const KEEPER_SEARCH_INTERVAL: clock::Millis = clock::Millis(50);
 
+/// Interval between batches to the daemon that records the streams of the failure domain.
+const RECORDER_INTERVAL: clock::Millis = clock::Millis(500);
+
 /// Delay before the next daemon gets the copies of one that does not take them.
 const RETRY_DELAY: clock::Millis = clock::Millis(20);
 
@@ -40,12 +43,68 @@
 /// Minimum interval between two searches for each daemon of the deployment.
 const SEARCH_INTERVAL_PER_DAEMON: clock::Millis = clock::Millis(1);
 
-/// Sends the streams that this daemon begins to their keepers; never returns.
+/// Sends the streams that this daemon begins to their keepers, and to the daemon that records those
+/// of the failure domain; never returns.
 pub async fn send(core: sync::Arc<core::Core>) {
-    let sends = (0..keepers::COPIES).map(|copy| send_copy(&core, copy));
+    let keepers = (0..keepers::COPIES).map(Recipient::Keeper);
+    let recipients = keepers.chain([Recipient::Recorder]);
+    let sends = recipients.map(|recipient| send_copies(&core, recipient));
     futures::future::join_all(sends).await;
 }
 
+/// Who gets copies of the streams that this daemon begins.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Recipient {
+    /// The keeper of the copy with this number.
+    Keeper(usize),
+    /// The daemon that records the streams of the failure domain, if it is not a keeper.
+    Recorder,
+}
+
+impl Recipient {
+    fn target(self, core: &core::Core) -> Option<daemon::Daemon> {
+        let view = core.view.load();
+        let domain = &view.topology.domain;
+        let keepers = keepers::Keepers::rank(domain, &view.topology, &view.registered);
+        let is_usable = |daemon: &daemon::Daemon| !core.stream_links.is_backing_off(daemon.address);
+        let own = &core.settings.load().name;
+        let [inside, outside] = keepers.targets(own, is_usable);
+        match self {
+            Self::Keeper(0) => inside,
+            Self::Keeper(_) => outside,
+            Self::Recorder => recorder(core).filter(|found| Some(found) != inside.as_ref()),
+        }
+    }
+
+    /// Interval between batches, which collects streams that begin at the same time.
+    fn batch_interval(self, core: &core::Core) -> clock::Millis {
+        if self == Self::Recorder {
+            return RECORDER_INTERVAL;
+        }
+        let view = core.view.load();
+        let domain = &view.topology.domain;
+        let peers = view.registered.iter();
+        let count = peers.filter(|daemon| daemon.domain == *domain).count();
+        BATCH_INTERVAL_PER_DAEMON.times(count.max(1) as u64)
+    }
+
+    /// Interval between searches while there is none.
+    fn search_interval(self) -> clock::Millis {
+        match self {
+            Self::Keeper(_) => KEEPER_SEARCH_INTERVAL,
+            Self::Recorder => RECORDER_INTERVAL,
+        }
+    }
+}
+
+/// Daemon that records the streams of this failure domain in the log; `None` if this daemon does.
+pub fn recorder(core: &core::Core) -> Option<daemon::Daemon> {
+    let view = core.view.load();
+    let own = &core.settings.load().name;
+    let is_usable = |daemon: &daemon::Daemon| !core.stream_links.is_backing_off(daemon.address);
+    keepers::recorder(&view.topology.domain, own, &view.registered, is_usable)
+}
+
 /// What the keeper of a copy has.
 struct Progress {
     keeper: daemon::Daemon,
@@ -62,9 +121,8 @@
     }
 }
 
-/// Sends the streams that this daemon begins to the keeper of the copy with this number; never
-/// returns.
-async fn send_copy(core: &core::Core, copy: usize) {
+/// Sends the streams that this daemon begins to `recipient`; never returns.
+async fn send_copies(core: &core::Core, recipient: Recipient) {
     let mut begun = core.subscribe_streams();
     let mut progress: Option<Progress> = None;
     loop {
@@ -80,14 +138,14 @@
             // The result is ignored: after a new stream or the time-out, the keeper is called.
             let _ = tokio::time::timeout(wait, begun.changed()).await;
         }
-        let Some(keeper) = target(core, copy) else {
+        let Some(keeper) = recipient.target(core) else {
             progress = None;
-            tokio::time::sleep(KEEPER_SEARCH_INTERVAL.duration()).await;
+            tokio::time::sleep(recipient.search_interval().duration()).await;
             continue;
         };
         progress = send_batch(core, keeper, progress).await;
         let interval = if progress.is_some() {
-            batch_interval(core)
+            recipient.batch_interval(core)
         } else {
             RETRY_DELAY
         };
@@ -132,26 +190,6 @@
     }
 }
 
-/// Interval between batches, which collects streams that begin at the same time.
-fn batch_interval(core: &core::Core) -> clock::Millis {
-    let view = core.view.load();
-    let domain = &view.topology.domain;
-    let peers = view.registered.iter();
-    let count = peers.filter(|daemon| daemon.domain == *domain).count();
-    BATCH_INTERVAL_PER_DAEMON.times(count.max(1) as u64)
-}
-
-/// Keeper of the copy with this number.
-fn target(core: &core::Core, copy: usize) -> Option<daemon::Daemon> {
-    let view = core.view.load();
-    let domain = &view.topology.domain;
-    let keepers = keepers::Keepers::rank(domain, &view.topology, &view.registered);
-    let is_usable = |daemon: &daemon::Daemon| !core.stream_links.is_backing_off(daemon.address);
-    let own = &core.settings.load().name;
-    let [inside, outside] = keepers.targets(own, is_usable);
-    if copy == 0 { inside } else { outside }
-}
-
 /// Finds streams that this daemon did not begin at the daemons that keep copies of them.
 pub struct StreamFinder {
     core: sync::Arc<core::Core>,
--- a/crates/basilgrade_fleet/src/keepers.rs
+++ b/crates/basilgrade_fleet/src/keepers.rs
@@ -2,8 +2,10 @@
 //!
 //! The daemons of a failure domain form a few groups. A group sends its streams to the same two
 //! keepers, one inside the domain and one outside of it, so that a daemon which looks for a stream
-//! asks few others, and none keeps the streams of a whole domain. If a keeper does not answer, the
-//! next one by rank takes its place.
+//! asks few others. If a keeper does not answer, the next one by rank takes its place.
+//!
+//! While one software version serves, one daemon of each domain also gets all of its streams and
+//! records them in the log of the store.
 
 use basilgrade_types::id;
 
@@ -107,6 +109,24 @@
     }
 }
 
+/// Daemon that records the streams which begin in `domain` in the log, of those for which `is_usable`
+/// returns `true`; `None` if no other daemon of the domain than `own` does.
+pub fn recorder(
+    domain: &id::DomainId,
+    own: &id::VmId,
+    daemons: &[daemon::Daemon],
+    is_usable: impl Fn(&daemon::Daemon) -> bool,
+) -> Option<daemon::Daemon> {
+    let is_candidate = |daemon: &&daemon::Daemon| {
+        daemon.domain == *domain && (daemon.name == *own || daemon.keeps_streams)
+    };
+    let mut ranked: Vec<_> = daemons.iter().filter(is_candidate).cloned().collect();
+    daemon::rank("log of streams", &mut ranked);
+    let is_able = |daemon: &daemon::Daemon| daemon.name == *own || is_usable(daemon);
+    let first = ranked.into_iter().find(is_able)?;
+    (first.name != *own).then_some(first)
+}
+
 /// Group of the daemon `name` within its failure domain.
 fn group_of(name: &id::VmId) -> usize {
     (ranking::key(name.as_str()) % GROUPS as u64) as usize
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -3,8 +3,9 @@
 //! What two versions write does not fit together, and engines do not check which one began a
 //! stream. A daemon remembers the streams that it began and has other daemons keep copies of them,
 //! from which daemons that did not begin a stream, or have lost their memory, learn its version.
-//! While several versions serve in a pool, it also shares them through a log of the store, which
-//! outlasts a loss of all daemons.
+//! A log of the store outlasts a loss of all daemons: while several versions serve in a pool, each
+//! daemon shares its streams there, and while one serves, one daemon records those of its failure
+//! domain at longer intervals.
 
 mod lifetime;
 
@@ -71,6 +72,9 @@
     pool: id::PoolId,
     version: upstream::Version,
     begun_at: clock::Millis,
+    /// Whether this daemon began the stream or took it up.
+    is_own: bool,
+    /// Whether the stream is in the log.
     is_shared: bool,
 }
 
@@ -253,6 +257,7 @@
             pool: entry.pool.clone(),
             version: entry.version.clone(),
             begun_at: now,
+            is_own: true,
             is_shared: false,
         };
         self.known.insert(id, stream);
@@ -347,11 +352,35 @@
             let names = versions.map(|(version, _)| (version.clone(), Vec::new()));
             batch.insert(pool, names.collect());
         }
+        let own = self.take(now, limit, |stream, has_several| {
+            stream.is_own && has_several
+        });
+        for (pool, versions) in own {
+            batch.entry(pool).or_default().extend(versions);
+        }
+        batch
+    }
+
+    /// Takes what to record for a failure domain: the streams that this daemon knows in pools with
+    /// one version, at most `limit`.
+    pub fn take_unrecorded(&mut self, now: clock::Millis, limit: usize) -> Batch {
+        self.take(now, limit, |_, has_several| !has_several)
+    }
+
+    /// Takes streams that are not in the log and for which `is_due` returns `true`; it is told
+    /// whether several versions serve in the pool of the stream.
+    fn take(
+        &mut self,
+        now: clock::Millis,
+        limit: usize,
+        is_due: impl Fn(&Stream, bool) -> bool,
+    ) -> Batch {
+        let mut batch = Batch::new();
         let (lifetime, versions) = (self.lifetime, &self.versions);
         let unshared = self.known.iter_mut().filter(|(_, stream)| {
             !stream.is_shared
                 && stream.begun_at.plus(lifetime) > now
-                && has_several(versions.get(&stream.pool))
+                && is_due(stream, has_several(versions.get(&stream.pool)))
         });
         for (id, stream) in unshared.take(limit) {
             stream.is_shared = true;
@@ -364,7 +393,10 @@
 
     /// Takes back a batch that may not have been shared.
     pub fn restore(&mut self, batch: &Batch) {
-        self.unnamed.extend(batch.keys().cloned());
+        let pools = batch
+            .keys()
+            .filter(|pool| has_several(self.versions.get(*pool)));
+        self.unnamed.extend(pools.cloned());
         for id in batch.values().flat_map(IndexMap::values).flatten() {
             if let Some(stream) = self.known.get_mut(id) {
                 stream.is_shared = false;
@@ -381,6 +413,16 @@
         (self.copies(now, ids), next)
     }
 
+    /// Number of streams that this daemon remembers.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether this daemon remembers no streams.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// Whether this daemon remembers streams that it has begun or taken up.
     pub fn has_begun(&self) -> bool {
         !self.begun.is_empty()
@@ -426,27 +468,28 @@
             for (version, ids) in versions {
                 for (id, age) in ids {
                     self.lifetimes.record_age(now, age);
-                    self.insert_shared(now - age, id, (&pool, &version));
+                    self.insert(now - age, id, (&pool, &version));
                 }
             }
         }
         self.lifetime = self.lifetimes.longest(now);
     }
 
-    /// Adds a stream of another daemon.
-    fn insert_shared(
+    /// Adds a stream of another daemon unless it is known.
+    fn insert(
         &mut self,
         begun_at: clock::Millis,
         id: AttemptId,
         (pool, version): (&id::PoolId, &upstream::Version),
-    ) {
+    ) -> &mut Stream {
         self.mark_seen(begun_at, pool, version);
         self.known.entry(id).or_insert_with(|| Stream {
             pool: pool.clone(),
             version: version.clone(),
             begun_at,
-            is_shared: true,
-        });
+            is_own: false,
+            is_shared: false,
+        })
     }
 
     /// Adds streams that a daemon shared.
@@ -463,7 +506,7 @@
                 // A batch may name a version without streams.
                 self.mark_seen(shared_at, &pool, &version);
                 for id in ids {
-                    self.insert_shared(shared_at, id, (&pool, &version));
+                    self.insert(shared_at, id, (&pool, &version)).is_shared = true;
                 }
             }
         }
--- a/crates/basilgrade_fleet/tests/keepers.rs
+++ b/crates/basilgrade_fleet/tests/keepers.rs
@@ -135,3 +135,27 @@
     assert_eq!(second, None);
     assert_eq!(names(&keepers.asked(&vm("a-0"), |_| true)), ["c-1"]);
 }
+
+/// Guards against streams that no daemon records in the log, or that several do, also after the one
+/// that did so has failed.
+#[test]
+fn one_daemon_records_the_streams_of_a_domain() {
+    let daemons = daemons();
+    let own = ["a-0", "a-1", "a-2"].map(vm);
+    let recorder = |own: &id::VmId, failed: &[&str]| {
+        let is_usable = |daemon: &daemon::Daemon| !failed.contains(&daemon.name.as_str());
+        let found = keepers::recorder(&domain("a"), own, &daemons, is_usable);
+        found.map_or_else(|| own.clone(), |daemon| daemon.name)
+    };
+
+    let first = recorder(&own[0], &[]);
+    let others: Vec<_> = own.iter().filter(|name| **name != first).collect();
+    let next: Vec<_> = others
+        .iter()
+        .map(|own| recorder(own, &[first.as_str()]))
+        .collect();
+
+    assert!(own.iter().all(|own| recorder(own, &[]) == first));
+    assert_eq!(next[0], next[1]);
+    assert!(next[0] != first && own.contains(&next[0]));
+}
