Send followers the newest configuration, and complete reads of the store

Cause: an update for a follower held all versions since its last one, which a link of 10 Mbit/s does not carry within the time-out of the call. The follower then read the store itself, and gave that read up when another daemon answered, even one that was behind.

Change: updates of the operators' records hold the newest record of each key, and the configuration in force if that is unreadable. A read that has begun is completed.

Why it works: a follower gets one configuration instead of all, and its own read, which takes about 1 s, ends the wait if the call does not.

--- a/crates/basilgrade_edge/src/follow/mirror.rs
+++ b/crates/basilgrade_edge/src/follow/mirror.rs
@@ -48,6 +48,17 @@
     pub changes: Changes,
 }
 
+/// The newest of `records` of each key, as a storm of configurations would take seconds to send.
+fn newest_of_each_key<'a>(
+    records: impl Iterator<Item = &'a (CompactString, Option<Bytes>)>,
+) -> KeyedChanges {
+    let newest: IndexMap<_, _> = records.map(|(key, value)| (key, value)).collect();
+    let copies = newest.into_iter();
+    copies
+        .map(|(key, value)| (key.clone(), value.clone()))
+        .collect()
+}
+
 /// Newest record of each key of a topic, as of a position.
 #[derive(Clone, Debug)]
 pub struct Mirror {
@@ -128,7 +139,12 @@
             .position(|(from, _)| Some(*from) == known);
         let changes = if let Some(first) = first {
             let batches = self.recent.iter().skip(first);
-            Changes::Some(batches.flat_map(|(_, records)| records.clone()).collect())
+            let records = batches.flat_map(|(_, records)| records);
+            Changes::Some(match self.topic {
+                store::Topic::Operators => newest_of_each_key(records),
+                // Each registration counts, as its software version has served.
+                store::Topic::Upstreams | store::Topic::Daemons => records.cloned().collect(),
+            })
         } else {
             let copy = |(key, value): (&CompactString, &Bytes)| (key.clone(), value.clone());
             Changes::All(self.records.iter().map(copy).collect())
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -101,17 +101,29 @@
             .collect()
     }
 
-    /// Adds the configuration in force to `update` if that has all records of its topic but not this
-    /// one, as a newer one is unreadable.
+    /// Adds the configuration in force to `update` if that has another one, as a newer one is
+    /// unreadable.
     fn with_configuration(&self, mut update: mirror::Update) -> mirror::Update {
         if update.topic != store::Topic::Operators {
             return update;
         }
-        if let mirror::Changes::All(records) = &mut update.changes
-            && let Some(in_force) = self.lock_in_force().clone()
-            && !records.contains(&in_force)
-        {
-            records.insert(0, in_force);
+        let Some((key, value)) = self.lock_in_force().clone() else {
+            return update;
+        };
+        match &mut update.changes {
+            mirror::Changes::All(records) => {
+                let in_force = (key, value);
+                if !records.contains(&in_force) {
+                    records.insert(0, in_force);
+                }
+            }
+            mirror::Changes::Some(records) => {
+                let in_force = (key, Some(value));
+                let has_another = records.iter().any(|(key, _)| *key == in_force.0);
+                if has_another && !records.contains(&in_force) {
+                    records.insert(0, in_force);
+                }
+            }
         }
         update
     }
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -108,10 +108,7 @@
                 }
             }
             failures = 0;
-            tokio::select! {
-                () = self.follow() => {}
-                _ = reader_changes.wait_for(|is_reader| !is_reader) => {}
-            }
+            self.follow(&mut reader_changes).await;
         }
     }
 
@@ -212,8 +209,12 @@
         Ok(())
     }
 
-    /// Reads appended records repeatedly; reloads the newest records if the store has expired some.
-    async fn follow(&self) {
+    /// Reads appended records repeatedly until another daemon reads for this one; reloads the newest
+    /// records if the store has expired some.
+    ///
+    /// A read that has begun is completed: the other daemon may be behind, and a large configuration
+    /// would have to be read anew.
+    async fn follow(&self, reader_changes: &mut tokio::sync::watch::Receiver<bool>) {
         let wait = match self.topic {
             store::Topic::Operators => self.core.settings.load().news_pace().operator_wait,
             store::Topic::Upstreams => clock::Millis::ZERO,
@@ -223,7 +224,10 @@
         let mut regained = self.mirrors.subscribe_regained();
         let mut failures = 0;
         loop {
-            self.settle().await;
+            self.settle(reader_changes).await;
+            if !*reader_changes.borrow_and_update() {
+                return;
+            }
             regained.mark_unchanged();
             let read = self.read_appended(wait);
             let outcome = tokio::select! {
@@ -235,9 +239,16 @@
                 Ok(Progress::Expired) => self.reload().await,
                 Err(reason) => Err(reason),
             };
+            if !self.mirrors.is_reader() && outcome.is_err() {
+                // The answer of the other daemon tells whether the store is reachable.
+                return;
+            }
             if let Err(reason) = outcome {
-                self.back_off(&reason, &mut failures).await;
-                continue;
+                let is_other = reader_changes.wait_for(|is_reader| !is_reader);
+                tokio::select! {
+                    () = self.back_off(&reason, &mut failures) => continue,
+                    _ = is_other => return,
+                }
             }
             failures = 0;
             self.mirrors.record_store_answer();
@@ -246,22 +257,22 @@
                     self.mirrors.expire_missing();
                 }
                 let pause = self.mirrors.read_pause(news_pace::READ_INTERVAL);
-                tokio::time::sleep(pause.duration()).await;
+                pause_as_reader(reader_changes, pause).await;
             } else if self.topic == store::Topic::Daemons {
-                tokio::time::sleep(DAEMON_READ_INTERVAL.duration()).await;
+                pause_as_reader(reader_changes, DAEMON_READ_INTERVAL).await;
             }
         }
     }
 
     /// Waits, after the first load, until this daemon has had time to find the daemon that reads the
     /// store for it.
-    async fn settle(&self) {
+    async fn settle(&self, reader_changes: &mut tokio::sync::watch::Receiver<bool>) {
         let pause = match self.topic {
             store::Topic::Daemons => return,
             store::Topic::Operators if self.core.view.load().configuration.is_none() => return,
             store::Topic::Operators | store::Topic::Upstreams => self.settled_at - self.core.now(),
         };
-        tokio::time::sleep(pause.duration()).await;
+        pause_as_reader(reader_changes, pause).await;
     }
 
     /// Loads the newest records again, because the position of the mirror is not in the store.
@@ -330,6 +341,16 @@
     }
 }
 
+/// Waits for `pause`, or until another daemon reads the store for this one.
+async fn pause_as_reader(
+    reader_changes: &mut tokio::sync::watch::Receiver<bool>,
+    pause: clock::Millis,
+) {
+    let is_other = reader_changes.wait_for(|is_reader| !is_reader);
+    // The result is ignored: the caller looks at what the receiver has.
+    let _ = tokio::time::timeout(pause.duration(), is_other).await;
+}
+
 /// Makes one call to the store with the time-out [`news_pace::STORE_TIMEOUT`], extended by the
 /// long-poll time `wait`.
 pub(super) async fn call(
--- a/crates/basilgrade_edge/tests/mirror.rs
+++ b/crates/basilgrade_edge/tests/mirror.rs
@@ -122,3 +122,26 @@
     assert!(encoded.is_sorted());
     assert_eq!(encoded.map(position::Position::from), positions);
 }
+
+/// Guards against a follower that does not get the newest of many large configurations in time, as
+/// the update holds all of them.
+#[test]
+fn update_contains_the_newest_configuration_only() {
+    let mut reader = mirror::Mirror::new(store::Topic::Operators);
+    reader.apply(at(1), &changes(&[("config", "1"), ("evacuate/a", "{}")]));
+    let mut follower = reader.clone();
+    for step in 2..40 {
+        let value = step.to_string();
+        reader.apply(at(step), &changes(&[("config", &value)]));
+    }
+    reader.apply(at(40), &changes(&[("evacuate/a", "")]));
+
+    let update = reader.since(Some(at(1))).expect("there is news");
+
+    let mirror::Changes::Some(records) = &update.changes else {
+        panic!("the update holds all records");
+    };
+    assert_eq!(records.len(), 2);
+    assert!(follower.apply(update.position, &update.changes));
+    assert_eq!(sorted_records(&follower), sorted_records(&reader));
+}
--- a/crates/basilgrade_edge/tests/odd_records.rs
+++ b/crates/basilgrade_edge/tests/odd_records.rs
@@ -344,6 +344,39 @@
     assert_eq!(following.version(), Some(7));
 }
 
+/// Guards against a follower that stays behind as the newest configuration is unreadable and the
+/// update holds no other.
+#[test]
+fn followers_get_the_configuration_in_force_beside_an_unreadable_one() {
+    let mut reader = Follower::new();
+    let former = CONFIGURATION.replace('7', "6");
+    reader.read(
+        Source::Newest,
+        store::Topic::Operators,
+        vec![record("config", &former)],
+    );
+    let following = Follower::new();
+    let reply = |updates| service::Updates {
+        is_store_reachable: true,
+        is_uncertain: false,
+        updates,
+    };
+    let first = reader.mirrors.since([None; 3]);
+    following.mirrors.apply_reply(reply(first), true);
+    for value in [CONFIGURATION, "[[["] {
+        reader.read(
+            Source::Log,
+            store::Topic::Operators,
+            vec![record("config", value)],
+        );
+    }
+
+    let update = reader.mirrors.since(following.mirrors.positions());
+    following.mirrors.apply_reply(reply(update), true);
+
+    assert_eq!(following.version(), Some(7));
+}
+
 /// Guards against a flood of log lines, or one long line, because of an odd record that is read again
 /// and again.
 #[test]
