Refuse streams that may have begun in another pool before the start

Cause: a daemon that has just started knows no earlier change of routes and took the pool to which the path leads for the one that began the stream; one version serves there.

Evidence: without the loss of power none is joined; the daemon's answers name the new pool only.

Change: until a daemon has known the configuration for as long as a stream can last, it reads the log, which holds the streams of the only version now, before it infers a pool; a stream that is not there goes on only if one version has served in all pools.

Why it works: what the log tells is what the daemon that began the stream knew, and with one version everywhere no pool can be the wrong one.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -509,6 +509,31 @@
     }
 }
 
+/// Guards against streams that go on at another version in the pool to which their route was moved
+/// right before all daemons lost their memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_on_a_moved_route_are_not_joined_after_a_loss_of_all_daemons() {
+    let (mut deployment, ids) = move_route("v2").await;
+    for daemon in &mut deployment.daemons {
+        daemon.kill();
+    }
+    for daemon in &mut deployment.daemons {
+        daemon.start();
+    }
+    for daemon in [0, 1] {
+        deployment.wait_until_ready(daemon).await;
+    }
+
+    for (number, first) in ids.iter().enumerate() {
+        let unknown = format!("unknown-{first}");
+        for resumed in [first, &unknown] {
+            let id = format!("again-{resumed}");
+            let status = take_up(&deployment, number % 2, &id, Some(resumed)).await;
+            assert_eq!((status, deployment.count_runs(&id)), (503, 0), "`{id}`");
+        }
+    }
+}
+
 /// Guards against streams that are lost as their route was moved to a pool of the same version, or
 /// that go on in the former pool.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -54,12 +54,10 @@
         );
         self.report_unreadable_entries(&configuration);
         self.report_unserved_entries(&configuration);
-        if let Some(known) = &known {
-            let now = self.core.now();
-            self.core
-                .streams()
-                .record_configuration(now, known, &configuration);
-        }
+        let now = self.core.now();
+        self.core
+            .streams()
+            .record_configuration(now, known.as_deref(), &configuration);
         let configuration = sync::Arc::new(configuration);
         self.core.view.rcu(|view| view::View {
             configuration: Some(sync::Arc::clone(&configuration)),
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -9,6 +9,7 @@
 
 use basilgrade_adapter::store;
 use basilgrade_adapter::stream_record;
+use basilgrade_fleet::directory::upstream;
 use basilgrade_fleet::streams;
 use basilgrade_types::clock;
 use basilgrade_types::id;
@@ -95,6 +96,14 @@
             self.core.metrics.found_copies.inc();
             return Ok(known);
         }
+        let knows_routes = self.core.streams().knows_routes(self.core.now());
+        if !knows_routes {
+            // The route may have been moved before this daemon started.
+            self.read().await?;
+            if let Some(known) = self.known(attempt, request) {
+                return Ok(known);
+            }
+        }
         let path = request.target.path();
         let only = self.core.streams().only_pool(&request.route, path);
         let Some(pool) = only else {
@@ -103,6 +112,26 @@
             return Ok(known.unwrap_or((request.pool.clone(), streams::Origin::Unknown)));
         };
         let origin = self.origin_in(attempt, &pool).await?;
+        if let Some(known) = self.known(attempt, request) {
+            return Ok(known);
+        }
+        // A stream that began in another pool has the same version if there is one only.
+        let is_certain = |version: &upstream::Version| {
+            let now = self.core.now();
+            knows_routes || self.core.streams().is_only_version(now, version)
+        };
+        let origin = match origin {
+            streams::Origin::Version(version) if !is_certain(&version) => {
+                log::info!(
+                    "event=stream-unknown request={} resumes={} reason=\"the route may have been \
+                     moved before the start\"",
+                    request.head.request_id,
+                    request.resumed_name()
+                );
+                streams::Origin::Unknown
+            }
+            origin => origin,
+        };
         Ok((pool, origin))
     }
 
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -93,6 +93,8 @@
     /// Pools that have come to have several versions, which is not shared yet.
     unnamed: IndexSet<id::PoolId>,
     routes: route_history::RouteHistory,
+    /// Time since which this daemon knows all changes of routes.
+    routes_since: Option<clock::Millis>,
     /// Time since which this daemon has read all registrations of upstreams without a gap.
     observed_since: Option<clock::Millis>,
     lifetimes: lifetime::Lifetime,
@@ -110,6 +112,7 @@
             versions: IndexMap::new(),
             unnamed: IndexSet::new(),
             routes: route_history::RouteHistory::default(),
+            routes_since: None,
             observed_since: None,
             lifetimes: lifetime::Lifetime::default(),
             lifetime: lifetime::MIN,
@@ -189,14 +192,23 @@
         is_new
     }
 
-    /// Records that the configuration `new` replaces `old`.
+    /// Records that the configuration `new` replaces `old`, which is absent at the start.
     pub fn record_configuration(
         &mut self,
         now: clock::Millis,
-        old: &configuration::Configuration,
+        old: Option<&configuration::Configuration>,
         new: &configuration::Configuration,
     ) {
-        self.routes.record_change(now, old, new);
+        self.routes_since.get_or_insert(now);
+        if let Some(old) = old {
+            self.routes.record_change(now, old, new);
+        }
+    }
+
+    /// Whether this daemon knows where routes have led for as long as a stream can last.
+    pub fn knows_routes(&self, now: clock::Millis) -> bool {
+        let earliest = now - self.lifetime;
+        self.routes_since.is_some_and(|since| since <= earliest)
     }
 
     /// Records that registrations may have come and gone unread until `now`.
@@ -299,6 +311,13 @@
         }
     }
 
+    /// Whether `version` is the only one that has served, in any pool, for as long as a stream can
+    /// last, as far as this daemon knows.
+    pub fn is_only_version(&self, now: clock::Millis, version: &upstream::Version) -> bool {
+        let mut served = self.versions.values().flatten();
+        served.all(|(known, seen_at)| known == version || seen_at.plus(self.lifetime) <= now)
+    }
+
     /// Like [`Streams::known_origin`], for a daemon that knows every upstream that had registered
     /// itself when the caller took the stream up. It then needs no shared streams if it has known
     /// them for as long as a stream can last.
