Read registrations again before a stream is taken up at an engine

Cause: a take-up is compared with the directory right before it leaves. That is up to a second old, and X-Expect-Instance names the id, which both runs share.

Evidence: in the records the streams are taken up as of the right version, within 0.4 s of the crash, at the engine's new run.

Change: once the connection for a take-up is open, the registrations are read up to that moment, for at most 0.9 s, and compared then.

Why it works: the run that accepted the connection is registered by then.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -674,3 +674,31 @@
 
     assert_eq!(count, STREAMS, "streams whose version is known are lost");
 }
+
+/// Guards against a stream that goes on at an engine which has started again under its id at another
+/// version, before the daemon has read its registration.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_do_not_go_on_at_an_engine_that_has_changed_its_version() {
+    let deployment = start().await;
+    let ids = begin_all(&deployment).await;
+    tokio::time::sleep(COPY_TIME).await;
+    let now = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .expect("the clock is past 1970");
+    let fields = serde_json::json!({"version": "v2", "born": now.as_millis() as u64});
+    deployment.register_with("engine", 0, &fields);
+
+    let attempts: Vec<_> = ids.iter().map(|first| format!("again-{first}")).collect();
+    let take_ups = ids.iter().zip(&attempts).enumerate();
+    let statuses =
+        take_ups.map(|(number, (first, id))| take_up(&deployment, number % 2, id, Some(first)));
+    let statuses = futures::future::join_all(statuses).await;
+
+    for (first, id) in ids.iter().zip(&attempts) {
+        let is_first = |id: &str| versions(&deployment, &[id]).contains("v1");
+        let changed = deployment.upstream("engine-0").runs();
+        let ran_there = changed.iter().any(|run| run.request == *id);
+        assert!(!(is_first(first) && ran_there), "`{first}` was joined");
+    }
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
--- a/crates/basilgrade_edge/src/follow/registrations.rs
+++ b/crates/basilgrade_edge/src/follow/registrations.rs
@@ -1,11 +1,13 @@
 //! Reads of the registrations of upstreams on demand, for decisions that need a directory which is
 //! not behind.
 
+use std::fmt;
 use std::sync;
 use std::sync::atomic;
 
 use basilgrade_adapter::store;
 use basilgrade_adapter::upstream_registration;
+use basilgrade_fleet::news_pace;
 use basilgrade_types::clock;
 
 use crate::core;
@@ -19,6 +21,9 @@
 /// to the store one after the other.
 const REPLY_TIMEOUT: clock::Millis = clock::Millis(2500);
 
+/// Time-out for a read whose caller goes on without it; that of one call to the store.
+const CONFIRM_TIMEOUT: clock::Millis = news_pace::STORE_TIMEOUT;
+
 /// Maximum number of calls for all registrations that there have been.
 const MAX_HISTORY_CALLS: usize = 16;
 
@@ -34,6 +39,12 @@
     has_history: tokio::sync::Mutex<bool>,
 }
 
+impl fmt::Debug for Registrations {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Registrations").finish_non_exhaustive()
+    }
+}
+
 #[derive(Debug)]
 struct LastRead {
     /// Number of the last read that ended.
@@ -137,6 +148,20 @@
         Ok(())
     }
 
+    /// Like [`Registrations::refresh`], for a caller that goes on without if this takes too long.
+    ///
+    /// # Errors
+    ///
+    /// A message if the registrations may not be current.
+    pub async fn confirm(&self) -> Result<(), String> {
+        if !self.mirrors.is_store_reachable() {
+            return Err("the store does not answer".to_owned());
+        }
+        tokio::time::timeout(CONFIRM_TIMEOUT.duration(), self.refresh())
+            .await
+            .map_err(|_| "the store does not answer in time".to_owned())?
+    }
+
     async fn refresh_from_reader(&self) -> bool {
         let Some(reader) = self.mirrors.other_reader(|_| true) else {
             return false;
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Registrations of upstreams, which are read again on demand.
+    pub fn registrations(&self) -> &sync::Arc<registrations::Registrations> {
+        &self.registrations
+    }
+
     /// Pool and version that began the stream of the attempt `attempt`, which `request` takes up.
     ///
     /// # Errors
--- a/crates/basilgrade_edge/src/serve/attempt.rs
+++ b/crates/basilgrade_edge/src/serve/attempt.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::core;
+use crate::follow::registrations;
 use crate::http::connection;
 use crate::http::error;
 use crate::request;
@@ -139,6 +140,8 @@
     pub results: Vec<handle::Handle>,
     /// Id of the last stream event that the caller has received.
     pub last_event: Option<u64>,
+    /// Read again before a stream that must go on at its software version leaves.
+    pub registrations: Option<sync::Arc<registrations::Registrations>>,
     /// Set when the request leaves.
     pub sent: watch::Sender<bool>,
 }
@@ -396,6 +399,17 @@
     let mut connection = dialer::open(core, entry, &request.regions)
         .await
         .inspect_err(|_| entry.stats.record(core.now(), health::Outcome::Unreachable))?;
+    if let Some(registrations) = &extras.registrations {
+        // The upstream may have started again at another version since its registration was read.
+        // The run that has accepted the connection is in what the store has now.
+        if let Err(reason) = registrations.confirm().await {
+            log::info!(
+                "event=registrations-unread request={} upstream={} reason={reason:?}",
+                request.head.request_id,
+                entry.id
+            );
+        }
+    }
     if core.is_blocked(request) {
         return Err(error::SendError::unsent(BLOCKED));
     }
--- a/crates/basilgrade_edge/src/serve/stream.rs
+++ b/crates/basilgrade_edge/src/serve/stream.rs
@@ -12,6 +12,7 @@
 use hyper::header;
 
 use crate::core;
+use crate::follow::registrations;
 use crate::request;
 use crate::request::failure;
 use crate::request::response_body;
@@ -112,6 +113,9 @@
     let mut opener = Opener {
         core,
         request: &request,
+        registrations: version
+            .as_ref()
+            .map(|_| sync::Arc::clone(service.stream_log.registrations())),
         sends: buffered::SendHistory::default(),
         silent: None,
         fallback: None,
@@ -180,6 +184,8 @@
 struct Opener<'a> {
     core: &'a sync::Arc<core::Core>,
     request: &'a sync::Arc<request::Request>,
+    /// Registrations of upstreams, if the request takes a stream up.
+    registrations: Option<sync::Arc<registrations::Registrations>>,
     sends: buffered::SendHistory,
     /// The send to an upstream that is silent, which may answer until another one has the request.
     silent: Option<opening::Opening>,
@@ -219,6 +225,7 @@
             let extras = attempt::SendExtras {
                 results: results.of(self.request.route.last_stages()),
                 last_event: self.request.head.last_event,
+                registrations: self.registrations.clone(),
                 ..attempt::SendExtras::default()
             };
             let limit = first_event_timeout(self.core, self.request, &self.sends);
