Remember a stream from its last take-up on

A stream that is cut at its route's time-out and taken up again and again was refused as of unknown version once its first attempt was older than the time-out and 5 s, or 10 s.

Cause: each take-up names the first attempt, whose record kept the time at which the stream began; take-ups were recorded under their own ids alone.

Evidence: with a time-out of 1 s and two versions, the third take-up, at 15 s, is refused by a daemon that has served the second one (new test, before).

Change: a take-up is recorded under the first attempt's id too, and a later record of a known stream moves its time, in copies and in the log.

Result: two new tests fail before and pass.

--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -702,3 +702,24 @@
     }
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+/// Guards against streams that are lost while they go on in one take-up after the other for longer
+/// than a stream can last under the time-out of the route.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_taken_up_again_and_again() {
+    let deployment = start().await;
+    publish_timeout(&deployment, 1000);
+    tokio::time::sleep(RECORD_TIME).await;
+    let ids = begin_all(&deployment).await;
+    let rounds = LONG_AGE.as_secs() / 5 + 1;
+
+    for round in 0..rounds {
+        tokio::time::sleep(time::Duration::from_secs(5)).await;
+        for (number, first) in ids.iter().enumerate() {
+            let id = format!("again-{round}-{first}");
+            let status = take_up(&deployment, number % 2, &id, Some(first)).await;
+            assert_eq!(status, 200, "`{first}` is lost in round {round}");
+            assert_eq!(versions(&deployment, &[first, &id]).len(), 1);
+        }
+    }
+}
--- a/crates/basilgrade_edge/src/core.rs
+++ b/crates/basilgrade_edge/src/core.rs
@@ -395,9 +395,14 @@
         if !request.route.kind.is_repeatable() {
             return;
         }
-        let attempt = streams::AttemptId::new(&request.head.request_id);
-        if self.streams().record(self.now(), attempt, entry) {
-            self.streams_changed.notify_one();
+        // Callers name the first attempt each time, so its stream lasts on with each take-up.
+        let head = &request.head;
+        let first = head.last_event.and(head.resumes.as_ref());
+        for id in first.into_iter().chain([&head.request_id]) {
+            let attempt = streams::AttemptId::new(id);
+            if self.streams().record(self.now(), attempt, entry) {
+                self.streams_changed.notify_one();
+            }
         }
         self.streams_begun.send_modify(|count| *count += 1);
     }
--- a/crates/basilgrade_fleet/src/streams.rs
+++ b/crates/basilgrade_fleet/src/streams.rs
@@ -71,6 +71,7 @@
 struct Stream {
     pool: id::PoolId,
     version: upstream::Version,
+    /// Time at which the stream began or was taken up last.
     begun_at: clock::Millis,
     /// Whether this daemon began the stream or took it up.
     is_own: bool,
@@ -494,7 +495,7 @@
         self.lifetime = self.lifetimes.longest(now);
     }
 
-    /// Adds a stream of another daemon unless it is known.
+    /// Adds a stream of another daemon, or lets a known one last on if it was taken up there.
     fn insert(
         &mut self,
         begun_at: clock::Millis,
@@ -502,13 +503,15 @@
         (pool, version): (&id::PoolId, &upstream::Version),
     ) -> &mut Stream {
         self.mark_seen(begun_at, pool, version);
-        self.known.entry(id).or_insert_with(|| Stream {
+        let stream = self.known.entry(id).or_insert_with(|| Stream {
             pool: pool.clone(),
             version: version.clone(),
             begun_at,
             is_own: false,
             is_shared: false,
-        })
+        });
+        stream.begun_at = stream.begun_at.max(begun_at);
+        stream
     }
 
     /// Adds streams that a daemon shared.
--- a/crates/basilgrade_fleet/tests/streams.rs
+++ b/crates/basilgrade_fleet/tests/streams.rs
@@ -384,3 +384,31 @@
     let lost = reading.origin(soon, attempt("lost"), &pool, &left);
     assert_eq!(lost, streams::Origin::Unknown);
 }
+
+/// Guards against streams that are forgotten while they go on in one take-up after the other, all of
+/// which name the first attempt.
+#[test]
+fn stream_that_is_taken_up_lasts_on() {
+    let engines = [engine(1, "v1", START), engine(2, "v2", START)];
+    let known = directory(&engines);
+    let pool = engines[0].pool.clone();
+    let [mut first, mut second, mut keeper, mut reader] = <[streams::Streams; 4]>::default();
+    for streams in [&mut first, &mut second, &mut keeper, &mut reader] {
+        streams.observe(START, &known, LONGEST);
+    }
+    first.record(START, attempt("first"), &engines[0]);
+    keeper.keep(START, first.begun_since(START, 0, 10).0);
+    share(START, &mut first, &mut reader);
+    let taken_up_at = START.plus(LONGEST);
+    second.record(taken_up_at, attempt("first"), &engines[0]);
+
+    keeper.keep(taken_up_at, second.begun_since(taken_up_at, 0, 10).0);
+    share(taken_up_at, &mut second, &mut reader);
+
+    let later = taken_up_at.plus(LONGEST);
+    for streams in [&mut second, &mut keeper, &mut reader] {
+        streams.observe(later, &known, LONGEST);
+        let origin = streams.known_origin(attempt("first"), &pool);
+        assert_eq!(origin, Some(streams::Origin::Version(version("v1"))));
+    }
+}
