--- a/crates/basilgrade/tests/software_versions.rs
+++ b/crates/basilgrade/tests/software_versions.rs
@@ -509,20 +509,25 @@
     }
 }
 
-/// Guards against streams that go on at another version in the pool to which their route was moved
-/// right before all daemons lost their memory.
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_on_a_moved_route_are_not_joined_after_a_loss_of_all_daemons() {
-    let (mut deployment, ids) = move_route("v2").await;
+/// Kills all daemons and starts them again.
+async fn restart_all(deployment: &mut deployment::Deployment) {
     for daemon in &mut deployment.daemons {
         daemon.kill();
     }
     for daemon in &mut deployment.daemons {
         daemon.start();
     }
-    for daemon in [0, 1] {
+    for daemon in 0..deployment.daemons.len() {
         deployment.wait_until_ready(daemon).await;
     }
+}
+
+/// Guards against streams that go on at another version in the pool to which their route was moved
+/// right before all daemons lost their memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_on_a_moved_route_are_not_joined_after_a_loss_of_all_daemons() {
+    let (mut deployment, ids) = move_route("v2").await;
+    restart_all(&mut deployment).await;
 
     for (number, first) in ids.iter().enumerate() {
         let unknown = format!("unknown-{first}");
@@ -558,15 +563,7 @@
 async fn streams_go_on_after_a_loss_of_all_daemons_soon_after_the_start_of_all() {
     let mut deployment = start_young(&["a", "a"]).await;
     let ids = begin_all(&deployment).await;
-    for daemon in &mut deployment.daemons {
-        daemon.kill();
-    }
-    for daemon in &mut deployment.daemons {
-        daemon.start();
-    }
-    for daemon in [0, 1] {
-        deployment.wait_until_ready(daemon).await;
-    }
+    restart_all(&mut deployment).await;
 
     let count = take_up_all(&deployment, &[0, 1], &ids).await;
 
--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::follow::register;
 use crate::follow::registrations;
 use crate::follow::stream_log;
+use crate::follow::stream_records;
 use crate::gather::client;
 use crate::gather::duty_client;
 use crate::gather::gatherers;
@@ -161,8 +162,8 @@
         sync::Arc::clone(&mirrors),
     ));
     tokio::spawn(evidence_log::publish(sync::Arc::clone(&core)));
-    tokio::spawn(stream_log::share(sync::Arc::clone(&core)));
-    tokio::spawn(stream_log::record(sync::Arc::clone(&core)));
+    tokio::spawn(stream_records::share(sync::Arc::clone(&core)));
+    tokio::spawn(stream_records::record(sync::Arc::clone(&core)));
     tokio::spawn(stream_copies::send(sync::Arc::clone(&core)));
     tokio::spawn(balance::run(sync::Arc::clone(&core)));
     let follower = peer_sync::Follower {
--- a/crates/basilgrade_edge/src/follow.rs
+++ b/crates/basilgrade_edge/src/follow.rs
@@ -15,4 +15,5 @@
 pub mod registrations;
 mod restored;
 pub mod stream_log;
+pub mod stream_records;
 pub mod unreadable;
--- a/crates/basilgrade_edge/src/follow/stream_log.rs
+++ b/crates/basilgrade_edge/src/follow/stream_log.rs
@@ -15,25 +15,12 @@
 use basilgrade_types::id;
 
 use crate::core;
-use crate::follow::backoff;
 use crate::follow::reader;
 use crate::follow::registrations;
+use crate::follow::stream_records;
 use crate::peers::stream_copies;
 use crate::request;
 
-/// Delay before streams are shared, which collects those that begin at the same time.
-const BATCH_DELAY: clock::Millis = clock::Millis(10);
-
-/// Minimum interval between two appends of a daemon for each daemon of the deployment, which limits
-/// the appends of all daemons together to 200 a second.
-const APPEND_INTERVAL_PER_DAEMON: clock::Millis = clock::Millis(5);
-
-/// Interval between two appends of the daemon that records the streams of a failure domain.
-const RECORD_INTERVAL: clock::Millis = clock::Millis(1000);
-
-/// Wait after a failed append.
-const RETRY_DELAY: clock::Millis = clock::Millis(400);
-
 /// Time in which the daemon that began a stream has shared it, beyond the interval of its appends.
 const SHARE_TIME: clock::Millis = clock::Millis(200);
 
@@ -201,7 +188,7 @@
             return Ok(origin);
         }
         // The daemon that began the stream may not have shared it yet.
-        let wait = append_interval(&self.core).plus(SHARE_TIME);
+        let wait = stream_records::append_interval(&self.core).plus(SHARE_TIME);
         tokio::time::sleep(wait.duration()).await;
         self.finder.find(attempt).await;
         self.read().await?;
@@ -327,89 +314,9 @@
     fn start_offsets(&self, end: u64, first: u64) -> [u64; 2] {
         let lifetime = self.core.streams().lifetime();
         // A daemon that has just started does not know how many others append.
-        let most = lifetime.0 / APPEND_INTERVAL_PER_DAEMON.0;
+        let most = lifetime.0 / stream_records::APPEND_INTERVAL_PER_DAEMON.0;
         let domains = self.core.view.load().topology.regions.len() as u64;
-        let records = domains * (lifetime.0 / RECORD_INTERVAL.0 + 1);
+        let records = domains * (lifetime.0 / stream_records::RECORD_INTERVAL.0 + 1);
         [most, records].map(|count| first.max(end.saturating_sub(count)))
     }
 }
-
-fn append_interval(core: &core::Core) -> clock::Millis {
-    let daemons = core.view.load().daemons as u64;
-    clock::Millis(APPEND_INTERVAL_PER_DAEMON.0 * daemons)
-}
-
-/// Shares the streams that this daemon begins in pools with several versions; never returns.
-pub async fn share(core: sync::Arc<core::Core>) {
-    loop {
-        core.streams_changed.notified().await;
-        tokio::time::sleep(BATCH_DELAY.duration()).await;
-        let now = core.now();
-        let batch = core
-            .streams()
-            .take_unshared(now, stream_record::MAX_STREAMS);
-        if batch.is_empty() {
-            continue;
-        }
-        if !append(&core, now, batch).await {
-            core.streams_changed.notify_one();
-            tokio::time::sleep(RETRY_DELAY.duration()).await;
-        }
-        tokio::time::sleep(append_interval(&core).duration()).await;
-    }
-}
-
-/// Records the streams of this failure domain in pools with one version, if this daemon is the one
-/// that does so; never returns.
-pub async fn record(core: sync::Arc<core::Core>) {
-    let mut backoff = backoff::Backoff::default();
-    let mut is_recorder = false;
-    loop {
-        tokio::time::sleep(RECORD_INTERVAL.duration()).await;
-        let other = stream_copies::recorder(&core);
-        if is_recorder != other.is_none() {
-            is_recorder = other.is_none();
-            log::info!("event=stream-recorder-changed records={is_recorder}");
-        }
-        if !is_recorder || core.is_draining() {
-            continue;
-        }
-        let now = core.now();
-        let batch = core
-            .streams()
-            .take_unrecorded(now, stream_record::MAX_STREAMS);
-        if batch.is_empty() {
-            continue;
-        }
-        if append(&core, now, batch).await {
-            backoff.reset();
-        } else {
-            backoff.wait().await;
-        }
-    }
-}
-
-/// Appends `batch` to the log, and takes it back if this fails; returns whether it was appended.
-async fn append(core: &core::Core, now: clock::Millis, batch: streams::Batch) -> bool {
-    let shared = streams::Shared {
-        at: now,
-        lifetime: core.streams().lifetime(),
-        batch,
-    };
-    let outcome = append_record(core, &shared).await;
-    if let Err(reason) = &outcome {
-        log::warn!("event=streams-failed reason={reason:?}");
-        core.streams().restore(&shared.batch);
-    }
-    outcome.is_ok()
-}
-
-async fn append_record(core: &core::Core, shared: &streams::Shared) -> Result<(), String> {
-    let settings = core.settings.load();
-    let record = stream_record::encode(settings.name.as_str(), shared)
-        .map_err(|reason| reason.to_string())?;
-    let message = store::append_streams_request(settings.store, record)
-        .map_err(|reason| reason.to_string())?;
-    let answer = reader::call(core, message, clock::Millis::ZERO).await?;
-    store::check_append_answer(answer.status).map_err(|reason| reason.to_string())
-}
