Log reads of the store that fail or are slow, and lost readers

Only the first failure of the store was logged. Change: events store-read-failed, store-read-slow, reader-lost and reader-unable; metric basilgrade_configuration_version. No decision changes.

--- a/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors/snapshot.rs
@@ -63,6 +63,7 @@
             configuration: Some(sync::Arc::clone(&configuration)),
             ..view::View::clone(view)
         });
+        self.core.metrics.configuration_version.set(version);
         // Streams that begin from now on have other time-outs.
         self.core.observe_versions();
         *self.lock_in_force() = Some(record.clone());
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -31,6 +31,10 @@
 /// Time-out for connecting to the store.
 const CONNECT_TIMEOUT: clock::Millis = clock::Millis(600);
 
+/// Time beyond its long-poll time after which a read counts as slow in the log; a read that takes
+/// longer than [`news_pace::STORE_TIMEOUT`] fails.
+const SLOW_READ: clock::Millis = news_pace::SLOW_STORE;
+
 /// Maximum number of calls of one read to the end of a topic.
 const MAX_READ_CALLS: usize = 64;
 
@@ -147,12 +151,31 @@
         }
     }
 
+    /// Makes one call to the store, and logs it if it fails or takes long.
     async fn call(
         &self,
         message: Request<Full<Bytes>>,
         wait: clock::Millis,
     ) -> Result<pool::BufferedAnswer, String> {
-        call(&self.core, message, wait).await
+        let began_at = self.core.now();
+        let position = self.mirrors.position(self.topic).unwrap_or_default();
+        let outcome = call(&self.core, message, wait).await;
+        let topic = self.topic.as_str();
+        let span = self.core.now().since(began_at);
+        match &outcome {
+            Ok(answer) if span > wait.plus(SLOW_READ) => log::info!(
+                "event=store-read-slow topic={topic} position={position} bytes={} span={span} \
+                 wait={wait}",
+                answer.body.len()
+            ),
+            Ok(_) => {}
+            Err(reason) => log::info!(
+                "event=store-read-failed topic={topic} position={position} span={span} \
+                 wait={wait} reads_store={} reason={reason:?}",
+                self.mirrors.is_reader()
+            ),
+        }
+        outcome
     }
 
     /// Loads the newest record of each key, page by page.
--- a/crates/basilgrade_edge/src/metrics.rs
+++ b/crates/basilgrade_edge/src/metrics.rs
@@ -12,9 +12,11 @@
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident = $text:literal,)*) => {
-        /// Counters and histograms of a daemon.
+        /// Counters, gauges and histograms of a daemon.
         pub struct Metrics {
             $($(#[$doc])* pub $name: Counter,)*
+            /// Version of the configuration in force.
+            pub configuration_version: Gauge,
             /// Time from the arrival of a request to the first byte of the response.
             pub first_byte_time: Histogram,
             /// Time from the arrival of a request to the end of the response.
@@ -42,6 +44,9 @@
                 let meter = provider.meter("basilgrade");
                 Ok(Self {
                     $($name: Counter(meter.u64_counter(concat!("basilgrade_", $text)).build()),)*
+                    configuration_version: Gauge(
+                        meter.u64_gauge("basilgrade_configuration_version").build(),
+                    ),
                     first_byte_time: Histogram::new(&meter, "basilgrade_first_byte_ms"),
                     answer_time: Histogram::new(&meter, "basilgrade_answer_ms"),
                     registry,
@@ -147,6 +152,16 @@
     }
 }
 
+/// Value that can go up and down.
+#[derive(Clone, Debug)]
+pub struct Gauge(metrics::Gauge<u64>);
+
+impl Gauge {
+    pub fn set(&self, value: u64) {
+        self.0.record(value, &[]);
+    }
+}
+
 /// Histogram of durations in milliseconds.
 pub struct Histogram(metrics::Histogram<f64>);
 
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -79,14 +79,9 @@
             } else {
                 clock::Millis::ZERO
             };
-            match self
-                .fetch_updates(
-                    reader.address,
-                    wait,
-                    hold_time.plus(news_pace::READER_TIMEOUT),
-                )
-                .await
-            {
+            let began_at = self.core.now();
+            let limit = hold_time.plus(news_pace::READER_TIMEOUT);
+            match self.fetch_updates(reader.address, wait, limit).await {
                 Ok(updates) if updates.is_store_reachable => {
                     self.mirrors.apply_reply(updates, true);
                     self.mirrors.set_reader(false, reader.name.as_str());
@@ -95,6 +90,7 @@
                 }
                 Ok(updates) => {
                     self.mirrors.apply_reply(updates, true);
+                    log::info!("event=reader-unable reader={}", reader.name);
                     unable.insert(reader.name, self.core.now().plus(UNABLE_TTL));
                     // This daemon reads until it has found another source.
                     if is_source || source.is_none() {
@@ -107,6 +103,11 @@
                     }
                 }
                 Err(reason) => {
+                    log::info!(
+                        "event=reader-lost reader={} span={} reason={reason:?}",
+                        reader.name,
+                        self.core.now().since(began_at)
+                    );
                     source = None;
                     self.mirrors.set_reader(true, &reason);
                 }
