--- a/crates/basilgrade/tests/edge_support/daemon.rs
+++ b/crates/basilgrade/tests/edge_support/daemon.rs
@@ -44,12 +44,6 @@
             port::free_address(),
         );
         let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
-        let file = format!(
-            "basilgrade-edge-{}-{}.ini",
-            process::id(),
-            caller_address.port()
-        );
-        let settings = env::temp_dir().join(file);
         let text = format!(
             "[vm]\nname = {name}\ndomain = {domain}\n[regions]\na = north\nb = south\n\
              c = east\nd = south\n[listen]\ncallers = {caller_address}\nreadiness = {readiness_address}\npeers = {peer_address}\n\
@@ -57,6 +51,21 @@
              [retries]\nratio = 0.2\nfloor = 58\nwindow = 10s\n",
             seeds.join(",")
         );
+        let addresses = [caller_address, readiness_address, peer_address];
+        Self::with_settings(name, addresses, &text)
+    }
+
+    /// Writes `text` to the settings file of a daemon on the VM `name`, without starting the daemon.
+    /// The addresses are those that `text` has it listen on for callers, for the readiness check and
+    /// for other daemons.
+    pub(crate) fn with_settings(name: &str, addresses: [net::SocketAddr; 3], text: &str) -> Self {
+        let [caller_address, readiness_address, peer_address] = addresses;
+        let file = format!(
+            "basilgrade-edge-{}-{name}-{}.ini",
+            process::id(),
+            caller_address.port()
+        );
+        let settings = env::temp_dir().join(file);
         fs::write(&settings, text).expect("the settings file can be written");
         Self {
             name: name.to_owned(),
--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -14,6 +14,12 @@
 /// Keys and values of one topic, in the order of their offsets.
 type Records = Vec<(Vec<u8>, Vec<u8>)>;
 
+/// Size of the end and the first offset in an answer to a read.
+const BOUNDS_SIZE: usize = 16;
+
+/// Size up to which an answer to a read holds more than one record, in bytes.
+const MAX_READ_SIZE: usize = 1 << 20;
+
 /// Copy of all topics of a store.
 pub(crate) struct Copy(IndexMap<String, Records>);
 
@@ -158,6 +164,10 @@
         body.extend_from_slice(&0_u64.to_be_bytes());
         for (key, value) in records.get(from..).unwrap_or_default() {
             let length = 1 + key.len() + value.len();
+            let is_first = body.len() == BOUNDS_SIZE;
+            if !is_first && body.len() + 4 + length > MAX_READ_SIZE {
+                break;
+            }
             body.extend_from_slice(&(length as u32).to_be_bytes());
             body.push(key.len() as u8);
             body.extend_from_slice(key);
@@ -166,6 +176,20 @@
         body
     }
 
+    /// Waits until `topic` has a record at the offset `from`, or no longer reaches up to it.
+    async fn wait_for_record(&self, topic: &str, from: usize) {
+        loop {
+            let changed = self.changed.notified();
+            if self.end_offset(topic) > from {
+                return;
+            }
+            changed.await;
+            if self.end_offset(topic) < from {
+                return;
+            }
+        }
+    }
+
     /// Answers with the records from the offset `from` on; if there are none yet, waits for one for
     /// up to `wait-ms`.
     async fn read(&self, request: &Request<Bytes>, topic: &str) -> Response<server::Body> {
@@ -179,11 +203,8 @@
         };
         let from: usize = numeric_parameter("from");
         let wait = time::Duration::from_millis(numeric_parameter("wait-ms") as u64);
-        let changed = self.changed.notified();
-        if self.end_offset(topic) <= from {
-            // A time-out is no error: the answer then holds no records.
-            let _ = tokio::time::timeout(wait, changed).await;
-        }
+        // A time-out is no error: the answer then holds no records.
+        let _ = tokio::time::timeout(wait, self.wait_for_record(topic, from)).await;
         if self.end_offset(topic) < from {
             let mut gone = Response::new(server::full_body(r#"{"first":0}"#));
             *gone.status_mut() = hyper::StatusCode::GONE;
