Read only the newest configuration when several were missed

After a storm of configurations of 1,400 routes, callers were routed by a former configuration for up to 4.8 s (bound 4 s) in several failure domains whose daemons and links were without a fault.

Cause: a read of the operators' topic returned all versions since the last one, up to 1 MiB, so a daemon on a 10 Mbit/s link applied versions 3, 6, 9 and 12 in turn, 0.84 s each, and sent each of them to its followers.

An answer is now limited to about one configuration. If more follow, the daemon loads the newest record of each key. An unreadable newest one does not hide those before it.

--- a/crates/basilgrade/tests/edge_support/store.rs
+++ b/crates/basilgrade/tests/edge_support/store.rs
@@ -17,8 +17,9 @@
 /// Size of the end and the first offset in an answer to a read.
 const BOUNDS_SIZE: usize = 16;
 
-/// Size up to which an answer to a read holds more than one record, in bytes.
-const MAX_READ_SIZE: usize = 1 << 20;
+/// Size up to which an answer to a read holds more than one record, in KiB, unless the request says
+/// otherwise.
+const MAX_READ_SIZE: usize = 1024;
 
 /// Copy of all topics of a store.
 pub(crate) struct Copy(IndexMap<String, Records>);
@@ -155,8 +156,9 @@
         topics.get(topic).map_or(0, Vec::len)
     }
 
-    /// Encodes the end offset, the first offset and the records from offset `from` on.
-    fn encode_records(&self, topic: &str, from: usize) -> Vec<u8> {
+    /// Encodes the end offset, the first offset and the records from offset `from` on, up to `limit`
+    /// KiB but one at least.
+    fn encode_records(&self, topic: &str, from: usize, limit: usize) -> Vec<u8> {
         let topics = self.topics.lock().expect("no holder of the lock panics");
         let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
         let mut body = Vec::new();
@@ -165,7 +167,7 @@
         for (key, value) in records.get(from..).unwrap_or_default() {
             let length = 1 + key.len() + value.len();
             let is_first = body.len() == BOUNDS_SIZE;
-            if !is_first && body.len() + 4 + length > MAX_READ_SIZE {
+            if !is_first && body.len() + 4 + length > limit << 10 {
                 break;
             }
             body.extend_from_slice(&(length as u32).to_be_bytes());
@@ -210,7 +212,9 @@
             *gone.status_mut() = hyper::StatusCode::GONE;
             return gone;
         }
-        Response::new(server::full_body(self.encode_records(topic, from)))
+        let limit = query_parameter(request, "max-size").and_then(|text| text.parse().ok());
+        let records = self.encode_records(topic, from, limit.unwrap_or(MAX_READ_SIZE));
+        Response::new(server::full_body(records))
     }
 
     /// Encodes the newest records of the keys that follow `after`, and the end offset, as one page.
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -10,6 +10,7 @@
 use basilgrade_fleet::directory::latest;
 use basilgrade_fleet::outage;
 use basilgrade_types::clock;
+use basilgrade_types::size;
 use bytes::Bytes;
 use compact_str::CompactString;
 use indexmap::IndexSet;
@@ -22,6 +23,9 @@
 use crate::follow::unreadable;
 use crate::peers::service;
 
+/// Least limit on the records in an answer to a read of the operators' topic.
+const MIN_READ_LIMIT: size::ByteCount = size::ByteCount(64 << 10);
+
 /// Mirrors of all topics, the registered daemons, and whether the store answers.
 pub struct Mirrors {
     core: sync::Arc<core::Core>,
@@ -90,6 +94,17 @@
         self.lock()[topic_index(topic)].position()
     }
 
+    /// Limit on the records in an answer to a read of `topic`: for the operators' records, of which
+    /// only the newest counts, about one configuration.
+    pub fn read_limit(&self, topic: store::Topic) -> Option<size::ByteCount> {
+        if topic != store::Topic::Operators {
+            return None;
+        }
+        let in_force = self.lock_in_force();
+        let size = in_force.as_ref().map_or(0, |(_, value)| value.len() as u64);
+        Some(MIN_READ_LIMIT.max(size::ByteCount(size + size / 4)))
+    }
+
     /// Updates for a daemon whose mirrors are at `positions`, in the order of
     /// [`TOPICS`].
     pub fn since(&self, positions: [Option<position::Position>; 3]) -> Vec<mirror::Update> {
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -3,10 +3,12 @@
 use std::sync;
 use std::sync::atomic;
 
+use basilgrade_adapter::configuration;
 use basilgrade_adapter::record;
 use basilgrade_adapter::store;
 use basilgrade_fleet::news_pace;
 use basilgrade_types::clock;
+use basilgrade_types::size;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -178,8 +180,36 @@
         outcome
     }
 
-    /// Loads the newest record of each key, page by page.
+    /// Loads the newest record of each key.
     async fn load_newest(&self) -> Result<(), String> {
+        let update = self.fetch_newest().await?;
+        self.mirrors.apply_from_store(update);
+        Ok(())
+    }
+
+    /// Loads the newest record of each key in place of all that were appended up to now, which take
+    /// a link seconds after a storm of large configurations.
+    ///
+    /// `from` is the position before the last read of appended records.
+    async fn skip_to_newest(&self, from: Option<position::Position>) -> Result<(), String> {
+        let update = self.fetch_newest().await?;
+        let is_readable = update
+            .changes
+            .records()
+            .filter(|(key, _)| store::is_configuration_key(key))
+            .all(|(_, value)| configuration::decode(value).is_ok());
+        if is_readable {
+            self.mirrors.apply_from_store(update);
+        } else if self.mirrors.position(self.topic) == from {
+            // A configuration before the unreadable one may be newer than that in force. The next one
+            // is larger than the limit of the last read.
+            self.read_up_to(None, clock::Millis::ZERO).await?;
+        }
+        Ok(())
+    }
+
+    /// Reads the newest record of each key, page by page.
+    async fn fetch_newest(&self) -> Result<mirror::Update, String> {
         let address = self.core.settings.load().store;
         let mut records = Vec::new();
         let mut malformed = 0;
@@ -224,12 +254,11 @@
             self.topic.as_str(),
             records.len()
         );
-        self.mirrors.apply_from_store(mirror::Update {
+        Ok(mirror::Update {
             topic: self.topic,
             position,
             changes: mirror::Changes::All(records),
-        });
-        Ok(())
+        })
     }
 
     /// Reads appended records repeatedly until another daemon reads for this one; reloads the newest
@@ -252,12 +281,16 @@
                 return;
             }
             regained.mark_unchanged();
+            let from = self.mirrors.position(self.topic);
             let read = self.read_appended(wait);
             let outcome = tokio::select! {
                 outcome = read => outcome,
                 _ = regained.changed(), if is_waiting => continue,
             };
             let outcome = match outcome {
+                Ok(Progress::Partial) if self.topic == store::Topic::Operators => {
+                    self.skip_to_newest(from).await
+                }
                 Ok(Progress::Complete | Progress::Partial) => Ok(()),
                 Ok(Progress::Expired) => self.reload().await,
                 Err(reason) => Err(reason),
@@ -322,9 +355,19 @@
 
     /// Reads appended records once.
     async fn read_appended(&self, wait: clock::Millis) -> Result<Progress, String> {
+        let limit = self.mirrors.read_limit(self.topic);
+        self.read_up_to(limit, wait).await
+    }
+
+    /// Reads appended records of up to `limit`, or as many as the store sends in one answer.
+    async fn read_up_to(
+        &self,
+        limit: Option<size::ByteCount>,
+        wait: clock::Millis,
+    ) -> Result<Progress, String> {
         let from = self.mirrors.position(self.topic).unwrap_or_default();
         let address = self.core.settings.load().store;
-        let message = store::read_request(address, self.topic, from.offset, wait)
+        let message = store::read_request(address, self.topic, from.offset, wait, limit)
             .map_err(|reason| reason.to_string())?;
         let answer = self.call(message, wait).await?;
         let era = store::era(&answer.headers);
--- a/crates/basilgrade_edge/src/follow/registrations.rs
+++ b/crates/basilgrade_edge/src/follow/registrations.rs
@@ -102,7 +102,7 @@
         let mut from = 0;
         for _ in 0..MAX_HISTORY_CALLS {
             let wait = clock::Millis::ZERO;
-            let message = store::read_request(address, store::Topic::Upstreams, from, wait)
+            let message = store::read_request(address, store::Topic::Upstreams, from, wait, None)
                 .map_err(|reason| reason.to_string())?;
             let answer = reader::call(&self.core, message, wait).await?;
             let is_original = store::era(&answer.headers) == 0;
--- a/crates/basilgrade_edge/tests/reads_under_way.rs
+++ b/crates/basilgrade_edge/tests/reads_under_way.rs
@@ -1,4 +1,5 @@
-//! Tests of reads of the store by a daemon for which another one begins to read.
+//! Tests of reads of the store by a daemon that is behind, and by one for which another one begins to
+//! read.
 
 mod common;
 
@@ -6,18 +7,91 @@
 use std::time;
 
 use basilgrade_adapter::store;
+use basilgrade_edge::core;
+use basilgrade_edge::follow::mirrors;
 use basilgrade_edge::follow::reader;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net;
 
-/// The configuration `{"version":1,"routes":[],"services":[]}` in base64.
-const FIRST: &str = "eyJ2ZXJzaW9uIjoxLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119";
+/// Size of the padding of a large configuration, in bytes.
+const LARGE: usize = 120 << 10;
 
-const SECOND: &str = r#"{"version":2,"routes":[],"services":[]}"#;
+/// Limit on the size of an answer if the request names none, in KiB.
+const DEFAULT_MAX_SIZE: usize = 1024;
 
-/// Time that the store takes for an answer, as for a large configuration on a slow link.
-const ANSWER_TIME: time::Duration = time::Duration::from_millis(400);
+/// Store with configurations in the operators' topic.
+struct Log {
+    values: sync::Mutex<Vec<String>>,
+    /// Total size of the configurations that were sent.
+    sent: sync::Mutex<usize>,
+    /// Time that the store takes for an answer, as for a large configuration on a slow link.
+    answer_time: time::Duration,
+}
+
+impl Log {
+    fn append(&self, values: impl IntoIterator<Item = String>) {
+        let mut log = self.values.lock().expect("no holder panics");
+        log.extend(values);
+    }
+
+    fn count_sent(&self, values: &[String]) {
+        let size: usize = values.iter().map(String::len).sum();
+        *self.sent.lock().expect("no holder panics") += size;
+    }
+
+    /// Answer with the newest record.
+    fn newest(&self) -> Vec<u8> {
+        let values = self.values.lock().expect("no holder panics");
+        let newest = &values[values.len() - 1..];
+        self.count_sent(newest);
+        let value = newest[0].replace('"', "\\\"");
+        let page = format!(
+            r#"{{"items":[{{"key":"config","value":"{value}","offset":0}}],"has-more":false,"end-offset":{}}}"#,
+            values.len()
+        );
+        message("application/json", page.as_bytes())
+    }
+
+    /// Answer with the records from `from` on that fit into `max_size` KiB, which may be none.
+    fn appended(&self, from: usize, max_size: usize) -> Vec<u8> {
+        let values = self.values.lock().expect("no holder panics");
+        let mut size = 0;
+        let fits = |value: &&String| {
+            size += value.len();
+            size <= max_size << 10
+        };
+        let count = values[from..].iter().take_while(fits).count();
+        let sent = &values[from..from + count];
+        self.count_sent(sent);
+        let mut body = [(values.len() as u64).to_be_bytes(), 0_u64.to_be_bytes()].concat();
+        for value in sent {
+            let content = [&[6], b"config".as_slice(), value.as_bytes()].concat();
+            body.extend_from_slice(&(content.len() as u32).to_be_bytes());
+            body.extend_from_slice(&content);
+        }
+        message("application/octet-stream", &body)
+    }
+
+    async fn serve(&self, mut stream: net::TcpStream) {
+        let mut request = vec![0; 4096];
+        while let Ok(size) = stream.read(&mut request).await
+            && size > 0
+        {
+            let text = String::from_utf8_lossy(&request[..size]).into_owned();
+            let answer = if text.contains("/log-newest") {
+                self.newest()
+            } else {
+                tokio::time::sleep(self.answer_time).await;
+                let max_size = parameter(&text, "max-size=").unwrap_or(DEFAULT_MAX_SIZE);
+                self.appended(parameter(&text, "from=").unwrap_or(0), max_size)
+            };
+            if stream.write_all(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+}
 
 fn message(content_type: &str, body: &[u8]) -> Vec<u8> {
     let head = format!(
@@ -27,39 +101,85 @@
     [head.as_bytes(), body].concat()
 }
 
-/// Answer with the newest records, which are the first configuration.
-fn newest() -> Vec<u8> {
-    let page = format!(
-        r#"{{"items":[{{"key":"config","value":"{FIRST}","offset":0}}],"has-more":false,"end-offset":1}}"#
-    );
-    message("application/json", page.as_bytes())
+/// Number that follows `name` in a request.
+fn parameter(request: &str, name: &str) -> Option<usize> {
+    let (_, rest) = request.split_once(name)?;
+    let digits = rest.split(|letter: char| !letter.is_ascii_digit()).next()?;
+    digits.parse().ok()
 }
 
-/// Answer with the appended record, which is the second configuration.
-fn appended() -> Vec<u8> {
-    let content = [&[6], b"config".as_slice(), SECOND.as_bytes()].concat();
-    let size = (content.len() as u32).to_be_bytes();
-    let bounds = [2_u64.to_be_bytes(), 0_u64.to_be_bytes()].concat();
-    let body = [bounds.as_slice(), &size, &content].concat();
-    message("application/octet-stream", &body)
+fn configuration(version: usize) -> String {
+    format!(r#"{{"version":{version},"routes":[],"services":[]}}"#)
 }
 
-/// Serves one connection to a store that takes its time for reads of appended records.
-async fn serve(mut stream: net::TcpStream) {
-    let mut request = vec![0; 4096];
-    while let Ok(size) = stream.read(&mut request).await
-        && size > 0
-    {
-        let text = String::from_utf8_lossy(&request[..size]).into_owned();
-        let answer = if text.contains("/log-newest") {
-            newest()
-        } else {
-            tokio::time::sleep(ANSWER_TIME).await;
-            appended()
-        };
-        if stream.write_all(&answer).await.is_err() {
-            return;
+fn padded(value: &str) -> String {
+    [value, &" ".repeat(LARGE)].concat()
+}
+
+fn large_configuration(version: usize) -> String {
+    padded(&configuration(version))
+}
+
+/// Daemon that reads the operators' topic of a store, and has loaded the only configuration.
+struct Reader {
+    log: sync::Arc<Log>,
+    mirrors: sync::Arc<mirrors::Mirrors>,
+    core: sync::Arc<core::Core>,
+}
+
+impl Reader {
+    async fn start(answer_time: time::Duration) -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a loopback port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let log = sync::Arc::new(Log {
+            values: sync::Mutex::new(vec![configuration(1)]),
+            sent: sync::Mutex::default(),
+            answer_time,
+        });
+        let served = sync::Arc::clone(&log);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let log = sync::Arc::clone(&served);
+                tokio::spawn(async move { log.serve(stream).await });
+            }
+        });
+        let (mirrors, core) = common::new_mirrors_and_core();
+        let mut settings = basilgrade_edge::settings::Settings::clone(&core.settings.load());
+        settings.store = address;
+        core.reload(settings);
+        let mirrors = sync::Arc::new(mirrors);
+        let topic = store::Topic::Operators;
+        let reader =
+            reader::TopicReader::new(sync::Arc::clone(&core), sync::Arc::clone(&mirrors), topic);
+        tokio::spawn(reader.run());
+        let daemon = Self { log, mirrors, core };
+        while daemon.version() != Some(1) {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
         }
+        daemon
+    }
+
+    fn version(&self) -> Option<u64> {
+        let view = self.core.view.load();
+        view.configuration.as_ref().map(|known| known.version)
+    }
+
+    /// Waits until the whole log has been read and `version` is in force.
+    async fn reach(&self, version: u64) {
+        let end = self.log.values.lock().expect("no holder panics").len() as u64;
+        let is_behind = || {
+            let position = self.mirrors.position(store::Topic::Operators);
+            position.is_none_or(|position| position.offset < end)
+        };
+        let reading = async {
+            while is_behind() || self.version() != Some(version) {
+                tokio::time::sleep(time::Duration::from_millis(5)).await;
+            }
+        };
+        let limit = time::Duration::from_secs(10);
+        let outcome = tokio::time::timeout(limit, reading).await;
+        outcome.expect("the log is read and the version is in force");
     }
 }
 
@@ -67,40 +187,44 @@
 /// when another one that is behind begins to read for it.
 #[tokio::test(flavor = "multi_thread")]
 async fn read_under_way_is_completed_when_another_daemon_begins_to_read() {
-    let listener = net::TcpListener::bind("127.0.0.1:0").await;
-    let listener = listener.expect("a loopback port is free");
-    let address = listener.local_addr().expect("the listener has an address");
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream));
-        }
-    });
-    let (mirrors, core) = common::new_mirrors_and_core();
-    let mut settings = basilgrade_edge::settings::Settings::clone(&core.settings.load());
-    settings.store = address;
-    core.reload(settings);
-    let mirrors = sync::Arc::new(mirrors);
-    let topic = store::Topic::Operators;
-    let reader =
-        reader::TopicReader::new(sync::Arc::clone(&core), sync::Arc::clone(&mirrors), topic);
-    tokio::spawn(reader.run());
-    let version = || {
-        let view = core.view.load();
-        view.configuration.as_ref().map(|known| known.version)
-    };
-    while version() != Some(1) {
-        tokio::time::sleep(time::Duration::from_millis(5)).await;
-    }
+    let answer_time = time::Duration::from_millis(400);
+    let daemon = Reader::start(answer_time).await;
+    daemon.log.append([configuration(2)]);
     // The first read after the load waits until the daemon has had time to find its reader.
     tokio::time::sleep(time::Duration::from_millis(1700)).await;
     assert_eq!(
-        version(),
+        daemon.version(),
         Some(1),
         "the read has ended too early for this test"
     );
 
-    mirrors.set_reader(false, "another daemon reads the store");
-    tokio::time::sleep(ANSWER_TIME * 2).await;
+    daemon
+        .mirrors
+        .set_reader(false, "another daemon reads the store");
+    tokio::time::sleep(answer_time * 2).await;
+
+    assert_eq!(daemon.version(), Some(2));
+}
+
+/// Guards against a daemon that reads each configuration of a storm before the one in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn newest_configuration_is_read_without_those_it_replaces() {
+    let daemon = Reader::start(time::Duration::ZERO).await;
+
+    daemon.log.append((2..=20).map(large_configuration));
+    daemon.reach(20).await;
+
+    let sent = *daemon.log.sent.lock().expect("no holder panics");
+    assert!(sent < 3 * LARGE, "{sent} bytes were read");
+}
+
+/// Guards against an unreadable configuration that hides a newer one than that in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_before_unreadable_ones_is_applied() {
+    let daemon = Reader::start(time::Duration::ZERO).await;
+
+    daemon.log.append((2..=9).map(large_configuration));
+    daemon.log.append((0..9).map(|_| padded("?")));
 
-    assert_eq!(version(), Some(2));
+    daemon.reach(9).await;
 }
