Compress the updates that a reader sends to its followers

Callers were routed by a former configuration for seconds at several daemons of one failure domain at once.

Cause: a reader sends a configuration of 1,400 routes (280 KB) to each of 8 to 10 followers, which takes a link of 10 Mbit/s more than 2 s. The calls end 450 ms after the hold time, their answers go on filling the link, and the followers turn to the next reader, with the same outcome.

A daemon announces the call in its registration, and is asked for plain updates otherwise. The confirmation of registrations before a take-up no longer carries a configuration.

--- a/crates/basilgrade_edge/src/daemon.rs
+++ b/crates/basilgrade_edge/src/daemon.rs
@@ -139,6 +139,7 @@
         registrations: sync::Arc::clone(&registrations),
         gatherers,
         job_router,
+        packer: sync::Arc::default(),
     };
     let service = sync::Arc::new(serve::Service {
         core: sync::Arc::clone(&core),
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -53,7 +53,8 @@
     store::Topic::Daemons,
 ];
 
-const fn topic_index(topic: store::Topic) -> usize {
+/// Index of `topic` in [`TOPICS`].
+pub const fn topic_index(topic: store::Topic) -> usize {
     match topic {
         store::Topic::Operators => 0,
         store::Topic::Upstreams => 1,
--- a/crates/basilgrade_edge/src/follow/register.rs
+++ b/crates/basilgrade_edge/src/follow/register.rs
@@ -36,6 +36,7 @@
         seen_at: core.now(),
         keeps_streams: true,
         shares_loads: true,
+        packs_updates: true,
     }
 }
 
@@ -67,6 +68,7 @@
                 && known.address == own.address
                 && known.keeps_streams
                 && known.shares_loads
+                && known.packs_updates
                 && known.seen_at.plus(RENEWAL_INTERVAL) > own.seen_at
         };
         if mirrors.daemons().iter().any(is_current) || !mirrors.is_store_reachable() {
--- a/crates/basilgrade_edge/src/follow/registrations.rs
+++ b/crates/basilgrade_edge/src/follow/registrations.rs
@@ -12,6 +12,7 @@
 
 use crate::core;
 use crate::follow::mirrors;
+use crate::follow::position;
 use crate::follow::reader;
 
 /// Minimum interval between two reads for each daemon of the deployment.
@@ -166,7 +167,9 @@
         let Some(reader) = self.mirrors.other_reader(|_| true) else {
             return false;
         };
-        let positions = self.mirrors.positions();
+        // Callers wait for the registrations, which a large configuration would delay.
+        let mut positions = self.mirrors.positions();
+        positions[mirrors::topic_index(store::Topic::Operators)] = Some(position::Position::MAX);
         let call =
             self.core
                 .links
--- a/crates/basilgrade_edge/src/peers/links.rs
+++ b/crates/basilgrade_edge/src/peers/links.rs
@@ -34,7 +34,7 @@
 const UNRESPONSIVE_FAILURES: u32 = 2;
 
 /// Maximum size of a message between daemons; the records of 1,200 upstreams take 0.5 MB.
-const MAX_MESSAGE_BYTES: usize = 16 << 20;
+pub(super) const MAX_MESSAGE_BYTES: usize = 16 << 20;
 
 // A daemon that knows no tunnels closes a connection that begins like one.
 const _: () = assert!(u32::from_be_bytes(message::PREAMBLE) as usize > MAX_MESSAGE_BYTES);
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -32,6 +32,7 @@
 use crate::gather::job_router;
 use crate::http::socket;
 use crate::peers::links;
+use crate::peers::packing;
 use crate::peers::service;
 use crate::peers::service::Peer as _;
 use crate::permits;
@@ -49,6 +50,7 @@
     pub gatherers: sync::Arc<gatherers::Gatherers>,
     /// Chooses queues for jobs of daemons in this failure domain.
     pub job_router: sync::Arc<job_router::JobRouter>,
+    pub packer: sync::Arc<packing::Packer>,
 }
 
 impl service::Peer for RpcServer {
@@ -132,6 +134,21 @@
         }
     }
 
+    async fn packed_updates(
+        self,
+        context: context::Context,
+        positions: [Option<position::Position>; 3],
+        wait: clock::Millis,
+    ) -> Result<service::PackedUpdates, String> {
+        let packer = sync::Arc::clone(&self.packer);
+        let updates = self.updates(context, positions, wait).await;
+        Ok(service::PackedUpdates {
+            is_store_reachable: updates.is_store_reachable,
+            is_uncertain: updates.is_uncertain,
+            payload: packer.pack(&updates.updates)?,
+        })
+    }
+
     async fn refresh(
         self,
         _: context::Context,
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -19,6 +19,7 @@
 
 use crate::follow::mirror;
 use crate::follow::position;
+use crate::peers::packing;
 
 /// Reply to [`Peer::gather`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -69,6 +70,29 @@
     pub updates: Vec<mirror::Update>,
 }
 
+/// Reply to [`Peer::packed_updates`]; the fields are those of [`Updates`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PackedUpdates {
+    pub is_store_reachable: bool,
+    pub is_uncertain: bool,
+    pub payload: packing::Payload,
+}
+
+impl PackedUpdates {
+    /// Decodes the updates.
+    ///
+    /// # Errors
+    ///
+    /// A message if they are malformed.
+    pub fn unpack(&self) -> Result<Updates, String> {
+        Ok(Updates {
+            is_store_reachable: self.is_store_reachable,
+            is_uncertain: self.is_uncertain,
+            updates: packing::unpack(&self.payload)?,
+        })
+    }
+}
+
 /// Remote procedure calls between daemons.
 ///
 /// All calls are safe to repeat: pieces may be computed twice, and updates carry positions.
@@ -123,4 +147,9 @@
     /// Records the work of the daemons of `domain` at upstreams of `shard`; `false` if another
     /// daemon must aggregate.
     async fn pass_loads(domain: id::DomainId, shard: usize, report: exchange::Report) -> bool;
+    /// Like [`Peer::updates`], with compressed updates, or why they cannot be encoded.
+    async fn packed_updates(
+        positions: [Option<position::Position>; 3],
+        wait: clock::Millis,
+    ) -> Result<PackedUpdates, String>;
 }
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -154,12 +154,24 @@
         wait: clock::Millis,
         limit: clock::Millis,
     ) -> Result<service::Updates, String> {
-        self.core
-            .links
-            .call(address, limit, |peer, context| async move {
+        let links = &self.core.links;
+        if !self.packs_updates(address) {
+            let call = links.call(address, limit, |peer, context| async move {
                 peer.updates(context, positions, wait).await
-            })
-            .await
+            });
+            return call.await;
+        }
+        let call = links.call(address, limit, |peer, context| async move {
+            peer.packed_updates(context, positions, wait).await
+        });
+        call.await??.unpack()
+    }
+
+    /// Whether the daemon at `address` has registered that it compresses updates.
+    fn packs_updates(&self, address: net::SocketAddr) -> bool {
+        let daemons = self.mirrors.daemons();
+        let mut registered = daemons.iter().filter(|known| known.address == address);
+        registered.any(|known| known.packs_updates)
     }
 
     /// Learns the configuration in force from other daemons at the start and whenever the store has
--- a/crates/basilgrade_edge/tests/stream_copies.rs
+++ b/crates/basilgrade_edge/tests/stream_copies.rs
@@ -47,6 +47,7 @@
         seen_at: clock::Millis(0),
         keeps_streams: true,
         shares_loads: true,
+        packs_updates: true,
     };
     let registered = sync::Arc::new(vec![keeper]);
 
--- a/crates/basilgrade_fleet/src/daemon.rs
+++ b/crates/basilgrade_fleet/src/daemon.rs
@@ -23,6 +23,8 @@
     pub keeps_streams: bool,
     /// Whether the daemon takes load reports of others.
     pub shares_loads: bool,
+    /// Whether the daemon sends compressed updates of the topics.
+    pub packs_updates: bool,
 }
 
 /// Orders `daemons` for a duty: those in `domain` first, and within each group as [`rank`] does.
--- a/crates/basilgrade_fleet/tests/decisions.rs
+++ b/crates/basilgrade_fleet/tests/decisions.rs
@@ -265,6 +265,7 @@
         seen_at: NOW,
         keeps_streams: true,
         shares_loads: true,
+        packs_updates: true,
     };
     let mut chosen = std::collections::HashSet::new();
     for duty in 0..40 {
--- a/crates/basilgrade_fleet/tests/keepers.rs
+++ b/crates/basilgrade_fleet/tests/keepers.rs
@@ -22,6 +22,7 @@
         seen_at: clock::Millis(0),
         keeps_streams: true,
         shares_loads: true,
+        packs_updates: true,
     };
     let homes = ["a", "a", "a", "b", "b", "b", "c", "c", "c"];
     (0..).zip(homes).map(daemon).collect()
--- a/crates/basilgrade_fleet/tests/paths.rs
+++ b/crates/basilgrade_fleet/tests/paths.rs
@@ -28,6 +28,7 @@
         seen_at: START,
         keeps_streams: true,
         shares_loads: true,
+        packs_updates: true,
     };
     names.iter().map(daemon).collect()
 }
