Stop reading for others while a topic cannot be read

Callers were routed by a former configuration at all daemons of a failure domain for up to 4.02 s (bound 4 s) while the link of its reader was slow.

Cause: one flag told whether the store answers. A read of a configuration of 1,400 routes failed after 2.1 s; 6 ms later a read of registrations, which are small, succeeded and set the flag again. Calls of followers that arrived after that were answered as if the reader were in touch, until its second read failed 2.3 s later (log of edge-tamale-central-9: failures at 502.044 and 504.348, the followers noticed the second only).

A daemon now notes failed reads by topic. It reads for others only while its last read of each topic succeeded, and asks other daemons itself otherwise.

`daemon_without_configurations_does_not_read_for_others` states the flag; the code before had no state for it.

--- a/crates/basilgrade/tests/configuration_spread.rs
+++ b/crates/basilgrade/tests/configuration_spread.rs
@@ -2,8 +2,8 @@
 //!
 //! 59 daemons in six failure domains run as processes on the real clock, with links of limited
 //! bandwidth between them. Each daemon is asked for each version. `SPREAD_PLAN` (`calm`, `storms`,
-//! `readers`, `series`, `shares` or `all`), `SPREAD_SEED`, `SPREAD_SECONDS` and `SPREAD_ROUTES` select
-//! the run of `selected_run_is_in_force_in_time`.
+//! `readers`, `series`, `squeezes`, `shares` or `all`), `SPREAD_SEED`, `SPREAD_SECONDS` and
+//! `SPREAD_ROUTES` select the run of `selected_run_is_in_force_in_time`.
 
 #[path = "configuration_spread/check.rs"]
 mod check;
@@ -196,6 +196,7 @@
         "storms" => (None, true),
         "readers" => (Some(faults::READERS), false),
         "series" => (Some(faults::SERIES), false),
+        "squeezes" => (Some(faults::SQUEEZES), true),
         "shares" => (Some(faults::SHARES), false),
         "all" => (Some(faults::SHARES), true),
         other => panic!("unknown plan `{other}`"),
--- a/crates/basilgrade/tests/configuration_spread/faults.rs
+++ b/crates/basilgrade/tests/configuration_spread/faults.rs
@@ -22,6 +22,9 @@
 const SLOW_PAUSE: time::Duration = time::Duration::from_millis(200);
 const SLOW_RUN: time::Duration = time::Duration::from_millis(50);
 
+/// Share of the bandwidth that a squeezed link has.
+const SQUEEZE: f64 = 0.1;
+
 /// Time for which the reads of daemons are counted to find the one that reads for others.
 const READER_WINDOW: time::Duration = time::Duration::from_millis(1500);
 
@@ -32,6 +35,8 @@
     PowerLoss,
     Freeze,
     Slowness,
+    /// The link has a tenth of its bandwidth.
+    Squeeze,
     CutFromStore,
     Cut,
     /// The store treats the machine in this way.
@@ -85,6 +90,11 @@
     (Fault::Stop, Target::Readers(4)),
 ];
 
+pub(crate) const SQUEEZES: Mix = &[
+    (Fault::Squeeze, Target::Reader),
+    (Fault::Squeeze, Target::Readers(2)),
+];
+
 pub(crate) const SHARES: Mix = &[
     (SILENT, Target::Share(33)),
     (BUSY, Target::Share(33)),
@@ -164,6 +174,11 @@
         Fault::PowerLoss => lose_power(fleet, daemon, span).await,
         Fault::Freeze => signal_for(fleet, daemon, span).await,
         Fault::Slowness => slow_down(fleet, daemon, span).await,
+        Fault::Squeeze => {
+            fleet.machines[daemon].scale_bandwidth(SQUEEZE);
+            tokio::time::sleep(span).await;
+            fleet.machines[daemon].scale_bandwidth(1.0 / SQUEEZE);
+        }
         Fault::CutFromStore => cut(fleet, daemon, network::Reach::NoStore, span).await,
         Fault::Cut => cut(fleet, daemon, network::Reach::Nothing, span).await,
         Fault::Store(treatment) => {
--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -32,6 +32,8 @@
     topics: sync::Mutex<[mirror::Mirror; 3]>,
     daemons: sync::Mutex<Vec<daemon::Daemon>>,
     is_store_reachable: atomic::AtomicBool,
+    /// Whether this daemon's last read of each topic failed, in the order of [`TOPICS`].
+    failed_reads: [atomic::AtomicBool; 3],
     outages: sync::Mutex<outage::OutageDetector>,
     latest: sync::Mutex<latest::Latest>,
     /// Record of the configuration in force; newer ones may be unreadable.
@@ -71,6 +73,7 @@
             topics: sync::Mutex::new(TOPICS.map(mirror::Mirror::new)),
             daemons: sync::Mutex::default(),
             is_store_reachable: atomic::AtomicBool::new(false),
+            failed_reads: Default::default(),
             outages: sync::Mutex::new(outage::OutageDetector::new(heartbeat)),
             latest: sync::Mutex::default(),
             in_force: sync::Mutex::default(),
@@ -230,6 +233,10 @@
     pub fn set_reader(&self, is_reader: bool, reason: &str) {
         let changes = |known: &mut bool| std::mem::replace(known, is_reader) != is_reader;
         if self.is_reading.send_if_modified(changes) {
+            // Failures of earlier reads tell nothing of those that begin now.
+            for topic in TOPICS {
+                self.set_failed(topic, false);
+            }
             log::info!("event=reader-changed reads_store={is_reader} reason={reason:?}");
         }
     }
@@ -239,6 +246,17 @@
         self.is_store_reachable.load(atomic::Ordering::Relaxed)
     }
 
+    /// Whether the store answers this daemon's reads of every topic. A read of small registrations may
+    /// succeed while a large configuration never arrives in time.
+    pub fn is_every_topic_readable(&self) -> bool {
+        let mut failed = self.failed_reads.iter();
+        self.is_store_reachable() && !failed.any(|failed| failed.load(atomic::Ordering::Relaxed))
+    }
+
+    fn set_failed(&self, topic: store::Topic, has_failed: bool) {
+        self.failed_reads[topic_index(topic)].store(has_failed, atomic::Ordering::Relaxed);
+    }
+
     /// Receiver that is notified when the store answers again, so that pending long polls are
     /// resent.
     pub fn subscribe_regained(&self) -> tokio::sync::watch::Receiver<u64> {
@@ -251,8 +269,9 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Records a successful store call of this daemon.
-    pub fn record_store_answer(&self) {
+    /// Records a successful read of `topic` by this daemon.
+    pub fn record_store_answer(&self, topic: store::Topic) {
+        self.set_failed(topic, false);
         self.lock_outages().record_read(self.core.now());
         self.set_reachable();
     }
@@ -268,8 +287,9 @@
         self.regained.send_modify(|count| *count += 1);
     }
 
-    /// Records a failed store call.
-    pub fn record_store_failure(&self, reason: &str) {
+    /// Records a failed read of `topic`.
+    pub fn record_store_failure(&self, topic: store::Topic, reason: &str) {
+        self.set_failed(topic, true);
         self.core.metrics.store_failures.inc();
         self.lock_outages().record_failure();
         if self
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -141,7 +141,7 @@
     /// During a store outage, only the reader of the topic of upstreams retries; the readers of the
     /// other topics wait until the store has answered.
     async fn back_off(&self, reason: &str, failures: &mut u32) {
-        self.mirrors.record_store_failure(reason);
+        self.mirrors.record_store_failure(self.topic, reason);
         let pause = clock::Millis(INITIAL_BACKOFF.0 << (*failures).min(4)).min(MAX_BACKOFF);
         *failures += 1;
         tokio::time::sleep(pause.duration()).await;
@@ -245,7 +245,7 @@
                 break;
             }
         }
-        self.mirrors.record_store_answer();
+        self.mirrors.record_store_answer(self.topic);
         let known = self.malformed.swap(malformed, atomic::Ordering::Relaxed);
         self.report_malformed(malformed.saturating_sub(known));
         let position = position.unwrap_or_default();
@@ -307,7 +307,7 @@
                 }
             }
             failures = 0;
-            self.mirrors.record_store_answer();
+            self.mirrors.record_store_answer(self.topic);
             if !is_waiting {
                 if !self.mirrors.is_uncertain() {
                     self.mirrors.expire_missing();
--- a/crates/basilgrade_edge/src/peers/rpc_server.rs
+++ b/crates/basilgrade_edge/src/peers/rpc_server.rs
@@ -120,13 +120,13 @@
     ) -> service::Updates {
         let mut changes = self.mirrors.subscribe_changes();
         let mut updates = self.mirrors.since(positions);
-        if updates.is_empty() && self.mirrors.is_store_reachable() {
+        if updates.is_empty() && self.mirrors.is_every_topic_readable() {
             // The result is ignored: after a change or the time-out, the current updates are sent.
             let _ = tokio::time::timeout(wait.duration(), changes.changed()).await;
             updates = self.mirrors.since(positions);
         }
         service::Updates {
-            is_store_reachable: self.mirrors.is_store_reachable()
+            is_store_reachable: self.mirrors.is_every_topic_readable()
                 && self.mirrors.is_reader()
                 && !self.core.is_draining(),
             is_uncertain: self.mirrors.is_uncertain(),
--- a/crates/basilgrade_edge/src/peers/service.rs
+++ b/crates/basilgrade_edge/src/peers/service.rs
@@ -61,7 +61,8 @@
 /// Reply to [`Peer::updates`].
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Updates {
-    /// Whether the replying daemon reads the store, the store answers it, and it is not draining.
+    /// Whether the replying daemon reads the store, the store answers its reads of every topic, and it
+    /// is not draining.
     pub is_store_reachable: bool,
     /// Whether registrations of live upstreams may be missing, because the store is or was recently
     /// unreachable.
--- a/crates/basilgrade_edge/src/peers/sync.rs
+++ b/crates/basilgrade_edge/src/peers/sync.rs
@@ -119,7 +119,7 @@
     /// if the store does not answer.
     async fn read_store_directly(&self) {
         tokio::time::sleep(READER_CHECK_INTERVAL.duration()).await;
-        if self.mirrors.is_store_reachable() {
+        if self.mirrors.is_every_topic_readable() {
             return;
         }
         let Some(address) = self.fallback_address() else {
--- a/crates/basilgrade_edge/tests/reads_under_way.rs
+++ b/crates/basilgrade_edge/tests/reads_under_way.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use basilgrade_adapter::store;
@@ -27,6 +28,7 @@
     sent: sync::Mutex<usize>,
     /// Time that the store takes for an answer, as for a large configuration on a slow link.
     answer_time: time::Duration,
+    is_silent: atomic::AtomicBool,
 }
 
 impl Log {
@@ -78,6 +80,9 @@
         while let Ok(size) = stream.read(&mut request).await
             && size > 0
         {
+            if self.is_silent.load(atomic::Ordering::Relaxed) {
+                std::future::pending::<()>().await;
+            }
             let text = String::from_utf8_lossy(&request[..size]).into_owned();
             let answer = if text.contains("/log-newest") {
                 self.newest()
@@ -136,6 +141,7 @@
             values: sync::Mutex::new(vec![configuration(1)]),
             sent: sync::Mutex::default(),
             answer_time,
+            is_silent: atomic::AtomicBool::new(false),
         });
         let served = sync::Arc::clone(&log);
         tokio::spawn(async move {
@@ -228,3 +234,20 @@
 
     daemon.reach(9).await;
 }
+
+/// Guards against a daemon that reads for others although no configuration reaches it, as its reads of
+/// small registrations succeed.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_without_configurations_does_not_read_for_others() {
+    let daemon = Reader::start(time::Duration::ZERO).await;
+    assert!(daemon.mirrors.is_every_topic_readable());
+
+    daemon.log.is_silent.store(true, atomic::Ordering::Relaxed);
+    while daemon.mirrors.is_store_reachable() {
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
+    }
+    daemon.mirrors.record_store_answer(store::Topic::Upstreams);
+
+    assert!(daemon.mirrors.is_store_reachable());
+    assert!(!daemon.mirrors.is_every_topic_readable());
+}
--- a/crates/basilgrade_fleet/src/news_pace.rs
+++ b/crates/basilgrade_fleet/src/news_pace.rs
@@ -66,10 +66,11 @@
     }
 
     /// Longest time until a daemon knows of a change that its reader, which the store leaves without
-    /// an answer, has just missed: the next read of the registrations times out, which ends the calls
-    /// of other daemons, and the daemon reads the slow store itself.
+    /// an answer, has just missed: the next read of the topic times out, which ends the calls of other
+    /// daemons, and the daemon reads the slow store itself.
     pub fn after_unanswered_reader(&self) -> clock::Millis {
-        READ_INTERVAL.plus(STORE_TIMEOUT).plus(SLOW_STORE)
+        let missed = READ_INTERVAL.max(self.operator_wait);
+        missed.plus(STORE_TIMEOUT).plus(SLOW_STORE)
     }
 
     /// Longest time until a daemon that has just started knows of a change that its first read has just
