Limit answers to reads of registrations to what a busy link carries

A daemon that had missed 1 MiB of registrations could fall behind for good: at 1 MB/s (a link of 10 Mbit/s with other traffic) the store's answer takes longer than the time-out of 900 ms, and the next read starts at the same position.

Answers are limited to 256 KiB. After an answer that ends before the end of the topic, a daemon reads on at once, and upstreams that are missing expire only when it has caught up. A store that sends no record although its log goes on counts as failed.

`many_missed_registrations_are_read_over_a_busy_link` failed before (not at the end after 10 s) and passes.

--- a/crates/basilgrade_edge/src/follow/mirrors.rs
+++ b/crates/basilgrade_edge/src/follow/mirrors.rs
@@ -26,6 +26,10 @@
 /// Least limit on the records in an answer to a read of the operators' topic.
 const MIN_READ_LIMIT: size::ByteCount = size::ByteCount(64 << 10);
 
+/// Limit on the records in an answer to a read of another topic, which a link of 10 Mbit/s carries in
+/// a quarter of [`news_pace::STORE_TIMEOUT`](basilgrade_fleet::news_pace::STORE_TIMEOUT).
+const READ_LIMIT: size::ByteCount = size::ByteCount(256 << 10);
+
 /// Mirrors of all topics, the registered daemons, and whether the store answers.
 pub struct Mirrors {
     core: sync::Arc<core::Core>,
@@ -99,14 +103,14 @@
     }
 
     /// Limit on the records in an answer to a read of `topic`: for the operators' records, of which
-    /// only the newest counts, about one configuration.
-    pub fn read_limit(&self, topic: store::Topic) -> Option<size::ByteCount> {
+    /// only the newest counts, about one configuration; for others, what a link carries in time.
+    pub fn read_limit(&self, topic: store::Topic) -> size::ByteCount {
         if topic != store::Topic::Operators {
-            return None;
+            return READ_LIMIT;
         }
         let in_force = self.lock_in_force();
         let size = in_force.as_ref().map_or(0, |(_, value)| value.len() as u64);
-        Some(MIN_READ_LIMIT.max(size::ByteCount(size + size / 4)))
+        MIN_READ_LIMIT.max(size::ByteCount(size + size / 4))
     }
 
     /// Updates for a daemon whose mirrors are at `positions`, in the order of
--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -187,23 +187,29 @@
         Ok(())
     }
 
-    /// Loads the newest record of each key in place of all that were appended up to now, which take
-    /// a link seconds after a storm of large configurations.
+    /// Goes on after a read from `from` that ended before the end of the topic.
     ///
-    /// `from` is the position before the last read of appended records.
-    async fn skip_to_newest(&self, from: Option<position::Position>) -> Result<(), String> {
-        let update = self.fetch_newest().await?;
-        let is_readable = update
-            .changes
-            .records()
-            .filter(|(key, _)| store::is_configuration_key(key))
-            .all(|(_, value)| configuration::decode(value).is_ok());
-        if is_readable {
-            self.mirrors.apply_from_store(update);
-        } else if self.mirrors.position(self.topic) == from {
-            // A configuration before the unreadable one may be newer than that in force. The next one
-            // is larger than the limit of the last read.
+    /// All configurations of a storm take a link seconds, so only the newest one is loaded. If that is
+    /// unreadable, one before it may be newer than that in force.
+    async fn catch_up(&self, from: Option<position::Position>) -> Result<(), String> {
+        if self.topic == store::Topic::Operators {
+            let update = self.fetch_newest().await?;
+            let is_readable = update
+                .changes
+                .records()
+                .filter(|(key, _)| store::is_configuration_key(key))
+                .all(|(_, value)| configuration::decode(value).is_ok());
+            if is_readable {
+                self.mirrors.apply_from_store(update);
+                return Ok(());
+            }
+        }
+        if self.mirrors.position(self.topic) == from {
+            // The next record alone is larger than the limit of the last read.
             self.read_up_to(None, clock::Millis::ZERO).await?;
+            if self.mirrors.position(self.topic) == from {
+                return Err("the store sends no record, but the log goes on".to_owned());
+            }
         }
         Ok(())
     }
@@ -287,11 +293,13 @@
                 outcome = read => outcome,
                 _ = regained.changed(), if is_waiting => continue,
             };
+            let mut is_partial = false;
             let outcome = match outcome {
-                Ok(Progress::Partial) if self.topic == store::Topic::Operators => {
-                    self.skip_to_newest(from).await
+                Ok(Progress::Partial) => {
+                    is_partial = true;
+                    self.catch_up(from).await
                 }
-                Ok(Progress::Complete | Progress::Partial) => Ok(()),
+                Ok(Progress::Complete) => Ok(()),
                 Ok(Progress::Expired) => self.reload().await,
                 Err(reason) => Err(reason),
             };
@@ -308,6 +316,9 @@
             }
             failures = 0;
             self.mirrors.record_store_answer(self.topic);
+            if is_partial {
+                continue;
+            }
             if !is_waiting {
                 if !self.mirrors.is_uncertain() {
                     self.mirrors.expire_missing();
@@ -356,7 +367,7 @@
     /// Reads appended records once.
     async fn read_appended(&self, wait: clock::Millis) -> Result<Progress, String> {
         let limit = self.mirrors.read_limit(self.topic);
-        self.read_up_to(limit, wait).await
+        self.read_up_to(Some(limit), wait).await
     }
 
     /// Reads appended records of up to `limit`, or as many as the store sends in one answer.
--- a/crates/basilgrade_edge/tests/reads_under_way.rs
+++ b/crates/basilgrade_edge/tests/reads_under_way.rs
@@ -28,6 +28,8 @@
     sent: sync::Mutex<usize>,
     /// Time that the store takes for an answer, as for a large configuration on a slow link.
     answer_time: time::Duration,
+    /// Time that the link takes for each byte of an answer with appended records.
+    byte_time: time::Duration,
     is_silent: atomic::AtomicBool,
 }
 
@@ -89,7 +91,9 @@
             } else {
                 tokio::time::sleep(self.answer_time).await;
                 let max_size = parameter(&text, "max-size=").unwrap_or(DEFAULT_MAX_SIZE);
-                self.appended(parameter(&text, "from=").unwrap_or(0), max_size)
+                let answer = self.appended(parameter(&text, "from=").unwrap_or(0), max_size);
+                tokio::time::sleep(self.byte_time * answer.len() as u32).await;
+                answer
             };
             if stream.write_all(&answer).await.is_err() {
                 return;
@@ -125,15 +129,24 @@
     padded(&configuration(version))
 }
 
-/// Daemon that reads the operators' topic of a store, and has loaded the only configuration.
+/// Daemon that reads a topic of a store, and has loaded the only configuration.
 struct Reader {
     log: sync::Arc<Log>,
     mirrors: sync::Arc<mirrors::Mirrors>,
     core: sync::Arc<core::Core>,
+    topic: store::Topic,
 }
 
 impl Reader {
     async fn start(answer_time: time::Duration) -> Self {
+        Self::start_at(store::Topic::Operators, answer_time, time::Duration::ZERO).await
+    }
+
+    async fn start_at(
+        topic: store::Topic,
+        answer_time: time::Duration,
+        byte_time: time::Duration,
+    ) -> Self {
         let listener = net::TcpListener::bind("127.0.0.1:0").await;
         let listener = listener.expect("a loopback port is free");
         let address = listener.local_addr().expect("the listener has an address");
@@ -141,6 +154,7 @@
             values: sync::Mutex::new(vec![configuration(1)]),
             sent: sync::Mutex::default(),
             answer_time,
+            byte_time,
             is_silent: atomic::AtomicBool::new(false),
         });
         let served = sync::Arc::clone(&log);
@@ -155,14 +169,16 @@
         settings.store = address;
         core.reload(settings);
         let mirrors = sync::Arc::new(mirrors);
-        let topic = store::Topic::Operators;
         let reader =
             reader::TopicReader::new(sync::Arc::clone(&core), sync::Arc::clone(&mirrors), topic);
         tokio::spawn(reader.run());
-        let daemon = Self { log, mirrors, core };
-        while daemon.version() != Some(1) {
-            tokio::time::sleep(time::Duration::from_millis(5)).await;
-        }
+        let daemon = Self {
+            log,
+            mirrors,
+            core,
+            topic,
+        };
+        daemon.reach_end().await;
         daemon
     }
 
@@ -171,22 +187,32 @@
         view.configuration.as_ref().map(|known| known.version)
     }
 
-    /// Waits until the whole log has been read and `version` is in force.
-    async fn reach(&self, version: u64) {
+    /// Waits until the whole log has been read.
+    async fn reach_end(&self) {
         let end = self.log.values.lock().expect("no holder panics").len() as u64;
         let is_behind = || {
-            let position = self.mirrors.position(store::Topic::Operators);
+            let position = self.mirrors.position(self.topic);
             position.is_none_or(|position| position.offset < end)
         };
-        let reading = async {
-            while is_behind() || self.version() != Some(version) {
-                tokio::time::sleep(time::Duration::from_millis(5)).await;
-            }
-        };
-        let limit = time::Duration::from_secs(10);
-        let outcome = tokio::time::timeout(limit, reading).await;
-        outcome.expect("the log is read and the version is in force");
+        wait_while(is_behind).await;
     }
+
+    /// Waits until the whole log has been read and `version` is in force.
+    async fn reach(&self, version: u64) {
+        self.reach_end().await;
+        wait_while(|| self.version() != Some(version)).await;
+    }
+}
+
+async fn wait_while(is_waiting: impl Fn() -> bool) {
+    let waiting = async {
+        while is_waiting() {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    };
+    let limit = time::Duration::from_secs(10);
+    let outcome = tokio::time::timeout(limit, waiting).await;
+    outcome.expect("what is waited for happens in time");
 }
 
 /// Guards against a configuration that arrives seconds late, as a daemon gives up its read of the store
@@ -195,6 +221,7 @@
 async fn read_under_way_is_completed_when_another_daemon_begins_to_read() {
     let answer_time = time::Duration::from_millis(400);
     let daemon = Reader::start(answer_time).await;
+    wait_while(|| daemon.version() != Some(1)).await;
     daemon.log.append([configuration(2)]);
     // The first read after the load waits until the daemon has had time to find its reader.
     tokio::time::sleep(time::Duration::from_millis(1700)).await;
@@ -251,3 +278,16 @@
     assert!(daemon.mirrors.is_store_reachable());
     assert!(!daemon.mirrors.is_every_topic_readable());
 }
+
+/// Guards against a daemon that never catches up on registrations, as an answer with all that its link
+/// takes a second for exceeds the time-out, and the read starts anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn many_missed_registrations_are_read_over_a_busy_link() {
+    let byte_time = time::Duration::from_micros(1);
+    let topic = store::Topic::Upstreams;
+    let daemon = Reader::start_at(topic, time::Duration::ZERO, byte_time).await;
+
+    daemon.log.append((2..=20).map(large_configuration));
+
+    daemon.reach_end().await;
+}
