Read a topic at once after a failure of a read

A reader whose read of the daemons' topic had failed would have told its followers for up to 10 s that it cannot read for them: a topic counts as readable after its next answer, and that was a long poll.

The first read after a failure does not wait for a record.

--- a/crates/basilgrade_edge/src/follow/reader.rs
+++ b/crates/basilgrade_edge/src/follow/reader.rs
@@ -288,6 +288,12 @@
             }
             regained.mark_unchanged();
             let from = self.mirrors.position(self.topic);
+            // After a failure, an answer at once shows that the topic can be read again.
+            let wait = if failures == 0 {
+                wait
+            } else {
+                clock::Millis::ZERO
+            };
             let read = self.read_appended(wait);
             let outcome = tokio::select! {
                 outcome = read => outcome,
--- a/crates/basilgrade_edge/tests/reads_under_way.rs
+++ b/crates/basilgrade_edge/tests/reads_under_way.rs
@@ -30,7 +30,8 @@
     answer_time: time::Duration,
     /// Time that the link takes for each byte of an answer with appended records.
     byte_time: time::Duration,
-    is_silent: atomic::AtomicBool,
+    /// Whether connections are closed without an answer.
+    closes: atomic::AtomicBool,
 }
 
 impl Log {
@@ -39,6 +40,21 @@
         log.extend(values);
     }
 
+    fn len(&self) -> usize {
+        self.values.lock().expect("no holder panics").len()
+    }
+
+    /// Waits up to `wait` for the record at `from`, or until connections are closed.
+    async fn wait_for_record(&self, from: usize, wait: time::Duration) {
+        let end = time::Instant::now() + wait;
+        while self.len() <= from
+            && time::Instant::now() < end
+            && !self.closes.load(atomic::Ordering::Relaxed)
+        {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+    }
+
     fn count_sent(&self, values: &[String]) {
         let size: usize = values.iter().map(String::len).sum();
         *self.sent.lock().expect("no holder panics") += size;
@@ -82,16 +98,23 @@
         while let Ok(size) = stream.read(&mut request).await
             && size > 0
         {
-            if self.is_silent.load(atomic::Ordering::Relaxed) {
-                std::future::pending::<()>().await;
+            if self.closes.load(atomic::Ordering::Relaxed) {
+                return;
             }
             let text = String::from_utf8_lossy(&request[..size]).into_owned();
             let answer = if text.contains("/log-newest") {
                 self.newest()
             } else {
                 tokio::time::sleep(self.answer_time).await;
+                let from = parameter(&text, "from=").unwrap_or(0);
+                let wait = parameter(&text, "wait-ms=").unwrap_or(0);
+                self.wait_for_record(from, time::Duration::from_millis(wait as u64))
+                    .await;
+                if self.closes.load(atomic::Ordering::Relaxed) {
+                    return;
+                }
                 let max_size = parameter(&text, "max-size=").unwrap_or(DEFAULT_MAX_SIZE);
-                let answer = self.appended(parameter(&text, "from=").unwrap_or(0), max_size);
+                let answer = self.appended(from, max_size);
                 tokio::time::sleep(self.byte_time * answer.len() as u32).await;
                 answer
             };
@@ -155,7 +178,7 @@
             sent: sync::Mutex::default(),
             answer_time,
             byte_time,
-            is_silent: atomic::AtomicBool::new(false),
+            closes: atomic::AtomicBool::new(false),
         });
         let served = sync::Arc::clone(&log);
         tokio::spawn(async move {
@@ -189,7 +212,7 @@
 
     /// Waits until the whole log has been read.
     async fn reach_end(&self) {
-        let end = self.log.values.lock().expect("no holder panics").len() as u64;
+        let end = self.log.len() as u64;
         let is_behind = || {
             let position = self.mirrors.position(self.topic);
             position.is_none_or(|position| position.offset < end)
@@ -269,16 +292,32 @@
     let daemon = Reader::start(time::Duration::ZERO).await;
     assert!(daemon.mirrors.is_every_topic_readable());
 
-    daemon.log.is_silent.store(true, atomic::Ordering::Relaxed);
-    while daemon.mirrors.is_store_reachable() {
-        tokio::time::sleep(time::Duration::from_millis(5)).await;
-    }
+    daemon.log.closes.store(true, atomic::Ordering::Relaxed);
+    wait_while(|| daemon.mirrors.is_store_reachable()).await;
     daemon.mirrors.record_store_answer(store::Topic::Upstreams);
 
     assert!(daemon.mirrors.is_store_reachable());
     assert!(!daemon.mirrors.is_every_topic_readable());
 }
 
+/// Guards against a daemon that does not read for others until the long poll of a topic ends that has
+/// failed before.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_reads_for_others_soon_after_a_failed_read() {
+    let topic = store::Topic::Daemons;
+    let none = time::Duration::ZERO;
+    let daemon = Reader::start_at(topic, none, none).await;
+
+    daemon.log.closes.store(true, atomic::Ordering::Relaxed);
+    wait_while(|| daemon.mirrors.is_store_reachable()).await;
+    daemon.log.closes.store(false, atomic::Ordering::Relaxed);
+    let failed_at = time::Instant::now();
+    wait_while(|| !daemon.mirrors.is_every_topic_readable()).await;
+
+    let span = failed_at.elapsed();
+    assert!(span < time::Duration::from_secs(5), "{span:?}");
+}
+
 /// Guards against a daemon that never catches up on registrations, as an answer with all that its link
 /// takes a second for exceeds the time-out, and the read starts anew.
 #[tokio::test(flavor = "multi_thread")]
