--- a/crates/basilgrade/tests/configuration_spread/check.rs
+++ b/crates/basilgrade/tests/configuration_spread/check.rs
@@ -6,10 +6,10 @@
 
 use crate::fleet;
 
-/// Longest time from the acknowledgement of a version until each daemon in touch acts on it.
+/// Longest time from the acknowledgement of a version until each undisturbed daemon acts on it.
 pub(crate) const BOUND: time::Duration = time::Duration::from_secs(4);
 
-/// Time without a disruption after which a daemon is in touch.
+/// Time without a disruption after which the bound applies to a daemon.
 const STABLE_WINDOW: time::Duration = time::Duration::from_secs(5);
 
 /// Time after which no request may be handled by an older version than one before.
@@ -43,7 +43,7 @@
             .max_by_key(|lag| lag.span)
     }
 
-    /// Lags of daemons in touch beyond the bound.
+    /// Lags of undisturbed daemons beyond the bound.
     pub(crate) fn violations(&self) -> impl Iterator<Item = &Lag> {
         self.lags
             .iter()
--- a/crates/basilgrade/tests/configuration_spread/faults.rs
+++ b/crates/basilgrade/tests/configuration_spread/faults.rs
@@ -193,7 +193,7 @@
         Fault::Connections(how) => fleet.machines[daemon].break_connections(how),
         Fault::Hangup => {
             fleet.lock_daemon(daemon).signal("HUP");
-            // Its settings are the same, so it stays in touch.
+            // Its settings are the same, so the bound still applies to it.
             return;
         }
         Fault::Stop => {
